--- /dev/null
+++ b/anvilcroft/runtime.cc
@@ -0,0 +1,51 @@
+#include "anvilcroft/runtime.h"
+
+#include <csignal>
+#include <utility>
+
+#include "anvilcroft/runtime_impl.h"
+
+namespace anvilcroft {
+
+Runtime::Runtime() : impl(std::make_unique<detail::RuntimeImpl>()) {
+  // A write to a connection that the other side closed is an error value, not a signal.
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+Runtime::~Runtime() = default;
+
+void Runtime::Spawn(Body body) {
+  boost::asio::spawn(
+      this->impl->io,
+      [this, body = std::move(body)](boost::asio::yield_context yield) {
+        Task task(*this, yield);
+        body(task);
+      },
+      boost::coroutines::attributes(detail::RuntimeImpl::kStackBytes));
+}
+
+void Runtime::Run() {
+  auto guard = boost::asio::make_work_guard(this->impl->io);
+  this->impl->io.run();
+}
+
+void Runtime::Stop() { this->impl->io.stop(); }
+
+void Runtime::OnTerminate(std::function<void()> handler) {
+  this->impl->signals.add(SIGTERM);
+  this->impl->signals.add(SIGINT);
+  this->impl->signals.async_wait(
+      [handler = std::move(handler)](const boost::system::error_code& failed, int) {
+        if (!failed) handler();
+      });
+}
+
+void SleepUntil(Task& task, TimePoint when) {
+  boost::asio::steady_timer timer(task.runtime.Impl().io, when);
+  boost::system::error_code ignored;
+  timer.async_wait(task.yield[ignored]);
+}
+
+Runtime& RuntimeOf(Task& task) { return task.runtime; }
+
+}  // namespace anvilcroft
--- /dev/null
+++ b/anvilcroft/runtime_impl.h
@@ -0,0 +1,42 @@
+#ifndef ANVILCROFT_RUNTIME_IMPL_H_
+#define ANVILCROFT_RUNTIME_IMPL_H_
+
+// The Asio side of Runtime and Task. Included by the .cc files that do network I/O; kept out of
+// other headers because Asio is slow to compile.
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+
+#include "anvilcroft/runtime.h"
+
+namespace anvilcroft {
+
+class Task {
+ public:
+  Task(Runtime& runtime, boost::asio::yield_context yield) : runtime(runtime), yield(yield) {}
+  Task(const Task&) = delete;
+  Task& operator=(const Task&) = delete;
+
+  Runtime& runtime;
+  boost::asio::yield_context yield;
+};
+
+namespace detail {
+
+class RuntimeImpl {
+ public:
+  // The stack of one task. Only touched pages become resident; 64 KiB overflowed in the JSON
+  // parser at the nesting limit when combined with logging.
+  static constexpr std::size_t kStackBytes = 256 * 1024;
+
+  boost::asio::io_context io{1};
+  boost::asio::signal_set signals{io};
+};
+
+}  // namespace detail
+}  // namespace anvilcroft
+
+#endif  // ANVILCROFT_RUNTIME_IMPL_H_
--- /dev/null
+++ b/anvilcroft/time.cc
@@ -0,0 +1,16 @@
+#include "anvilcroft/time.h"
+
+namespace anvilcroft {
+
+TimePoint SteadyNow() { return std::chrono::steady_clock::now(); }
+
+WallMillis WallNow() {
+  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<milliseconds>(since_epoch).count();
+}
+
+int64_t ToMillis(Duration duration) {
+  return std::chrono::duration_cast<milliseconds>(duration).count();
+}
+
+}  // namespace anvilcroft
