--- /dev/null
+++ b/anvilcroft/commit_queue.cc
@@ -0,0 +1,133 @@
+#include "anvilcroft/commit_queue.h"
+
+#include <algorithm>
+#include <optional>
+#include <sstream>
+#include <utility>
+
+namespace anvilcroft {
+namespace {
+
+std::vector<std::size_t> ParseIndexes(const std::string& list) {
+  std::vector<std::size_t> indexes;
+  std::istringstream in(list);
+  std::size_t index = 0;
+  while (in >> index) {
+    indexes.push_back(index);
+    in.ignore(1);
+  }
+  return indexes;
+}
+
+}  // namespace
+
+struct CommitQueue::Entry {
+  Transaction transaction;
+  TimePoint deadline;
+  std::optional<Result<RowVersion>> outcome;
+  Event done;
+
+  void Finish(Result<RowVersion> result) {
+    this->outcome = std::move(result);
+    this->done.NotifyAll();
+  }
+};
+
+CommitQueue::CommitQueue(CommitHook commit) : commit(std::move(commit)) {}
+
+Result<RowVersion> CommitQueue::Commit(Task& task, const Transaction& transaction,
+                                       TimePoint deadline) {
+  if (this->waiting.size() >= kMaxWaiting) {
+    return Fail(ErrorCode::kOverloaded, "too many transactions wait for the table service");
+  }
+  const auto entry = std::make_shared<Entry>();
+  entry->transaction = transaction;
+  entry->deadline = deadline;
+  this->waiting.push_back(entry);
+  if (!this->sending) {
+    this->sending = true;
+    RuntimeOf(task).Spawn([this](Task& sender) { this->Drain(sender); });
+  }
+  while (!entry->outcome) entry->done.Wait(task);
+  return *entry->outcome;
+}
+
+void CommitQueue::Drain(Task& task) {
+  while (!this->waiting.empty()) {
+    this->SendGroup(task, this->TakeGroup(SteadyNow()));
+  }
+  this->sending = false;
+}
+
+CommitQueue::Group CommitQueue::TakeGroup(TimePoint now) {
+  Group group;
+  std::size_t writes = 0;
+  for (auto at = this->waiting.begin(); at != this->waiting.end();) {
+    const std::shared_ptr<Entry>& entry = *at;
+    if (entry->deadline <= now) {
+      entry->Finish(Fail(ErrorCode::kDeadlineExceeded, "waited too long for the table service"));
+      at = this->waiting.erase(at);
+      continue;
+    }
+    const std::size_t more = entry->transaction.Writes().size();
+    const bool fits = group.empty() || writes + more <= Transaction::kMaxWrites;
+    const bool overlaps = std::any_of(group.begin(), group.end(), [&](const auto& member) {
+      return member->transaction.Overlaps(entry->transaction);
+    });
+    if (!fits) break;
+    if (overlaps) {
+      ++at;
+      continue;
+    }
+    writes += more;
+    group.push_back(entry);
+    at = this->waiting.erase(at);
+  }
+  return group;
+}
+
+void CommitQueue::SendGroup(Task& task, Group group) {
+  while (!group.empty()) {
+    Transaction whole;
+    std::vector<std::size_t> owner_of_check;
+    TimePoint deadline = group.front()->deadline;
+    for (std::size_t i = 0; i < group.size(); ++i) {
+      whole = whole.With(group[i]->transaction);
+      owner_of_check.insert(owner_of_check.end(), group[i]->transaction.Checks().size(), i);
+      deadline = std::max(deadline, group[i]->deadline);
+    }
+    const Result<RowVersion> result = this->commit(task, whole, deadline);
+    if (result || result.error().code != ErrorCode::kConflict) {
+      for (const auto& entry : group) entry->Finish(result);
+      return;
+    }
+    // Checks of several transactions failed together in one group: each learns its own indexes.
+    std::vector<std::string> failed_checks(group.size());
+    std::vector<std::size_t> first_check(group.size(), 0);
+    for (std::size_t i = 1; i < group.size(); ++i) {
+      first_check[i] = first_check[i - 1] + group[i - 1]->transaction.Checks().size();
+    }
+    for (const std::size_t index : ParseIndexes(result.error().part)) {
+      if (index >= owner_of_check.size()) continue;
+      const std::size_t owner = owner_of_check[index];
+      failed_checks[owner] +=
+          (failed_checks[owner].empty() ? "" : ",") + std::to_string(index - first_check[owner]);
+    }
+    Group rest;
+    for (std::size_t i = 0; i < group.size(); ++i) {
+      if (failed_checks[i].empty()) {
+        rest.push_back(group[i]);
+      } else {
+        group[i]->Finish(tl::unexpected<Error>(result.error().WithPart(failed_checks[i])));
+      }
+    }
+    if (rest.size() == group.size()) {
+      // The conflict names no check of ours; nobody in the group can be told apart.
+      for (const auto& entry : group) entry->Finish(result);
+      return;
+    }
+    group = std::move(rest);
+  }
+}
+
+}  // namespace anvilcroft
--- a/anvilcroft/error.cc
+++ b/anvilcroft/error.cc
@@ -8,41 +8,70 @@
 
 const char* ErrorCodeName(ErrorCode code) {
   switch (code) {
-    case ErrorCode::kInvalidArgument: return "invalid_argument";
-    case ErrorCode::kNotFound: return "not_found";
-    case ErrorCode::kTooLarge: return "too_large";
-    case ErrorCode::kConflict: return "conflict";
-    case ErrorCode::kStaleBase: return "stale_base";
-    case ErrorCode::kInvalidPatch: return "invalid_patch";
-    case ErrorCode::kKeyRequired: return "key_required";
-    case ErrorCode::kKeyReused: return "key_reused";
-    case ErrorCode::kOverloaded: return "overloaded";
-    case ErrorCode::kDeadlineExceeded: return "deadline_exceeded";
-    case ErrorCode::kNoTarget: return "no_target";
-    case ErrorCode::kIsolated: return "isolated";
-    case ErrorCode::kNotReady: return "not_ready";
-    case ErrorCode::kNoLease: return "no_lease";
-    case ErrorCode::kStoreUnavailable: return "store_unavailable";
-    case ErrorCode::kOutcomeUnknown: return "outcome_unknown";
-    case ErrorCode::kCrashesTargets: return "request_crashes_targets";
-    case ErrorCode::kConnectFailed: return "connect_failed";
-    case ErrorCode::kConnectionLost: return "connection_lost";
-    case ErrorCode::kBadResponse: return "bad_response";
-    case ErrorCode::kLeaving: return "leaving";
-    case ErrorCode::kOldFencing: return "old_fencing";
-    case ErrorCode::kSwapFailed: return "swap_failed";
-    case ErrorCode::kStaleVersion: return "stale_version";
-    case ErrorCode::kCancelled: return "cancelled";
-    case ErrorCode::kInternal: return "internal";
+    case ErrorCode::kInvalidArgument:
+      return "invalid_argument";
+    case ErrorCode::kNotFound:
+      return "not_found";
+    case ErrorCode::kTooLarge:
+      return "too_large";
+    case ErrorCode::kConflict:
+      return "conflict";
+    case ErrorCode::kStaleBase:
+      return "stale_base";
+    case ErrorCode::kInvalidPatch:
+      return "invalid_patch";
+    case ErrorCode::kKeyRequired:
+      return "key_required";
+    case ErrorCode::kKeyReused:
+      return "key_reused";
+    case ErrorCode::kOverloaded:
+      return "overloaded";
+    case ErrorCode::kDeadlineExceeded:
+      return "deadline_exceeded";
+    case ErrorCode::kNoTarget:
+      return "no_target";
+    case ErrorCode::kIsolated:
+      return "isolated";
+    case ErrorCode::kNotReady:
+      return "not_ready";
+    case ErrorCode::kNoLease:
+      return "no_lease";
+    case ErrorCode::kStoreUnavailable:
+      return "store_unavailable";
+    case ErrorCode::kOutcomeUnknown:
+      return "outcome_unknown";
+    case ErrorCode::kCrashesTargets:
+      return "request_crashes_targets";
+    case ErrorCode::kConnectFailed:
+      return "connect_failed";
+    case ErrorCode::kConnectionLost:
+      return "connection_lost";
+    case ErrorCode::kBadResponse:
+      return "bad_response";
+    case ErrorCode::kLeaving:
+      return "leaving";
+    case ErrorCode::kOldFencing:
+      return "old_fencing";
+    case ErrorCode::kSwapFailed:
+      return "swap_failed";
+    case ErrorCode::kStaleVersion:
+      return "stale_version";
+    case ErrorCode::kCancelled:
+      return "cancelled";
+    case ErrorCode::kInternal:
+      return "internal";
   }
   return "internal";
 }
 
 const char* RanName(Ran ran) {
   switch (ran) {
-    case Ran::kNo: return "no";
-    case Ran::kYes: return "yes";
-    case Ran::kUnknown: return "unknown";
+    case Ran::kNo:
+      return "no";
+    case Ran::kYes:
+      return "yes";
+    case Ran::kUnknown:
+      return "unknown";
   }
   return "unknown";
 }
--- /dev/null
+++ b/anvilcroft/http_client.cc
@@ -0,0 +1,253 @@
+#include "anvilcroft/http_client.h"
+
+#include <netinet/tcp.h>
+
+#include <algorithm>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <limits>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "anvilcroft/http_wire.h"
+#include "anvilcroft/runtime_impl.h"
+
+namespace anvilcroft {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+struct Connection {
+  explicit Connection(asio::io_context& io) : stream(io) {}
+
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+  TimePoint idle_since;
+  bool reused = false;
+};
+
+// The error of a read or write that failed after the request may have left.
+tl::unexpected<Error> TransferError(const error_code& failed, const CallOptions& options) {
+  if (options.CancelledBy() && options.CancelledBy()->Cancelled()) {
+    return Fail(ErrorCode::kCancelled, "the call was cancelled", "", Ran::kUnknown);
+  }
+  if (failed == beast::error::timeout) {
+    return Fail(ErrorCode::kDeadlineExceeded, "no response in time", "", Ran::kUnknown);
+  }
+  if (failed.category() == http::make_error_code(http::error::bad_value).category() &&
+      failed != http::error::end_of_stream && failed != http::error::partial_message) {
+    return Fail(ErrorCode::kBadResponse, failed.message(), "", Ran::kUnknown);
+  }
+  return Fail(ErrorCode::kConnectionLost, failed.message(), "", Ran::kUnknown);
+}
+
+std::shared_ptr<void> CloseOnCancel(const CallOptions& options,
+                                    const std::shared_ptr<Connection>& connection) {
+  if (!options.CancelledBy()) return nullptr;
+  const std::weak_ptr<Connection> weak = connection;
+  return options.CancelledBy()->OnCancel([weak] {
+    if (const auto open = weak.lock()) open->stream.close();
+  });
+}
+
+}  // namespace
+
+class HttpClient::Impl {
+ public:
+  explicit Impl(Runtime& runtime) : io(runtime.Impl().io) {}
+
+  // Takes an idle connection or makes a new one.
+  Result<std::shared_ptr<Connection>> Acquire(Task& task, const Endpoint& endpoint,
+                                              const CallOptions& options) {
+    auto& idle = this->pool[endpoint];
+    const TimePoint now = SteadyNow();
+    while (!idle.empty() && !options.FreshConnection()) {
+      std::shared_ptr<Connection> connection = std::move(idle.back());
+      idle.pop_back();
+      if (now - connection->idle_since < kMaxIdleTime && StillOpen(*connection)) {
+        connection->reused = true;
+        return connection;
+      }
+    }
+    return this->Connect(task, endpoint, options);
+  }
+
+  void Release(const Endpoint& endpoint, std::shared_ptr<Connection> connection) {
+    auto& idle = this->pool[endpoint];
+    if (idle.size() >= kMaxIdlePerEndpoint) return;
+    connection->idle_since = SteadyNow();
+    connection->stream.expires_never();
+    idle.push_back(std::move(connection));
+  }
+
+  void Forget(const Endpoint& endpoint) { this->pool.erase(endpoint); }
+
+ private:
+  Result<std::shared_ptr<Connection>> Connect(Task& task, const Endpoint& endpoint,
+                                              const CallOptions& options) {
+    auto connection = std::make_shared<Connection>(this->io);
+    const auto cancel = CloseOnCancel(options, connection);
+    error_code failed;
+    const auto ip = asio::ip::make_address(endpoint.ip, failed);
+    if (failed) return Fail(ErrorCode::kConnectFailed, "malformed address", endpoint.ToString());
+    connection->stream.expires_at(std::min(options.Deadline(), SteadyNow() + kConnectTimeout));
+    connection->stream.async_connect(asio::ip::tcp::endpoint(ip, endpoint.port),
+                                     task.yield[failed]);
+    if (failed) {
+      return Fail(ErrorCode::kConnectFailed, failed.message(), endpoint.ToString());
+    }
+    auto& socket = connection->stream.socket();
+    socket.set_option(asio::ip::tcp::no_delay(true), failed);
+    socket.set_option(asio::socket_base::keep_alive(true), failed);
+    // Ends a connection whose sent bytes are not acknowledged, which a middlebox that has lost
+    // track of the connection causes.
+    const int user_timeout_ms = 10000;
+    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms,
+                 sizeof user_timeout_ms);
+    return connection;
+  }
+
+  // Whether an idle connection has neither been closed by the other side nor received bytes that
+  // nobody asked for (a late response to an earlier request).
+  static bool StillOpen(Connection& connection) {
+    char byte = 0;
+    const auto received =
+        ::recv(connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) &&
+           connection.buffer.size() == 0;
+  }
+
+  asio::io_context& io;
+  std::map<Endpoint, std::vector<std::shared_ptr<Connection>>> pool;
+};
+
+namespace {
+
+class HttpStreamImpl : public HttpStream {
+ public:
+  using Release = std::function<void(std::shared_ptr<Connection>)>;
+
+  HttpStreamImpl(std::shared_ptr<Connection> connection, const CallOptions& options,
+                 Release release)
+      : connection(std::move(connection)),
+        options(options),
+        release(std::move(release)),
+        cancel(CloseOnCancel(this->options, this->connection)) {
+    // Beast 1.74 treats "no limit" as a limit of zero when the length is known.
+    this->parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    this->parser.header_limit(16 << 10);
+  }
+
+  Result<void> ReadHeader(Task& task) {
+    error_code failed;
+    this->SetTimeout();
+    http::async_read_header(this->connection->stream, this->connection->buffer, this->parser,
+                            task.yield[failed]);
+    if (failed) return TransferError(failed, this->options);
+    this->headers = FromWire(this->parser.get());
+    return {};
+  }
+
+  int Status() const override { return this->parser.get().result_int(); }
+  const HttpHeaders& Headers() const override { return this->headers; }
+
+  Result<std::optional<std::string>> Read(Task& task) override {
+    std::string& body = this->parser.get().body();
+    while (body.empty() && !this->parser.is_done()) {
+      error_code failed;
+      this->SetTimeout();
+      http::async_read_some(this->connection->stream, this->connection->buffer, this->parser,
+                            task.yield[failed]);
+      if (failed) {
+        this->connection->stream.close();
+        return TransferError(failed, this->options);
+      }
+    }
+    if (!body.empty()) return std::optional<std::string>(std::exchange(body, {}));
+    if (this->connection && this->parser.keep_alive()) {
+      this->release(std::exchange(this->connection, nullptr));
+    }
+    return std::optional<std::string>();
+  }
+
+ private:
+  void SetTimeout() {
+    this->connection->stream.expires_at(
+        std::min(this->options.Deadline(), SteadyNow() + this->options.ProgressTimeout()));
+  }
+
+  std::shared_ptr<Connection> connection;
+  CallOptions options;
+  Release release;
+  std::shared_ptr<void> cancel;
+  http::response_parser<http::string_body> parser;
+  HttpHeaders headers;
+};
+
+}  // namespace
+
+HttpClient::HttpClient(Runtime& runtime) : impl(std::make_shared<Impl>(runtime)) {}
+
+HttpClient::~HttpClient() = default;
+
+void HttpClient::Forget(const Endpoint& endpoint) { this->impl->Forget(endpoint); }
+
+Result<std::unique_ptr<HttpStream>> HttpClient::Open(Task& task, const Endpoint& endpoint,
+                                                     const HttpRequest& request,
+                                                     const CallOptions& options) {
+  if (options.CancelledBy() && options.CancelledBy()->Cancelled()) {
+    return Fail(ErrorCode::kCancelled, "the call was cancelled");
+  }
+  auto acquired = this->impl->Acquire(task, endpoint, options);
+  if (!acquired) return tl::unexpected<Error>(acquired.error());
+  std::shared_ptr<Connection> connection = std::move(*acquired);
+  const bool reused = connection->reused;
+
+  const std::weak_ptr<Impl> weak = this->impl;
+  auto stream = std::make_unique<HttpStreamImpl>(
+      connection, options, [weak, endpoint](std::shared_ptr<Connection> done) {
+        if (const auto open = weak.lock()) open->Release(endpoint, std::move(done));
+      });
+
+  error_code failed;
+  const auto message = ToWire(request, endpoint.ToString());
+  connection->stream.expires_at(
+      std::min(options.Deadline(), SteadyNow() + options.ProgressTimeout()));
+  http::async_write(connection->stream, message, task.yield[failed]);
+  Result<void> header = failed ? TransferError(failed, options) : Result<void>();
+  if (header) header = stream->ReadHeader(task);
+  if (header) return std::unique_ptr<HttpStream>(std::move(stream));
+
+  if (reused && options.Resend() && header.error().code == ErrorCode::kConnectionLost) {
+    return this->Open(task, endpoint, request, options.WithFreshConnection());
+  }
+  return tl::unexpected<Error>(header.error());
+}
+
+Result<HttpResponse> HttpClient::Call(Task& task, const Endpoint& endpoint,
+                                      const HttpRequest& request, const CallOptions& options) {
+  auto stream = this->Open(task, endpoint, request, options);
+  if (!stream) return tl::unexpected<Error>(stream.error());
+  std::string body;
+  while (true) {
+    auto chunk = (*stream)->Read(task);
+    if (!chunk) return tl::unexpected<Error>(chunk.error());
+    if (!*chunk) break;
+    body += **chunk;
+    if (body.size() > kMaxResponseBytes) {
+      return Fail(ErrorCode::kBadResponse, "the response is too large", "", Ran::kUnknown);
+    }
+  }
+  return HttpResponse::Builder()
+      .SetStatus((*stream)->Status())
+      .SetHeaders((*stream)->Headers())
+      .SetBody(std::move(body))
+      .Build();
+}
+
+}  // namespace anvilcroft
--- /dev/null
+++ b/anvilcroft/http_response.h
@@ -0,0 +1,60 @@
+#ifndef ANVILCROFT_HTTP_RESPONSE_H_
+#define ANVILCROFT_HTTP_RESPONSE_H_
+
+// An HTTP response with its whole body. Immutable; made by HttpResponse::Builder, by the helpers
+// below, or by the client.
+
+#include <string>
+#include <tuple>
+
+#include "anvilcroft/error.h"
+#include "anvilcroft/http_headers.h"
+
+namespace anvilcroft {
+
+class HttpResponse {
+ public:
+  class Builder;
+
+  int Status() const { return this->status; }
+  const HttpHeaders& Headers() const { return this->headers; }
+  const std::string& Body() const { return this->body; }
+
+  friend bool operator==(const HttpResponse& a, const HttpResponse& b) {
+    return std::tie(a.status, a.headers, a.body) == std::tie(b.status, b.headers, b.body);
+  }
+  friend bool operator!=(const HttpResponse& a, const HttpResponse& b) { return !(a == b); }
+
+ private:
+  int status = 200;
+  HttpHeaders headers;
+  std::string body;
+};
+
+class HttpResponse::Builder {
+ public:
+  Builder& SetStatus(int status);
+  Builder& SetHeaders(HttpHeaders headers);
+  Builder& SetHeader(std::string name, std::string value);
+  Builder& SetBody(std::string body);
+  // Sets the body and the content type application/json.
+  Builder& SetJson(std::string body);
+  HttpResponse Build() const { return this->response; }
+
+ private:
+  HttpResponse response;
+};
+
+// A response with a JSON body.
+HttpResponse JsonResponse(int status, std::string body);
+
+// The standard error response: {"error": {code, message, part, ran}} with the status that belongs
+// to the code and the header X-Ran.
+HttpResponse ErrorResponse(const Error& error);
+
+// The HTTP status that belongs to `code`.
+int StatusOf(ErrorCode code);
+
+}  // namespace anvilcroft
+
+#endif  // ANVILCROFT_HTTP_RESPONSE_H_
--- /dev/null
+++ b/anvilcroft/http_server.cc
@@ -0,0 +1,326 @@
+#include "anvilcroft/http_server.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <set>
+#include <utility>
+
+#include "anvilcroft/endpoint.h"
+#include "anvilcroft/http_wire.h"
+#include "anvilcroft/log.h"
+#include "anvilcroft/runtime_impl.h"
+
+namespace anvilcroft {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+constexpr char kPart[] = "http";
+
+// One open connection and the answer to the request it is serving.
+class Session : public HttpReply {
+ public:
+  Session(asio::ip::tcp::socket socket, Duration write_timeout)
+      : stream(std::move(socket)), write_timeout(write_timeout) {}
+
+  // Prepares for the answer to the next request.
+  void BeginRequest(bool keep_alive_wanted) {
+    this->answered = false;
+    this->streaming = false;
+    this->keep_alive = keep_alive_wanted && !this->closing;
+  }
+
+  Result<void> Send(Task& task, const HttpResponse& response) override {
+    ANVILCROFT_CHECK(!this->answered);
+    this->answered = true;
+    auto message = ToWire(response, this->keep_alive && !this->closing);
+    this->keep_alive = message.keep_alive();
+    error_code failed;
+    this->stream.expires_after(this->write_timeout);
+    http::async_write(this->stream, message, task.yield[failed]);
+    return this->Outcome(failed);
+  }
+
+  Result<void> BeginStream(Task& task, int status, const HttpHeaders& headers) override {
+    ANVILCROFT_CHECK(!this->answered);
+    this->answered = true;
+    this->streaming = true;
+    http::response<http::empty_body> message;
+    message.result(static_cast<unsigned>(status));
+    message.version(11);
+    for (const auto& [name, value] : headers.Fields()) message.set(name, value);
+    message.keep_alive(this->keep_alive && !this->closing);
+    this->keep_alive = message.keep_alive();
+    message.chunked(true);
+    http::response_serializer<http::empty_body> serializer(message);
+    error_code failed;
+    this->stream.expires_after(this->write_timeout);
+    http::async_write_header(this->stream, serializer, task.yield[failed]);
+    return this->Outcome(failed);
+  }
+
+  Result<void> Write(Task& task, const std::string& chunk) override {
+    if (chunk.empty()) return {};  // an empty chunk would end the body
+    error_code failed;
+    this->stream.expires_after(this->write_timeout);
+    asio::async_write(this->stream, http::make_chunk(asio::buffer(chunk)), task.yield[failed]);
+    return this->Outcome(failed);
+  }
+
+  Result<void> End(Task& task) override {
+    error_code failed;
+    this->streaming = false;
+    this->stream.expires_after(this->write_timeout);
+    asio::async_write(this->stream, http::make_chunk_last(), task.yield[failed]);
+    return this->Outcome(failed);
+  }
+
+  void Abort() override {
+    this->answered = true;
+    this->streaming = false;
+    this->keep_alive = false;
+    this->stream.close();
+  }
+
+  void Close() {
+    error_code ignored;
+    this->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    this->stream.close();
+  }
+
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+  bool answered = false;
+  bool streaming = false;
+  bool keep_alive = true;
+  bool busy = false;     // a request is being read or served
+  bool closing = false;  // close after the answer that is under way
+
+ private:
+  Result<void> Outcome(const error_code& failed) {
+    if (!failed) return {};
+    this->keep_alive = false;
+    this->stream.close();
+    return Fail(ErrorCode::kConnectionLost, failed.message(), "", Ran::kUnknown);
+  }
+
+  Duration write_timeout;
+};
+
+}  // namespace
+
+class HttpServerImpl : public HttpServer {
+ public:
+  HttpServerImpl(Runtime& runtime, HttpServer::Builder builder)
+      : runtime(runtime), options(std::move(builder)), acceptor(runtime.Impl().io) {}
+
+  Result<std::string> Start() override {
+    const auto parsed = ParseEndpoint(this->options.address);
+    if (!parsed) return tl::unexpected<Error>(parsed.error());
+    const asio::ip::tcp::endpoint local(asio::ip::make_address(parsed->ip), parsed->port);
+    error_code failed;
+    this->acceptor.open(local.protocol(), failed);
+    if (!failed) this->acceptor.set_option(asio::socket_base::reuse_address(true), failed);
+    if (!failed) this->acceptor.bind(local, failed);
+    if (!failed) this->acceptor.listen(asio::socket_base::max_listen_connections, failed);
+    if (failed) {
+      return Fail(ErrorCode::kInvalidArgument, "cannot listen: " + failed.message(),
+                  this->options.address);
+    }
+    this->runtime.Spawn([this](Task& task) { this->Accept(task); });
+    return Endpoint{parsed->ip, this->acceptor.local_endpoint().port()}.ToString();
+  }
+
+  void StopAccepting() override {
+    if (!this->acceptor.is_open()) return;
+    this->AcceptPending();
+    error_code ignored;
+    this->acceptor.close(ignored);
+    this->CloseAfterResponse();
+    const auto open = this->sessions;
+    for (const auto& session : open) {
+      if (!session->busy) session->Close();
+    }
+  }
+
+  void CloseAfterResponse() override {
+    this->closing = true;
+    for (const auto& session : this->sessions) session->closing = true;
+  }
+
+  std::size_t ActiveRequests() const override { return this->active; }
+
+ private:
+  void Accept(Task& task) {
+    while (this->acceptor.is_open()) {
+      asio::ip::tcp::socket socket(this->runtime.Impl().io);
+      error_code failed;
+      this->acceptor.async_accept(socket, task.yield[failed]);
+      if (failed == asio::error::operation_aborted) return;
+      if (failed) {
+        // Out of file descriptors: waits for some to be closed rather than spin.
+        SleepUntil(task, SteadyNow() + milliseconds(20));
+        continue;
+      }
+      this->Open(std::move(socket));
+    }
+  }
+
+  // Takes the connections that wait in the listen queue, so that closing the listener resets none.
+  void AcceptPending() {
+    error_code failed;
+    this->acceptor.non_blocking(true, failed);
+    while (!failed) {
+      asio::ip::tcp::socket socket(this->runtime.Impl().io);
+      this->acceptor.accept(socket, failed);
+      if (!failed) this->Open(std::move(socket));
+    }
+  }
+
+  void Open(asio::ip::tcp::socket socket) {
+    if (this->sessions.size() >= this->options.max_connections) {
+      LogWarning(kPart, "connection limit reached; closing a new connection");
+      return;
+    }
+    error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    auto session = std::make_shared<Session>(std::move(socket), this->options.write_timeout);
+    session->closing = this->closing;
+    // A connection taken from the listen queue gets the time to send its request.
+    session->busy = this->closing;
+    this->sessions.insert(session);
+    this->runtime.Spawn([this, session](Task& task) {
+      while (this->ServeOne(task, *session)) {
+      }
+      session->Close();
+      this->sessions.erase(session);
+    });
+  }
+
+  // Reads one request and serves it. Returns false when the connection is to be closed.
+  bool ServeOne(Task& task, Session& session) {
+    error_code failed;
+    if (session.buffer.size() == 0) {
+      session.stream.expires_after(this->options.idle_timeout);
+      const std::size_t read =
+          session.stream.async_read_some(session.buffer.prepare(4096), task.yield[failed]);
+      if (failed) return false;
+      session.buffer.commit(read);
+    }
+    session.busy = true;
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(this->options.max_header_bytes));
+    parser.body_limit(this->options.max_body_bytes);
+    session.stream.expires_after(this->options.read_timeout);
+    http::async_read(session.stream, session.buffer, parser, task.yield[failed]);
+    if (failed) {
+      this->RefuseInput(task, session, failed);
+      return false;
+    }
+    session.BeginRequest(parser.keep_alive());
+    const HttpRequest request = FromWire(parser.get());
+    // The handler may run for long (a stream of many minutes); each write sets its own limit.
+    session.stream.expires_never();
+    ++this->active;
+    this->options.handler(task, request, session);
+    --this->active;
+    if (!session.answered) {
+      session.Send(task, ErrorResponse(Error{ErrorCode::kInternal, "the handler gave no answer", "",
+                                             Ran::kUnknown}));
+    }
+    if (session.streaming) return false;  // ended without End: the caller must see a broken body
+    session.busy = session.buffer.size() > 0;
+    return session.keep_alive && !session.closing;
+  }
+
+  void RefuseInput(Task& task, Session& session, const error_code& failed) {
+    Error error{ErrorCode::kInvalidArgument, "malformed HTTP request: " + failed.message(), "",
+                Ran::kNo};
+    int status = 400;
+    if (failed == http::error::body_limit) {
+      error = Error{ErrorCode::kTooLarge, "the body is too large", "body", Ran::kNo};
+      status = 413;
+    } else if (failed == http::error::header_limit) {
+      error = Error{ErrorCode::kTooLarge, "the header block is too large", "header", Ran::kNo};
+      status = 431;
+    } else if (failed.category() != http::make_error_code(http::error::bad_value).category() ||
+               failed == http::error::end_of_stream || failed == http::error::partial_message) {
+      return;  // the connection is gone or timed out; nobody reads an answer
+    }
+    session.BeginRequest(false);
+    const HttpResponse response = ErrorResponse(error);
+    session.Send(task, HttpResponse::Builder()
+                           .SetStatus(status)
+                           .SetHeaders(response.Headers())
+                           .SetBody(response.Body())
+                           .Build());
+    // Reads what is left for a moment: closing with unread input would reset the connection
+    // before the caller has read the answer.
+    error_code ignored;
+    session.stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    session.stream.expires_after(seconds(1));
+    std::size_t budget = 4 << 20;
+    char discarded[4096];
+    while (!ignored && budget > sizeof discarded) {
+      budget -= session.stream.async_read_some(asio::buffer(discarded), task.yield[ignored]);
+    }
+  }
+
+  Runtime& runtime;
+  HttpServer::Builder options;
+  asio::ip::tcp::acceptor acceptor;
+  std::set<std::shared_ptr<Session>> sessions;
+  std::size_t active = 0;
+  bool closing = false;
+};
+
+HttpServer::Builder& HttpServer::Builder::SetAddress(std::string address) {
+  this->address = std::move(address);
+  return *this;
+}
+
+HttpServer::Builder& HttpServer::Builder::SetHandler(HttpHandler handler) {
+  this->handler = std::move(handler);
+  return *this;
+}
+
+HttpServer::Builder& HttpServer::Builder::SetMaxBodyBytes(std::size_t bytes) {
+  this->max_body_bytes = bytes;
+  return *this;
+}
+
+HttpServer::Builder& HttpServer::Builder::SetMaxHeaderBytes(std::size_t bytes) {
+  this->max_header_bytes = bytes;
+  return *this;
+}
+
+HttpServer::Builder& HttpServer::Builder::SetReadTimeout(Duration timeout) {
+  this->read_timeout = timeout;
+  return *this;
+}
+
+HttpServer::Builder& HttpServer::Builder::SetWriteTimeout(Duration timeout) {
+  this->write_timeout = timeout;
+  return *this;
+}
+
+HttpServer::Builder& HttpServer::Builder::SetIdleTimeout(Duration timeout) {
+  this->idle_timeout = timeout;
+  return *this;
+}
+
+HttpServer::Builder& HttpServer::Builder::SetMaxConnections(std::size_t connections) {
+  this->max_connections = connections;
+  return *this;
+}
+
+std::unique_ptr<HttpServer> HttpServer::Builder::Build() {
+  return std::make_unique<HttpServerImpl>(this->runtime, *this);
+}
+
+}  // namespace anvilcroft
--- /dev/null
+++ b/anvilcroft/http_wire.cc
@@ -0,0 +1,49 @@
+#include "anvilcroft/http_wire.h"
+
+#include <boost/beast/http/fields.hpp>
+
+namespace anvilcroft {
+
+namespace http = boost::beast::http;
+
+HttpHeaders FromWire(const http::fields& fields) {
+  std::vector<HttpHeaders::Field> list;
+  for (const auto& field : fields) {
+    list.emplace_back(field.name_string().to_string(), field.value().to_string());
+  }
+  return HttpHeaders(std::move(list));
+}
+
+HttpRequest FromWire(const http::request<http::string_body>& message) {
+  return HttpRequest::Builder()
+      .SetMethod(message.method_string().to_string())
+      .SetTarget(message.target().to_string())
+      .SetHeaders(FromWire(message.base()))
+      .SetBody(message.body())
+      .Build();
+}
+
+http::request<http::string_body> ToWire(const HttpRequest& request, const std::string& host) {
+  http::request<http::string_body> message;
+  message.method_string(request.Method());
+  message.target(request.Target());
+  message.version(11);
+  for (const auto& [name, value] : request.Headers().Fields()) message.set(name, value);
+  message.set(http::field::host, host);
+  message.body() = request.Body();
+  message.prepare_payload();
+  return message;
+}
+
+http::response<http::string_body> ToWire(const HttpResponse& response, bool keep_alive) {
+  http::response<http::string_body> message;
+  message.result(static_cast<unsigned>(response.Status()));
+  message.version(11);
+  for (const auto& [name, value] : response.Headers().Fields()) message.set(name, value);
+  message.keep_alive(keep_alive);
+  message.body() = response.Body();
+  message.prepare_payload();
+  return message;
+}
+
+}  // namespace anvilcroft
--- /dev/null
+++ b/anvilcroft/json.cc
@@ -0,0 +1,231 @@
+#include "anvilcroft/json.h"
+
+#include <utility>
+
+namespace anvilcroft {
+namespace {
+
+using nlohmann::json;
+
+const json& Null() {
+  static const json value;
+  return value;
+}
+
+const json& EmptyArray() {
+  static const json value = json::array();
+  return value;
+}
+
+const json& EmptyObject() {
+  static const json value = json::object();
+  return value;
+}
+
+// Builds a json value while enforcing the nesting limit before the parser goes deeper.
+class BoundedSax : public nlohmann::detail::json_sax_dom_parser<json> {
+ public:
+  using Base = nlohmann::detail::json_sax_dom_parser<json>;
+
+  explicit BoundedSax(json& root) : Base(root, false) {}
+
+  bool start_object(std::size_t size) {  // NOLINT(readability-identifier-naming)
+    return this->Enter() && Base::start_object(this->Known(size));
+  }
+  bool start_array(std::size_t size) {  // NOLINT(readability-identifier-naming)
+    return this->Enter() && Base::start_array(this->Known(size));
+  }
+  bool end_object() {  // NOLINT(readability-identifier-naming)
+    --this->depth;
+    return Base::end_object();
+  }
+  bool end_array() {  // NOLINT(readability-identifier-naming)
+    --this->depth;
+    return Base::end_array();
+  }
+  template <typename Exception>
+  bool parse_error(std::size_t at, const std::string& token,  // NOLINT
+                   const Exception& error) {
+    this->position = at;
+    return Base::parse_error(at, token, error);
+  }
+
+  bool too_deep = false;
+  std::size_t position = 0;
+
+ private:
+  bool Enter() {
+    this->too_deep = ++this->depth > kMaxJsonDepth;
+    return !this->too_deep;
+  }
+  // A CBOR header can announce any size; the base class reports one beyond its maximum by an
+  // exception, and the elements themselves are bounded by the input's length.
+  std::size_t Known(std::size_t) const { return static_cast<std::size_t>(-1); }
+
+  int depth = 0;
+};
+
+Result<json> ParseAs(std::string_view input, json::input_format_t format) {
+  json root;
+  BoundedSax sax(root);
+  const bool parsed = json::sax_parse(input.begin(), input.end(), &sax, format);
+  if (sax.too_deep) {
+    return Fail(ErrorCode::kTooLarge,
+                "nested deeper than " + std::to_string(kMaxJsonDepth) + " levels");
+  }
+  if (!parsed) {
+    return Fail(ErrorCode::kInvalidArgument,
+                format == json::input_format_t::json ? "malformed JSON" : "malformed CBOR",
+                "byte " + std::to_string(sax.position));
+  }
+  return root;
+}
+
+}  // namespace
+
+Result<json> ParseJson(std::string_view text) { return ParseAs(text, json::input_format_t::json); }
+
+Result<json> ParseCbor(std::string_view bytes) {
+  return ParseAs(bytes, json::input_format_t::cbor);
+}
+
+std::string DumpJson(const json& value) {
+  return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+JsonFields::JsonFields(const json& object, std::string path)
+    : object(object), path(std::move(path)) {
+  if (!object.is_object()) {
+    this->outcome = Fail(ErrorCode::kInvalidArgument, "must be an object", this->path);
+  }
+}
+
+const json* JsonFields::Find(const char* key, bool required) {
+  this->known.insert(key);
+  if (!this->object.is_object()) return nullptr;
+  const auto found = this->object.find(key);
+  if (found != this->object.end() && !found->is_null()) return &*found;
+  if (required) this->Refuse(key, "is missing");
+  return nullptr;
+}
+
+void JsonFields::Refuse(const char* key, std::string message) {
+  if (!this->outcome) return;
+  const std::string part = this->path.empty() ? key : this->path + "." + key;
+  this->outcome = Fail(ErrorCode::kInvalidArgument, std::move(message), part);
+}
+
+std::string JsonFields::String(const char* key, std::size_t max_bytes) {
+  const json* value = this->Find(key, true);
+  if (value == nullptr) return "";
+  if (!value->is_string() || value->get_ref<const std::string&>().empty()) {
+    this->Refuse(key, "must be a string that is not empty");
+    return "";
+  }
+  return this->StringOr(key, "", max_bytes);
+}
+
+std::string JsonFields::StringOr(const char* key, const std::string& fallback,
+                                 std::size_t max_bytes) {
+  const json* value = this->Find(key, false);
+  if (value == nullptr) return fallback;
+  if (!value->is_string()) {
+    this->Refuse(key, "must be a string");
+    return fallback;
+  }
+  const auto& text = value->get_ref<const std::string&>();
+  if (text.size() > max_bytes) {
+    this->Refuse(key, "is longer than " + std::to_string(max_bytes) + " bytes");
+    return fallback;
+  }
+  return text;
+}
+
+int64_t JsonFields::Integer(const char* key, int64_t min, int64_t max) {
+  if (this->Find(key, true) == nullptr) return min;
+  return this->IntegerOr(key, min, min, max);
+}
+
+int64_t JsonFields::IntegerOr(const char* key, int64_t fallback, int64_t min, int64_t max) {
+  const json* value = this->Find(key, false);
+  if (value == nullptr) return fallback;
+  const bool fits = value->is_number_integer() &&
+                    !(value->is_number_unsigned() && value->get<uint64_t>() > INT64_MAX);
+  if (!fits || value->get<int64_t>() < min || value->get<int64_t>() > max) {
+    this->Refuse(key,
+                 "must be an integer from " + std::to_string(min) + " to " + std::to_string(max));
+    return fallback;
+  }
+  return value->get<int64_t>();
+}
+
+double JsonFields::NumberOr(const char* key, double fallback, double min, double max) {
+  const json* value = this->Find(key, false);
+  if (value == nullptr) return fallback;
+  if (!value->is_number() || !(value->get<double>() >= min && value->get<double>() <= max)) {
+    this->Refuse(key,
+                 "must be a number from " + std::to_string(min) + " to " + std::to_string(max));
+    return fallback;
+  }
+  return value->get<double>();
+}
+
+bool JsonFields::Bool(const char* key) {
+  return this->Find(key, true) != nullptr && this->BoolOr(key, false);
+}
+
+bool JsonFields::BoolOr(const char* key, bool fallback) {
+  const json* value = this->Find(key, false);
+  if (value == nullptr) return fallback;
+  if (!value->is_boolean()) {
+    this->Refuse(key, "must be true or false");
+    return fallback;
+  }
+  return value->get<bool>();
+}
+
+const json& JsonFields::Array(const char* key, std::size_t max_size) {
+  const json* value = this->Find(key, true);
+  if (value == nullptr) return EmptyArray();
+  if (!value->is_array() || value->size() > max_size) {
+    this->Refuse(key, "must be an array of at most " + std::to_string(max_size) + " elements");
+    return EmptyArray();
+  }
+  return *value;
+}
+
+const json& JsonFields::Object(const char* key) {
+  const json* value = this->Find(key, true);
+  if (value == nullptr) return EmptyObject();
+  if (!value->is_object()) {
+    this->Refuse(key, "must be an object");
+    return EmptyObject();
+  }
+  return *value;
+}
+
+const json& JsonFields::Optional(const char* key) {
+  const json* value = this->Find(key, false);
+  return value == nullptr ? Null() : *value;
+}
+
+std::vector<std::string> JsonFields::Strings(const char* key, std::size_t max_size) {
+  std::vector<std::string> strings;
+  for (const json& value : this->Array(key, max_size)) {
+    if (!value.is_string()) {
+      this->Refuse(key, "must hold strings only");
+      return {};
+    }
+    strings.push_back(value.get<std::string>());
+  }
+  return strings;
+}
+
+void JsonFields::RefuseUnknown() {
+  if (!this->object.is_object()) return;
+  for (const auto& [key, value] : this->object.items()) {
+    if (this->known.count(key) == 0) this->Refuse(key.c_str(), "is not a known field");
+  }
+}
+
+}  // namespace anvilcroft
--- /dev/null
+++ b/fakes/main.cc
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/scripts/lint.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Checks the formatting of every source file and runs the linter on every file that differs from
+# the files it passed before.
+set -eu
+cd "$(dirname "$0")/.."
+mapfile -t sources < <(git ls-files --cached --others --exclude-standard '*.h' '*.cc')
+clang-format --dry-run --Werror "${sources[@]}"
+mapfile -t units < <(printf '%s\n' "${sources[@]}" | grep '\.cc$')
+printf '%s\n' "${units[@]}" | xargs -P "$(nproc)" -n 1 scripts/lint_one.sh
+echo "lint: ${#sources[@]} files"
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Sets up a fresh machine, then checks format and lint, builds, and runs all tests.
+set -eu
+cd "$(dirname "$0")/.."
+scripts/setup.sh
+scripts/build.sh
+scripts/lint.sh
+ctest --test-dir build --output-on-failure
--- /dev/null
+++ b/testing/main_test.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
