Add the fakes of the table service and the instance list

Both run in a test's own runtime or as subcommands of the program fakes. Faults are set with POST /control/faults: outage, silence, delay, lost answers and late application.

--- a/fakes/main.cc
+++ b/fakes/main.cc
@@ -1,1 +1,38 @@
-int main() { return 0; }
+// The program `fakes`: one subcommand for each fake of the platform, targets and trainers.
+
+#include <iostream>
+#include <map>
+
+#include "anvilcroft/log.h"
+#include "fakes/program.h"
+
+namespace {
+
+using anvilcroft::fakes::Arguments;
+using Command = int (*)(const Arguments&);
+
+const std::map<std::string, Command>& Commands() {
+  static const std::map<std::string, Command> commands = {
+      {"instances", anvilcroft::fakes::RunInstances},
+      {"table", anvilcroft::fakes::RunTable},
+  };
+  return commands;
+}
+
+int ShowUsage() {
+  std::cerr << "usage: fakes COMMAND [OPTIONS]; commands:";
+  for (const auto& [name, command] : Commands()) std::cerr << " " << name;
+  std::cerr << "\n";
+  return 2;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  anvilcroft::InitLog(anvilcroft::LogLevel::kWarning);
+  const Arguments arguments(argv + 1, argv + argc);
+  if (arguments.empty()) return ShowUsage();
+  const auto command = Commands().find(arguments.front());
+  if (command == Commands().end()) return ShowUsage();
+  return command->second(arguments);
+}
--- /dev/null
+++ b/testing/fakes_test.cc
@@ -0,0 +1,172 @@
+// Guards the fakes that other tests rely on: a fake that loses a fault or a limit would let those
+// tests pass for the wrong reason.
+
+#include <catch2/catch.hpp>
+
+#include "anvilcroft/http_client.h"
+#include "anvilcroft/json.h"
+#include "anvilcroft/table_client.h"
+#include "fakes/fake_instance_list.h"
+#include "fakes/fake_table.h"
+
+namespace anvilcroft::fakes {
+namespace {
+
+using nlohmann::json;
+
+// Runs `body` in a task and stops the runtime when it returns.
+void RunTask(Runtime& runtime, const Runtime::Body& body) {
+  runtime.Spawn([&](Task& task) {
+    body(task);
+    runtime.Stop();
+  });
+  runtime.Run();
+}
+
+TimePoint Soon() { return SteadyNow() + seconds(10); }
+
+template <typename Fake>
+Endpoint StartFake(Fake& fake) {
+  return *ParseEndpoint(*fake.Start());
+}
+
+HttpRequest Post(const std::string& target, const json& body) {
+  return HttpRequest::Builder().SetMethod("POST").SetTarget(target).SetJson(body.dump()).Build();
+}
+
+HttpRequest Get(const std::string& target) {
+  return HttpRequest::Builder().SetTarget(target).Build();
+}
+
+json BodyOf(const Result<HttpResponse>& response) {
+  REQUIRE(response);
+  INFO(response->Body());
+  CHECK(response->Status() == 200);
+  return json::parse(response->Body());
+}
+
+TEST_CASE("the table applies a transaction only if every check holds", "[fakes]") {
+  Runtime runtime;
+  const auto fake = FakeTable::Builder(runtime).Build();
+  HttpClient http(runtime);
+  TableClient table(http, StartFake(*fake));
+  RunTask(runtime, [&](Task& task) {
+    const auto put = [&](const std::string& key, RowVersion version) {
+      const auto transaction = Transaction::Builder()
+                                   .CheckAbsent("t", "never")
+                                   .CheckVersion("t", key, version)
+                                   .Put("t", key, {{"n", 1}})
+                                   .Build();
+      return table.Commit(task, transaction, Soon());
+    };
+    const auto first = put("a", 0);
+    REQUIRE(first);
+    const auto conflict = put("a", 0);
+    REQUIRE_FALSE(conflict);
+    CHECK(conflict.error().code == ErrorCode::kConflict);
+    CHECK(conflict.error().part == "1");
+    const auto second = put("a", *first);
+    REQUIRE(second);
+    CHECK(*second > *first);
+    for (int i = 0; i < 250; ++i) REQUIRE(put("b" + std::to_string(1000 + i), 0));
+    const auto rows = table.Scan(task, "t", "b", 1000, Soon());
+    REQUIRE(rows);
+    CHECK(rows->size() == 250);
+    CHECK(rows->back().key == "b1249");
+    const auto absent = table.Read(task, "t", "missing", Soon());
+    REQUIRE(absent);
+    CHECK_FALSE(absent->has_value());
+  });
+}
+
+TEST_CASE("a lost answer of the table applies, at once or late", "[fakes]") {
+  Runtime runtime;
+  const auto fake = FakeTable::Builder(runtime).Build();
+  HttpClient http(runtime);
+  const Endpoint endpoint = StartFake(*fake);
+  TableClient table(http, endpoint);
+  RunTask(runtime, [&](Task& task) {
+    const auto commit = [&](const std::string& name, const std::string& key) {
+      return table.Commit(task, Transaction::Builder().Put(name, key, 1).Build(), Soon());
+    };
+    BodyOf(http.Call(task, endpoint,
+                     Post("/control/faults", {{"lose_answers", 1}, {"match_table", "t"}}),
+                     CallOptions(Soon())));
+    REQUIRE(commit("other", "a"));
+    const auto lost = commit("t", "a");
+    REQUIRE_FALSE(lost);
+    CHECK(lost.error().ran == Ran::kUnknown);
+    CHECK(fake->Find("t", "a"));
+    BodyOf(http.Call(task, endpoint,
+                     Post("/control/faults", {{"lose_answers", 1}, {"delay_apply_ms", 50}}),
+                     CallOptions(Soon())));
+    REQUIRE_FALSE(commit("t", "b"));
+    CHECK_FALSE(fake->Find("t", "b"));
+    while (!fake->Find("t", "b")) SleepUntil(task, SteadyNow() + milliseconds(5));
+    const json log =
+        BodyOf(http.Call(task, endpoint, Get("/control/log?table=t"), CallOptions(Soon())));
+    CHECK(log["transactions"].size() == 2);
+    CHECK(log["writes"] == 3);
+  });
+}
+
+TEST_CASE("the table refuses writes beyond its limit and during an outage", "[fakes]") {
+  Runtime runtime;
+  const auto fake = FakeTable::Builder(runtime).SetWritesPerSecond(0.01).Build();
+  HttpClient http(runtime);
+  TableClient table(http, StartFake(*fake));
+  RunTask(runtime, [&](Task& task) {
+    int limited = 0;
+    for (int i = 0; i < 20; ++i) {
+      const auto done = table.Commit(task, Transaction::Builder().Put("t", "a", i).Build(), Soon());
+      if (!done) ++limited;
+    }
+    CHECK(limited > 0);
+    CHECK(fake->Counts().limited == static_cast<uint64_t>(limited));
+    CHECK(fake->Counts().writes + limited == 20);
+    FaultPlan plan;
+    plan.mode = FaultPlan::Mode::kDown;
+    fake->Server().SetFaults(plan);
+    CHECK_FALSE(table.Read(task, "t", "a", Soon()));
+    plan.mode = FaultPlan::Mode::kSilent;
+    fake->Server().SetFaults(plan);
+    const auto silent = table.Read(task, "t", "a", SteadyNow() + milliseconds(50));
+    REQUIRE_FALSE(silent);
+    fake->Server().SetFaults(FaultPlan());
+    CHECK(table.Read(task, "t", "a", Soon()));
+  });
+}
+
+TEST_CASE("the instance list shows changes late and only those after N", "[fakes]") {
+  Runtime runtime;
+  const auto fake = FakeInstanceList::Builder(runtime).SetLag(seconds(1000)).Build();
+  HttpClient http(runtime);
+  const Endpoint endpoint = StartFake(*fake);
+  RunTask(runtime, [&](Task& task) {
+    const auto call = [&](const HttpRequest& request) {
+      return BodyOf(http.Call(task, endpoint, request, CallOptions(Soon())));
+    };
+    const auto put = [&](const std::string& id, const std::string& state) {
+      return call(Post("/control/put", {{"id", id},
+                                        {"kind", "model_engine"},
+                                        {"service", "s"},
+                                        {"address", "127.0.0.1:9"},
+                                        {"zone", "z"},
+                                        {"state", state}}))["revision"]
+          .get<int64_t>();
+    };
+    put("e1", "live");
+    const int64_t second = put("e2", "live");
+    CHECK(call(Get("/v1/instances?since=0"))["instances"].empty());
+    fake->SetLag(seconds(0));
+    CHECK(call(Get("/v1/instances?since=0"))["instances"].size() == 2);
+    put("e1", "leaving");
+    const json changes = call(Get("/v1/instances?since=" + std::to_string(second)));
+    CHECK(changes["revision"] == second + 1);
+    REQUIRE(changes["instances"].size() == 1);
+    CHECK(changes["instances"][0]["state"] == "leaving");
+  });
+}
+
+}  // namespace
+}  // namespace anvilcroft::fakes
