Add the fake model engine

Continuous batching with priorities, a prefix cache with late and lossy events, weight swaps in the middle of requests, lagging load reports, fenced orders, cancel, resume, crashes and faults. The tokens depend on the prompt alone, so a test can check a whole answer from any engine.

--- /dev/null
+++ b/fakes/engine_batch.cc
@@ -0,0 +1,81 @@
+#include "fakes/engine_batch.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace anvilcroft::fakes {
+
+void EngineBatch::Add(Item item) {
+  const std::pair<Priority, uint64_t> place(item->priority, ++this->arrivals);
+  this->waiting.emplace(place, std::move(item));
+}
+
+void EngineBatch::Start(TimePoint now, double slowdown) {
+  while (!this->waiting.empty() && this->running.size() < this->limits.max_running) {
+    const Item item = this->waiting.begin()->second;
+    if (item->KvTokens() > this->FreeKv()) return;
+    this->waiting.erase(this->waiting.begin());
+    this->held += item->KvTokens();
+    const int64_t cached = this->cache.Match(item->blocks) * PrefixCache::kBlockTokens;
+    this->cache.Add(item->blocks, this->FreeKv());
+    const auto tokens = static_cast<double>(item->prompt_tokens + item->resumed - cached);
+    const std::chrono::duration<double> prefill(tokens * slowdown /
+                                                this->limits.prefill_tokens_per_second);
+    item->prefilled_at = now + std::chrono::duration_cast<Duration>(prefill);
+    item->state = Generation::State::kRunning;
+    this->running.push_back(item);
+  }
+}
+
+std::vector<EngineBatch::Item> EngineBatch::Step(TimePoint now, int64_t version, double slowdown) {
+  this->Start(now, slowdown);
+  std::vector<Item> finished;
+  for (const Item& item : this->running) {
+    if (item->prefilled_at > now) continue;
+    if (item->produced < item->max_tokens) item->AddToken(version);
+    if (item->produced >= item->max_tokens) finished.push_back(item);
+  }
+  for (const Item& item : finished) {
+    this->running.erase(std::find(this->running.begin(), this->running.end(), item));
+    this->held -= item->KvTokens();
+    item->End(Generation::State::kFinished);
+  }
+  return finished;
+}
+
+int64_t EngineBatch::Cancel(const std::function<bool(const Generation&)>& matches,
+                            Generation::State outcome) {
+  int64_t cancelled = 0;
+  for (auto place = this->waiting.begin(); place != this->waiting.end();) {
+    const Item item = place->second;
+    if (!matches(*item)) {
+      ++place;
+      continue;
+    }
+    place = this->waiting.erase(place);
+    item->End(outcome);
+    ++cancelled;
+  }
+  for (std::size_t i = 0; i < this->running.size();) {
+    const Item item = this->running[i];
+    if (!matches(*item)) {
+      ++i;
+      continue;
+    }
+    this->running.erase(this->running.begin() + static_cast<std::ptrdiff_t>(i));
+    this->held -= item->KvTokens();
+    item->End(outcome);
+    ++cancelled;
+  }
+  return cancelled;
+}
+
+void EngineBatch::EndAll(Generation::State outcome) {
+  for (const auto& [place, item] : this->waiting) item->End(outcome);
+  for (const Item& item : this->running) item->End(outcome);
+  this->waiting.clear();
+  this->running.clear();
+  this->held = 0;
+}
+
+}  // namespace anvilcroft::fakes
--- /dev/null
+++ b/fakes/fake_engine.h
@@ -0,0 +1,143 @@
+#ifndef FAKES_FAKE_ENGINE_H_
+#define FAKES_FAKE_ENGINE_H_
+
+// A model engine (docs/design.md, section 5.3) with continuous batching, a prefix cache, weight
+// swaps in the middle of requests, lagging load reports and lossy cache events.
+//
+//   auto engine = FakeEngine::Builder(runtime).SetId("e1").SetTokensPerSecond(100).Build();
+//
+// An answer has max_tokens tokens in all; after resume_tokens only the rest is produced, with
+// indexes that go on. The tokens depend on the prompt alone (expected_text.h). A prompt that
+// contains "CRASH_TARGET" crashes the engine. POST /control/leave makes it refuse new work.
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "anvilcroft/endpoint.h"
+#include "anvilcroft/http_client.h"
+#include "fakes/cache_events.h"
+#include "fakes/engine_batch.h"
+#include "fakes/engine_orders.h"
+#include "fakes/fake_server.h"
+#include "fakes/prefix_cache.h"
+
+namespace anvilcroft::fakes {
+
+class FakeEngine {
+ public:
+  class Builder;
+
+  struct Options {
+    std::string address = "127.0.0.1:0";
+    std::string id = "engine";
+    std::string zone = "zone";
+    std::string service = "service";
+    uint64_t seed = 1;
+    double tokens_per_second = 50;  // of one stream
+    EngineBatch::Limits batch;
+    EngineOrders::Loaded loaded;
+    EngineOrders::Options orders;
+    std::string weight_store;  // "ip:port"; empty: nothing is downloaded
+    Duration load_lag{0};
+    Duration cache_event_lag = milliseconds(500);
+    double cache_event_loss = 0.1;
+    std::function<void()> on_crash;  // called after a crash, for a process to exit
+  };
+
+  Result<std::string> Start();
+  FakeServer& Server() { return this->server; }
+
+  // Closes the listener and all connections and loses all requests.
+  void Crash();
+  // Starts again after a crash, on the same address and with nothing loaded but the initial state.
+  void Restart();
+  // From now on refuses new work; requests that run finish.
+  void Leave() { this->leaving = true; }
+
+  const EngineOrders& Orders() const { return this->orders; }
+  // Records {request_id, event: started|finished|cancelled|lost, at_ms, ...}.
+  const nlohmann::json& Requests() const { return this->log; }
+  // The body of GET /v1/state.
+  nlohmann::json State();
+
+ private:
+  struct Load {
+    TimePoint at;
+    nlohmann::json report;
+  };
+
+  FakeEngine(Runtime& runtime, const Options& options);
+  EngineOrders::Hooks MakeHooks();
+  void AddRoutes();
+  void Loop(Task& task);
+
+  void HandleGenerate(Task& task, const nlohmann::json& body, const HttpRequest& request,
+                      HttpReply& reply);
+  Result<std::shared_ptr<Generation>> Decode(const nlohmann::json& body,
+                                             const HttpRequest& request) const;
+  void Answer(Task& task, const std::shared_ptr<Generation>& item, HttpReply& reply);
+  void Stream(Task& task, const std::shared_ptr<Generation>& item, HttpReply& reply);
+  void HandleOrder(Task& task, const nlohmann::json& body, HttpReply& reply);
+  void HandleCancel(Task& task, const nlohmann::json& body, HttpReply& reply);
+  void HandleExport(Task& task, const nlohmann::json& body, HttpReply& reply);
+  void HandleImport(Task& task, const nlohmann::json& body, HttpReply& reply);
+
+  Result<void> Download(Task& task, int64_t version);
+  void RecordLoad();
+  nlohmann::json ReportedLoad();
+  void Log(const std::string& event, const Generation& item);
+  // The request id to answer with: another one while that fault is set.
+  std::string IdToSend(const Generation& item);
+  bool Silent() { return this->server.Faults().mode == FaultPlan::Mode::kSilent; }
+  double Slowdown();
+
+  Options options;
+  FakeServer server;
+  HttpClient http;
+  CacheEvents cache_events;
+  PrefixCache cache;
+  EngineBatch batch;
+  EngineOrders orders;
+  bool leaving = false;
+  int64_t starts = 0;
+  std::string instance_start;
+  std::deque<Load> loads;  // the reported one first, then the later ones
+  nlohmann::json log = nlohmann::json::array();
+  std::shared_ptr<Event> work = std::make_shared<Event>();
+};
+
+class FakeEngine::Builder {
+ public:
+  explicit Builder(Runtime& runtime) : runtime(runtime) {}
+
+  Builder& SetAddress(std::string value);
+  Builder& SetId(std::string value);
+  Builder& SetZone(std::string value);
+  Builder& SetService(std::string value);
+  Builder& SetSeed(uint64_t value);
+  Builder& SetTokensPerSecond(double value);
+  Builder& SetPrefillTokensPerSecond(double value);
+  Builder& SetBatchSize(std::size_t value);
+  Builder& SetKvTokens(int64_t value);
+  // "ip:port" of the weight store.
+  Builder& SetWeightStore(std::string value);
+  Builder& SetWeightVersion(int64_t value);
+  Builder& SetSwapTime(Duration value);
+  Builder& SetChecksFencing(bool value);
+  Builder& SetLoadLag(Duration value);
+  Builder& SetCacheEvents(Duration lag, double loss);
+  Builder& SetOnCrash(std::function<void()> value);
+
+  std::unique_ptr<FakeEngine> Build() const;
+
+ private:
+  Runtime& runtime;
+  Options options;
+};
+
+}  // namespace anvilcroft::fakes
+
+#endif  // FAKES_FAKE_ENGINE_H_
--- a/fakes/fake_server.cc
+++ b/fakes/fake_server.cc
@@ -53,6 +53,7 @@
 
 void FakeServer::Crash() {
   this->crashed = true;
+  ++this->crashes;
   if (!this->servers.empty()) this->servers.back()->StopAccepting();
   this->crash->NotifyAll();
 }
@@ -77,9 +78,10 @@
 bool FakeServer::Delay(Task& task, Duration duration) {
   const std::shared_ptr<Event> event = this->crash;
   const TimePoint until = SteadyNow() + duration;
-  while (!this->crashed && event->WaitUntil(task, until)) {
+  const uint64_t before = this->crashes;
+  while (before == this->crashes && event->WaitUntil(task, until)) {
   }
-  return !this->crashed;
+  return before == this->crashes && !this->crashed;
 }
 
 void FakeServer::Hold(Task& task, HttpReply& reply) {
--- a/fakes/fake_server.h
+++ b/fakes/fake_server.h
@@ -54,7 +54,7 @@
   // Replaces the faults and opens or closes the listener as the mode asks.
   void SetFaults(const FaultPlan& plan);
 
-  // Waits for `duration`. Returns false if the fake has crashed.
+  // Waits for `duration`. Returns false if the fake crashed, even if it runs again.
   bool Delay(Task& task, Duration duration);
 
   // Keeps the connection open without an answer, until a crash or for ten minutes.
@@ -89,6 +89,7 @@
   FaultPlan faults;
   uint64_t refusals = 0;
   bool crashed = false;
+  uint64_t crashes = 0;
   // Shared with the tasks that wait for it: a task left over at the end of a test is unwound after
   // the fake itself is gone.
   std::shared_ptr<Event> crash = std::make_shared<Event>();
--- a/fakes/main.cc
+++ b/fakes/main.cc
@@ -13,6 +13,7 @@
 
 const std::map<std::string, Command>& Commands() {
   static const std::map<std::string, Command> commands = {
+      {"engine", anvilcroft::fakes::RunEngine},
       {"instances", anvilcroft::fakes::RunInstances},
       {"table", anvilcroft::fakes::RunTable},
   };
--- a/fakes/program.h
+++ b/fakes/program.h
@@ -80,6 +80,7 @@
 }
 
 int RunTable(const Arguments& arguments);
+int RunEngine(const Arguments& arguments);
 int RunInstances(const Arguments& arguments);
 
 }  // namespace anvilcroft::fakes
--- /dev/null
+++ b/testing/fake_test_util.h
@@ -0,0 +1,48 @@
+#ifndef TESTING_FAKE_TEST_UTIL_H_
+#define TESTING_FAKE_TEST_UTIL_H_
+
+// Short forms for tests that talk to fakes inside their own runtime.
+
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "anvilcroft/http_client.h"
+#include "anvilcroft/json.h"
+
+namespace anvilcroft::fakes {
+
+// Runs `body` in a task and stops the runtime when it returns.
+inline void RunTask(Runtime& runtime, const Runtime::Body& body) {
+  runtime.Spawn([&](Task& task) {
+    body(task);
+    runtime.Stop();
+  });
+  runtime.Run();
+}
+
+inline TimePoint Soon() { return SteadyNow() + seconds(10); }
+
+template <typename Fake>
+Endpoint StartFake(Fake& fake) {
+  return *ParseEndpoint(*fake.Start());
+}
+
+inline HttpRequest Post(const std::string& target, const nlohmann::json& body) {
+  return HttpRequest::Builder().SetMethod("POST").SetTarget(target).SetJson(body.dump()).Build();
+}
+
+inline HttpRequest Get(const std::string& target) {
+  return HttpRequest::Builder().SetTarget(target).Build();
+}
+
+// The JSON body of a response that must have status 200.
+inline nlohmann::json BodyOf(const Result<HttpResponse>& response) {
+  INFO((response ? response->Body() : response.error().message));
+  REQUIRE(response);
+  CHECK(response->Status() == 200);
+  return nlohmann::json::parse(response->Body());
+}
+
+}  // namespace anvilcroft::fakes
+
+#endif  // TESTING_FAKE_TEST_UTIL_H_
--- a/testing/fakes_test.cc
+++ b/testing/fakes_test.cc
@@ -3,48 +3,16 @@
 
 #include <catch2/catch.hpp>
 
-#include "anvilcroft/http_client.h"
-#include "anvilcroft/json.h"
 #include "anvilcroft/table_client.h"
 #include "fakes/fake_instance_list.h"
 #include "fakes/fake_table.h"
+#include "testing/fake_test_util.h"
 
 namespace anvilcroft::fakes {
 namespace {
 
 using nlohmann::json;
 
-// Runs `body` in a task and stops the runtime when it returns.
-void RunTask(Runtime& runtime, const Runtime::Body& body) {
-  runtime.Spawn([&](Task& task) {
-    body(task);
-    runtime.Stop();
-  });
-  runtime.Run();
-}
-
-TimePoint Soon() { return SteadyNow() + seconds(10); }
-
-template <typename Fake>
-Endpoint StartFake(Fake& fake) {
-  return *ParseEndpoint(*fake.Start());
-}
-
-HttpRequest Post(const std::string& target, const json& body) {
-  return HttpRequest::Builder().SetMethod("POST").SetTarget(target).SetJson(body.dump()).Build();
-}
-
-HttpRequest Get(const std::string& target) {
-  return HttpRequest::Builder().SetTarget(target).Build();
-}
-
-json BodyOf(const Result<HttpResponse>& response) {
-  REQUIRE(response);
-  INFO(response->Body());
-  CHECK(response->Status() == 200);
-  return json::parse(response->Body());
-}
-
 TEST_CASE("the table applies a transaction only if every check holds", "[fakes]") {
   Runtime runtime;
   const auto fake = FakeTable::Builder(runtime).Build();
