Add the fakes of app engines, judges, the weight store and the object store

The app keeps an append-only log of its runs as the proof of at-most-once execution; its answers can be lost, withheld, late or carry another request id after the run.

--- /dev/null
+++ b/fakes/fake_weight_store.h
@@ -0,0 +1,59 @@
+#ifndef FAKES_FAKE_WEIGHT_STORE_H_
+#define FAKES_FAKE_WEIGHT_STORE_H_
+
+// The platform's weight store: GET /v1/weights/{service}/{version} answers after the download time,
+// or at once with 429 beyond the limit of downloads started per second.
+
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "fakes/fake_server.h"
+#include "fakes/rate_limit.h"
+
+namespace anvilcroft::fakes {
+
+class FakeWeightStore {
+ public:
+  class Builder;
+
+  Result<std::string> Start() { return this->server.Start(); }
+  FakeServer& Server() { return this->server; }
+
+  // Every request: {service, version, status, at_ms}.
+  const nlohmann::json& Downloads() const { return this->downloads; }
+
+ private:
+  explicit FakeWeightStore(const Builder& builder);
+  void Handle(Task& task, const PathParts& parts, HttpReply& reply);
+
+  FakeServer server;
+  RateLimit limit;
+  Duration download_time;
+  nlohmann::json downloads = nlohmann::json::array();
+};
+
+class FakeWeightStore::Builder {
+ public:
+  explicit Builder(Runtime& runtime) : runtime(runtime) {}
+
+  Builder& SetAddress(std::string value);
+  // 0 means no limit. Default 0.
+  Builder& SetDownloadsPerSecond(double value);
+  // Time that one download takes. Default 0.
+  Builder& SetDownloadTime(Duration value);
+
+  std::unique_ptr<FakeWeightStore> Build() const;
+
+ private:
+  friend class FakeWeightStore;
+
+  Runtime& runtime;
+  std::string address = "127.0.0.1:0";
+  double downloads_per_second = 0;
+  Duration download_time{0};
+};
+
+}  // namespace anvilcroft::fakes
+
+#endif  // FAKES_FAKE_WEIGHT_STORE_H_
--- a/fakes/main.cc
+++ b/fakes/main.cc
@@ -13,9 +13,13 @@
 
 const std::map<std::string, Command>& Commands() {
   static const std::map<std::string, Command> commands = {
+      {"app", anvilcroft::fakes::RunApp},
       {"engine", anvilcroft::fakes::RunEngine},
       {"instances", anvilcroft::fakes::RunInstances},
+      {"judge", anvilcroft::fakes::RunJudge},
+      {"objects", anvilcroft::fakes::RunObjects},
       {"table", anvilcroft::fakes::RunTable},
+      {"weights", anvilcroft::fakes::RunWeights},
   };
   return commands;
 }
--- a/fakes/program.h
+++ b/fakes/program.h
@@ -79,9 +79,13 @@
   return RunUntilTerminated(runtime, fake.Start());
 }
 
-int RunTable(const Arguments& arguments);
+int RunApp(const Arguments& arguments);
 int RunEngine(const Arguments& arguments);
 int RunInstances(const Arguments& arguments);
+int RunJudge(const Arguments& arguments);
+int RunObjects(const Arguments& arguments);
+int RunTable(const Arguments& arguments);
+int RunWeights(const Arguments& arguments);
 
 }  // namespace anvilcroft::fakes
 
--- a/fakes/run_platform.cc
+++ b/fakes/run_platform.cc
@@ -1,5 +1,7 @@
 #include "fakes/fake_instance_list.h"
+#include "fakes/fake_object_store.h"
 #include "fakes/fake_table.h"
+#include "fakes/fake_weight_store.h"
 #include "fakes/program.h"
 
 namespace anvilcroft::fakes {
@@ -38,4 +40,28 @@
   return Serve(runtime, *fake);
 }
 
+int RunWeights(const Arguments& arguments) {
+  Options options("weights", "weight store");
+  const auto address = options.AddText("address", kAddressHelp, kAnyPort);
+  const auto rate = options.AddNumber("downloads-per-second", "limit; 0 for none", 0);
+  const auto time_ms = options.Add("download-ms", "time of one download", 0);
+  options.Parse(arguments);
+  Runtime runtime;
+  const auto fake = FakeWeightStore::Builder(runtime)
+                        .SetAddress(address->getValue())
+                        .SetDownloadsPerSecond(rate->getValue())
+                        .SetDownloadTime(milliseconds(time_ms->getValue()))
+                        .Build();
+  return Serve(runtime, *fake);
+}
+
+int RunObjects(const Arguments& arguments) {
+  Options options("objects", "object store");
+  const auto address = options.AddText("address", kAddressHelp, kAnyPort);
+  options.Parse(arguments);
+  Runtime runtime;
+  const auto fake = FakeObjectStore::Builder(runtime).SetAddress(address->getValue()).Build();
+  return Serve(runtime, *fake);
+}
+
 }  // namespace anvilcroft::fakes
--- a/fakes/run_targets.cc
+++ b/fakes/run_targets.cc
@@ -1,6 +1,8 @@
 #include <cstdlib>
 
+#include "fakes/fake_app.h"
 #include "fakes/fake_engine.h"
+#include "fakes/fake_judge.h"
 #include "fakes/program.h"
 
 namespace anvilcroft::fakes {
@@ -56,4 +58,31 @@
   return Serve(runtime, *fake);
 }
 
+int RunApp(const Arguments& arguments) {
+  Options options("app", "app engine");
+  const auto address = options.AddText("address", kAddressHelp, kAnyPort);
+  const auto delay_ms = options.Add("delay-ms", "time from a run to its answer", 0);
+  options.Parse(arguments);
+  Runtime runtime;
+  const auto fake = FakeApp::Builder(runtime)
+                        .SetAddress(address->getValue())
+                        .SetDelay(milliseconds(delay_ms->getValue()))
+                        .SetOnCrash([] { std::_Exit(kCrashExit); })
+                        .Build();
+  return Serve(runtime, *fake);
+}
+
+int RunJudge(const Arguments& arguments) {
+  Options options("judge", "service that judges samples");
+  const auto address = options.AddText("address", kAddressHelp, kAnyPort);
+  const auto delay_ms = options.Add("delay-ms", "time of one judgement", 0);
+  options.Parse(arguments);
+  Runtime runtime;
+  const auto fake = FakeJudge::Builder(runtime)
+                        .SetAddress(address->getValue())
+                        .SetDelay(milliseconds(delay_ms->getValue()))
+                        .Build();
+  return Serve(runtime, *fake);
+}
+
 }  // namespace anvilcroft::fakes
--- a/testing/fakes_test.cc
+++ b/testing/fakes_test.cc
@@ -4,8 +4,13 @@
 #include <catch2/catch.hpp>
 
 #include "anvilcroft/table_client.h"
+#include "fakes/expected_text.h"
+#include "fakes/fake_app.h"
 #include "fakes/fake_instance_list.h"
+#include "fakes/fake_judge.h"
+#include "fakes/fake_object_store.h"
 #include "fakes/fake_table.h"
+#include "fakes/fake_weight_store.h"
 #include "testing/fake_test_util.h"
 
 namespace anvilcroft::fakes {
@@ -136,5 +141,75 @@
   });
 }
 
+TEST_CASE("the app logs each run once, also when its answer is lost", "[fakes]") {
+  Runtime runtime;
+  const auto fake = FakeApp::Builder(runtime).Build();
+  HttpClient http(runtime);
+  const Endpoint endpoint = StartFake(*fake);
+  RunTask(runtime, [&](Task& task) {
+    const auto run = [&](const std::string& key) {
+      const auto request = HttpRequest::Builder()
+                               .SetMethod("POST")
+                               .SetTarget("/rounds/weigh-slip")
+                               .SetHeader("Idempotency-Key", key)
+                               .SetHeader("X-Request-Id", "id-" + key)
+                               .SetJson("{}")
+                               .Build();
+      return http.Call(task, endpoint, request, CallOptions(SteadyNow() + milliseconds(500)));
+    };
+    const auto answer = run("a");
+    CHECK(BodyOf(answer)["request_id"] == "id-a");
+    CHECK(answer->Headers().Find("X-Request-Id") == "id-a");
+    FaultPlan plan;
+    plan.lose_answers = 1;
+    plan.silent_after_run = 2;
+    fake->Server().SetFaults(plan);
+    CHECK_FALSE(run("b"));
+    CHECK_FALSE(run("c"));
+    fake->Leave();
+    const auto refused = run("d");
+    REQUIRE(refused);
+    CHECK(refused->Status() == 503);
+    std::vector<std::string> keys;
+    for (const json& entry : fake->Runs()) keys.push_back(entry["key"]);
+    CHECK(keys == std::vector<std::string>{"a", "b", "c"});
+  });
+}
+
+TEST_CASE("the judge, the weight store and the object store answer as they should", "[fakes]") {
+  Runtime runtime;
+  const auto judge = FakeJudge::Builder(runtime).Build();
+  const auto weights = FakeWeightStore::Builder(runtime).SetDownloadsPerSecond(0.01).Build();
+  const auto objects = FakeObjectStore::Builder(runtime).Build();
+  HttpClient http(runtime);
+  const Endpoint judge_address = StartFake(*judge);
+  const Endpoint weights_address = StartFake(*weights);
+  const Endpoint objects_address = StartFake(*objects);
+  RunTask(runtime, [&](Task& task) {
+    const auto call = [&](const Endpoint& endpoint, const HttpRequest& request) {
+      return http.Call(task, endpoint, request, CallOptions(Soon()));
+    };
+    const json sample = {{"sample", "s"}, {"prompt", "p"}, {"output", "text"}};
+    CHECK(BodyOf(call(judge_address, Post("/v1/judge", sample)))["reward"] ==
+          ExpectedReward("text"));
+    BodyOf(call(weights_address, Get("/v1/weights/s/3")));
+    const auto limited = call(weights_address, Get("/v1/weights/s/3"));
+    REQUIRE(limited);
+    CHECK(limited->Status() == 429);
+    FaultPlan plan;
+    plan.lose_answers = 1;
+    objects->Server().SetFaults(plan);
+    const auto put =
+        HttpRequest::Builder().SetMethod("PUT").SetTarget("/v1/objects/a%2Fb").SetBody("x").Build();
+    CHECK_FALSE(call(objects_address, put));
+    const auto got = call(objects_address, Get("/v1/objects/a%2Fb"));
+    REQUIRE(got);
+    CHECK(got->Body() == "x");
+    const auto missing = call(objects_address, Get("/v1/objects/c"));
+    REQUIRE(missing);
+    CHECK(missing->Status() == 404);
+  });
+}
+
 }  // namespace
 }  // namespace anvilcroft::fakes
