--- /dev/null
+++ b/anvilcroft/head.h
@@ -0,0 +1,45 @@
+#ifndef ANVILCROFT_HEAD_H_
+#define ANVILCROFT_HEAD_H_
+
+// The small row that every instance polls: the newest version of each shared state. Every
+// transaction that changes one of the three checks the row's version and puts it anew.
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <tuple>
+
+#include "anvilcroft/error.h"
+#include "anvilcroft/row.h"
+
+namespace anvilcroft {
+
+constexpr char kHeadTable[] = "head";
+constexpr char kHeadKey[] = "head";
+
+struct Head {
+  uint64_t config_version = 0;
+  uint64_t roster_version = 0;
+  uint64_t weights_version = 0;
+  RowVersion row_version = 0;  // 0: the row does not exist yet
+
+  friend bool operator==(const Head& a, const Head& b) { return a.Tie() == b.Tie(); }
+  friend bool operator!=(const Head& a, const Head& b) { return !(a == b); }
+
+ private:
+  std::tuple<const uint64_t&, const uint64_t&, const uint64_t&, const RowVersion&> Tie() const {
+    return std::tie(this->config_version, this->roster_version, this->weights_version,
+                    this->row_version);
+  }
+};
+
+// The value of the row, without row_version.
+nlohmann::json EncodeHead(const Head& head);
+
+// Decodes the row as it was read; no row is the head of an empty store. Fails with
+// kInvalidArgument.
+Result<Head> DecodeHead(const std::optional<Row>& row);
+
+}  // namespace anvilcroft
+
+#endif  // ANVILCROFT_HEAD_H_
--- /dev/null
+++ b/anvilcroft/peer_link.h
@@ -0,0 +1,58 @@
+#ifndef ANVILCROFT_PEER_LINK_H_
+#define ANVILCROFT_PEER_LINK_H_
+
+// One websocket connection to another instance, as its task sees it: a bounded queue of incoming
+// messages, and a bounded send. The transport's handlers call only Opened, Received and Closed.
+
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "anvilcroft/event.h"
+#include "anvilcroft/runtime.h"
+
+namespace anvilcroft {
+
+class PeerLink {
+ public:
+  // Most bytes of messages that wait to be handled or sent; a connection beyond either is closed.
+  static constexpr std::size_t kMaxQueuedBytes = 4 << 20;
+  static constexpr std::size_t kMaxQueuedMessages = 1024;
+
+  enum class State { kConnecting, kOpen, kClosed };
+
+  State CurrentState() const { return this->state; }
+
+  // Waits until the connection is open. Returns false if it failed or `deadline` passed.
+  bool WaitOpen(Task& task, TimePoint deadline);
+
+  // Waits for the next message. Returns nullopt at `deadline` and when the connection is closed.
+  std::optional<std::string> Receive(Task& task, TimePoint deadline);
+
+  // Queues one message. Returns false, and closes the connection, if it cannot be queued.
+  bool Send(const std::string& bytes);
+
+  // Closes the connection and drops what waits.
+  void Close();
+
+  // Called by the transport.
+  void Opened();
+  void Received(std::string bytes);
+  void Closed();
+
+  // Supplied by the transport: sends one message (false on failure), and ends the connection.
+  std::function<bool(const std::string& bytes)> transport_send;
+  std::function<void()> transport_close;
+
+ private:
+  State state = State::kConnecting;
+  std::deque<std::string> inbox;
+  std::size_t inbox_bytes = 0;
+  Event changed;
+};
+
+}  // namespace anvilcroft
+
+#endif  // ANVILCROFT_PEER_LINK_H_
--- /dev/null
+++ b/anvilcroft/peer_message.cc
@@ -0,0 +1,140 @@
+#include "anvilcroft/peer_message.h"
+
+#include <utility>
+
+#include "anvilcroft/json.h"
+
+namespace anvilcroft {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kProtocolVersion = 1;
+constexpr std::size_t kMaxEntries = 64;
+constexpr std::size_t kMaxNameBytes = 256;
+
+json Encode(const HelloMessage& message) {
+  return {{"type", "hello"},
+          {"instance", message.instance},
+          {"zone", message.zone},
+          {"epoch", message.epoch}};
+}
+
+json Encode(const PingMessage& message) {
+  return {{"type", message.answer ? "pong" : "ping"},
+          {"seq", message.seq},
+          {"config_version", message.digest.config_version},
+          {"roster_version", message.digest.roster_version},
+          {"weights_version", message.digest.weights_version},
+          {"confirmed_age_ms", message.digest.confirmed_age_ms}};
+}
+
+json Encode(const ConfigEntriesMessage& message) {
+  json entries = json::array();
+  for (const ConfigEntry& entry : message.entries) entries.push_back(EncodeConfigEntry(entry));
+  return {{"type", "config_entries"}, {"entries", std::move(entries)}};
+}
+
+json Encode(const ConfigFetchMessage& message) {
+  return {{"type", "config_fetch"}, {"after", message.after}, {"snapshot", message.snapshot}};
+}
+
+json Encode(const ConfigSnapshotMessage& message) {
+  return {
+      {"type", "config_snapshot"}, {"version", message.version}, {"document", message.document}};
+}
+
+json Encode(const NotifyMessage& message) {
+  return {{"type", "notify"}, {"topic", message.topic}, {"payload", message.payload}};
+}
+
+json Encode(const SuspectMessage& message) {
+  return {{"type", "suspect"},
+          {"fingerprint", message.fingerprint},
+          {"deaths", message.deaths},
+          {"ttl_ms", message.ttl_ms}};
+}
+
+json Encode(const UnknownMessage& message) { return {{"type", message.type}}; }
+
+uint64_t Version(JsonFields& fields, const char* key) {
+  return static_cast<uint64_t>(fields.Integer(key, 0, INT64_MAX));
+}
+
+PingMessage DecodePing(JsonFields& fields, bool answer) {
+  PingMessage message;
+  message.answer = answer;
+  message.seq = Version(fields, "seq");
+  message.digest.config_version = Version(fields, "config_version");
+  message.digest.roster_version = Version(fields, "roster_version");
+  message.digest.weights_version = Version(fields, "weights_version");
+  message.digest.confirmed_age_ms = fields.Integer("confirmed_age_ms", -1, INT64_MAX / 1000000);
+  return message;
+}
+
+Result<PeerMessage> DecodeEntries(JsonFields& fields) {
+  ConfigEntriesMessage message;
+  for (const json& item : fields.Array("entries", kMaxEntries)) {
+    auto entry = DecodeConfigEntry(item);
+    if (!entry) return tl::unexpected<Error>(entry.error());
+    message.entries.push_back(std::move(*entry));
+  }
+  return PeerMessage(std::move(message));
+}
+
+Result<PeerMessage> DecodeBody(const std::string& type, JsonFields& fields) {
+  if (type == "hello") {
+    return PeerMessage(HelloMessage{fields.String("instance", kMaxNameBytes),
+                                    fields.String("zone", kMaxNameBytes),
+                                    Version(fields, "epoch")});
+  }
+  if (type == "ping" || type == "pong") return PeerMessage(DecodePing(fields, type == "pong"));
+  if (type == "config_entries") return DecodeEntries(fields);
+  if (type == "config_fetch") {
+    return PeerMessage(
+        ConfigFetchMessage{Version(fields, "after"), fields.BoolOr("snapshot", false)});
+  }
+  if (type == "config_snapshot") {
+    return PeerMessage(
+        ConfigSnapshotMessage{Version(fields, "version"), fields.Object("document")});
+  }
+  if (type == "notify") {
+    return PeerMessage(
+        NotifyMessage{fields.String("topic", kMaxNameBytes), fields.Optional("payload")});
+  }
+  if (type == "suspect") {
+    constexpr int64_t kMaxDeaths = 1'000'000;
+    constexpr int64_t kMaxTtlMs = 24LL * 3600 * 1000;
+    return PeerMessage(SuspectMessage{fields.String("fingerprint", kMaxNameBytes),
+                                      fields.Integer("deaths", 0, kMaxDeaths),
+                                      fields.Integer("ttl_ms", 0, kMaxTtlMs)});
+  }
+  return PeerMessage(UnknownMessage{type});
+}
+
+}  // namespace
+
+std::string EncodePeerMessage(const PeerMessage& message) {
+  json map = std::visit([](const auto& body) { return Encode(body); }, message);
+  map["v"] = kProtocolVersion;
+  std::string bytes;
+  json::to_cbor(map, bytes);
+  return bytes;
+}
+
+Result<PeerMessage> DecodePeerMessage(std::string_view bytes) {
+  if (bytes.size() > kMaxPeerMessageBytes) {
+    return Fail(ErrorCode::kTooLarge, "the message is larger than 1 MiB");
+  }
+  const auto map = ParseCbor(bytes);
+  if (!map) return tl::unexpected<Error>(map.error());
+  JsonFields fields(*map, "");
+  const std::string type = fields.String("type", 64);
+  fields.Integer("v", kProtocolVersion, INT64_MAX);
+  if (!fields.Ok()) return tl::unexpected<Error>(fields.Finish().error());
+  auto message = DecodeBody(type, fields);
+  if (!fields.Ok()) return tl::unexpected<Error>(fields.Finish().error());
+  return message;
+}
+
+}  // namespace anvilcroft
