--- /dev/null
+++ b/anvilcroft/configuration_accept.cc
@@ -0,0 +1,111 @@
+// Acceptance of patches: the part of Configuration that writes.
+
+#include <utility>
+
+#include "anvilcroft/configuration.h"
+#include "anvilcroft/head.h"
+#include "anvilcroft/json.h"
+#include "anvilcroft/log.h"
+
+namespace anvilcroft {
+namespace {
+
+constexpr char kPart[] = "config";
+
+}  // namespace
+
+Result<uint64_t> Configuration::Stale() const {
+  return Fail(ErrorCode::kStaleBase, "the base is not the current version",
+              std::to_string(this->document->Version()));
+}
+
+bool Configuration::WaitForVersion(Task& task, uint64_t version, TimePoint deadline) {
+  const std::shared_ptr<Event> event = this->changed;  // outlives the waits of this task
+  while (!this->halted && this->document->Version() < version) {
+    if (!event->WaitUntil(task, deadline)) break;
+  }
+  return this->document->Version() >= version;
+}
+
+Result<uint64_t> Configuration::Accept(Task& task, ConfigEntry patch, TimePoint deadline) {
+  constexpr Duration kMaxBaseWait = seconds(2);
+  if (!this->loaded) return Fail(ErrorCode::kNotReady, "the configuration is not known yet");
+  if (!this->hooks.has_majority(SteadyNow())) {
+    return Fail(ErrorCode::kIsolated, "no contact with a majority of the members");
+  }
+  if (DumpJson(patch.patch).size() > ConfigEntry::kMaxPatchBytes) {
+    return Fail(ErrorCode::kTooLarge, "the patch is too large", "patch");
+  }
+  patch.version = patch.base + 1;
+  patch.at_ms = WallNow();
+  if (patch.base > this->document->Version()) {
+    // The author has read a version that is still on its way to this instance.
+    const TimePoint limit = std::min(deadline, SteadyNow() + kMaxBaseWait);
+    if (!this->WaitForVersion(task, patch.base, limit)) return this->Stale();
+  }
+  if (patch.base < this->document->Version()) {
+    // An author that lost the answer sends the patch again: it is accepted if it was before.
+    const auto entry = this->ReadEntry(task, patch.version, deadline);
+    if (entry && entry->patch_id == patch.patch_id) return patch.version;
+    return this->Stale();
+  }
+  const auto next = this->document->Apply(patch.patch, patch.version);
+  if (!next) return tl::unexpected<Error>(next.error());
+  const auto version = this->Commit(task, patch, *next, deadline);
+  if (!version) return version;
+  LogInfo(kPart, "accepted a patch",
+          {{"version", std::to_string(*version)}, {"author", patch.author}});
+  this->hooks.broadcast(ConfigEntriesMessage{{patch}}, "");
+  this->pending[patch.version] = patch;
+  this->ApplyPending();
+  return version;
+}
+
+// Commits until the outcome is known or the deadline passes. The transaction is conditional on the
+// head, so repeating it cannot apply it twice.
+Result<uint64_t> Configuration::Commit(Task& task, const ConfigEntry& entry,
+                                       const ConfigDocument& next, TimePoint deadline) {
+  constexpr Duration kPause = milliseconds(100);
+  bool may_have_applied = false;
+  std::string failure = "the deadline passed";
+  for (; SteadyNow() < deadline; SleepUntil(task, SteadyNow() + kPause)) {
+    const auto row = this->table.Read(task, kHeadTable, kHeadKey, deadline);
+    if (!row) {
+      failure = row.error().message;
+      continue;
+    }
+    const auto head = DecodeHead(*row);
+    if (!head) return Fail(ErrorCode::kInternal, head.error().message, head.error().part);
+    if (head->config_version != entry.base) {
+      const auto winner = this->ReadEntry(task, entry.version, deadline);
+      if (winner && winner->patch_id == entry.patch_id) return entry.version;
+      if (winner || head->config_version < entry.base) {
+        this->Want(head->config_version);
+        return this->Stale();
+      }
+      failure = winner.error().message;
+      continue;
+    }
+    if (!this->hooks.has_majority(SteadyNow())) {
+      failure = "no contact with a majority of the members";
+      continue;
+    }
+    Head next_head = *head;
+    next_head.config_version = entry.version;
+    const auto change =
+        Transaction::Builder()
+            .CheckVersion(kHeadTable, kHeadKey, head->row_version)
+            .Put(kHeadTable, kHeadKey, EncodeHead(next_head))
+            .Put(kConfigTable, kConfigKey, {{"version", next.Version()}, {"document", next.Json()}})
+            .Put(kConfigLogTable, ConfigLogKey(entry.version), EncodeConfigEntry(entry))
+            .Build();
+    const auto committed = this->table.Commit(task, change, deadline);
+    if (committed) return entry.version;
+    failure = committed.error().message;
+    may_have_applied = may_have_applied || committed.error().ran == Ran::kUnknown;
+  }
+  return Fail(ErrorCode::kStoreUnavailable, failure, "",
+              may_have_applied ? Ran::kUnknown : Ran::kNo);
+}
+
+}  // namespace anvilcroft
--- /dev/null
+++ b/anvilcroft/peer_choice.cc
@@ -0,0 +1,95 @@
+#include "anvilcroft/peer_choice.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <set>
+
+#include "anvilcroft/hash.h"
+
+namespace anvilcroft {
+namespace {
+
+// Most peers of one member that are there to give others a peer in another region. Leaves room for
+// peers in its own region when that region is much the smaller one.
+constexpr std::size_t kMaxCrossPeers = 4;
+
+struct Pair {
+  uint64_t weight;
+  std::size_t a;
+  std::size_t b;
+  bool cross;  // the two are in different regions
+};
+
+class Graph {
+ public:
+  explicit Graph(const std::vector<Member>& members)
+      : members(members), peers(members.size()), cross_peers(members.size(), 0) {
+    for (std::size_t a = 0; a < members.size(); ++a) {
+      for (std::size_t b = a + 1; b < members.size(); ++b) {
+        this->pairs.push_back(Pair{RendezvousWeight(members[a].Id(), members[b].Id()), a, b,
+                                   members[a].Region() != members[b].Region()});
+      }
+    }
+    std::sort(this->pairs.begin(), this->pairs.end(),
+              [](const Pair& x, const Pair& y) { return x.weight > y.weight; });
+  }
+
+  std::set<std::size_t> PeersOf(std::size_t self) {
+    // One peer in another region for each; then one more for those whom the first pass left out;
+    // then peers within the region.
+    for (const Pair& pair : this->pairs) {
+      if (pair.cross && this->cross_peers[pair.a] == 0 && this->cross_peers[pair.b] == 0) {
+        this->Join(pair);
+      }
+    }
+    for (const Pair& pair : this->pairs) {
+      const bool needed = this->cross_peers[pair.a] == 0 || this->cross_peers[pair.b] == 0;
+      const bool room =
+          this->cross_peers[pair.a] < kMaxCrossPeers && this->cross_peers[pair.b] < kMaxCrossPeers;
+      if (pair.cross && needed && room) this->Join(pair);
+    }
+    for (const Pair& pair : this->pairs) {
+      const bool room =
+          this->peers[pair.a].size() < kMaxPeers && this->peers[pair.b].size() < kMaxPeers;
+      if (!pair.cross && room) this->Join(pair);
+    }
+    return this->peers[self];
+  }
+
+ private:
+  void Join(const Pair& pair) {
+    this->peers[pair.a].insert(pair.b);
+    this->peers[pair.b].insert(pair.a);
+    if (pair.cross) {
+      ++this->cross_peers[pair.a];
+      ++this->cross_peers[pair.b];
+    }
+  }
+
+  const std::vector<Member>& members;
+  std::vector<Pair> pairs;
+  std::vector<std::set<std::size_t>> peers;
+  std::vector<std::size_t> cross_peers;
+};
+
+}  // namespace
+
+std::vector<Member> ChoosePeers(const Roster& roster, const std::string& self) {
+  const std::vector<Member>& members = roster.Members();
+  const auto own = std::find_if(members.begin(), members.end(),
+                                [&](const Member& member) { return member.Id() == self; });
+  if (own == members.end()) return {};
+  std::vector<Member> chosen;
+  if (members.size() <= kFullMeshMembers) {
+    std::copy_if(members.begin(), members.end(), std::back_inserter(chosen),
+                 [&](const Member& member) { return member.Id() != self; });
+    return chosen;
+  }
+  Graph graph(members);
+  for (const std::size_t index : graph.PeersOf(static_cast<std::size_t>(own - members.begin()))) {
+    chosen.push_back(members[index]);
+  }
+  return chosen;
+}
+
+}  // namespace anvilcroft
--- /dev/null
+++ b/anvilcroft/peer_network.cc
@@ -0,0 +1,247 @@
+#include "anvilcroft/peer_network.h"
+
+#include <algorithm>
+#include <deque>
+#include <set>
+#include <utility>
+
+#include "anvilcroft/event.h"
+#include "anvilcroft/log.h"
+
+namespace anvilcroft {
+namespace {
+
+constexpr char kPart[] = "peers";
+
+struct SentPing {
+  uint64_t seq;
+  TimePoint at;
+};
+
+}  // namespace
+
+// The intention to keep a connection to one target.
+struct PeerNetwork::Dial {
+  Target target;
+  bool wanted = true;
+  std::shared_ptr<PeerLink> link;
+  Event changed;
+};
+
+// A connection whose hello has come.
+struct PeerNetwork::Peer {
+  std::string id;
+  bool seed = false;
+  std::shared_ptr<PeerLink> link;
+  std::deque<SentPing> unanswered;
+  uint64_t next_seq = 1;
+  TimePoint last_heard;
+  std::optional<TimePoint> contact;  // when the newest answered ping was sent
+
+  bool InContact(TimePoint now) const {
+    return this->link->CurrentState() == PeerLink::State::kOpen && this->contact &&
+           now - *this->contact < kMaxSilence;
+  }
+};
+
+PeerNetwork::PeerNetwork(Runtime& runtime, Metrics& metrics, std::string self, uint64_t seed,
+                         Hooks hooks)
+    : runtime(runtime),
+      self(std::move(self)),
+      random(seed),
+      hooks(std::move(hooks)),
+      transport(runtime, metrics) {
+  metrics.Gauge("anvilcroft_peers_in_contact", {},
+                [this] { return static_cast<double>(this->InContact(SteadyNow()).size()); });
+}
+
+PeerNetwork::~PeerNetwork() = default;
+
+Result<std::string> PeerNetwork::Listen(const std::string& address) {
+  return this->transport.Listen(address, [this](const std::shared_ptr<PeerLink>& link) {
+    this->runtime.Spawn([this, link](Task& task) { this->Serve(task, link, nullptr); });
+  });
+}
+
+void PeerNetwork::SetTargets(const std::vector<Target>& targets) {
+  if (this->halted) return;
+  std::set<Target> wanted;
+  for (const Target& target : targets) {
+    if (target.id.empty() || this->self < target.id) wanted.insert(target);
+  }
+  for (auto at = this->dials.begin(); at != this->dials.end();) {
+    if (wanted.erase(at->first) != 0) {
+      ++at;
+      continue;
+    }
+    at->second->wanted = false;
+    if (at->second->link) at->second->link->Close();
+    at->second->changed.NotifyAll();
+    at = this->dials.erase(at);
+  }
+  for (const Target& target : wanted) {
+    const auto dial = std::make_shared<Dial>();
+    dial->target = target;
+    this->dials[target] = dial;
+    this->runtime.Spawn([this, dial](Task& task) { this->KeepConnected(task, dial); });
+  }
+}
+
+void PeerNetwork::KeepConnected(Task& task, const std::shared_ptr<Dial>& dial) {
+  Duration backoff = kMinBackoff;
+  while (dial->wanted) {
+    dial->link = this->transport.Connect(dial->target.address);
+    const TimePoint begin = SteadyNow();
+    if (dial->link->WaitOpen(task, begin + kMaxSilence)) {
+      this->Serve(task, dial->link, &dial->target);
+    }
+    dial->link->Close();
+    if (SteadyNow() - begin > kMaxBackoff) backoff = kMinBackoff;
+    const TimePoint retry_at = SteadyNow() + this->Jittered(backoff);
+    while (dial->wanted && dial->changed.WaitUntil(task, retry_at)) {
+    }
+    backoff = std::min<Duration>(backoff * 2, kMaxBackoff);
+  }
+}
+
+Duration PeerNetwork::Jittered(Duration duration) {
+  return std::uniform_int_distribution<Duration::rep>(duration.count() / 2,
+                                                      duration.count())(this->random) *
+         Duration(1);
+}
+
+void PeerNetwork::Serve(Task& task, const std::shared_ptr<PeerLink>& link, const Target* target) {
+  this->links.erase(std::remove_if(this->links.begin(), this->links.end(),
+                                   [](const auto& weak) { return weak.expired(); }),
+                    this->links.end());
+  this->links.push_back(link);
+  if (this->halted) link->Close();
+  if (const auto peer = this->Greet(task, link, target)) {
+    // The newer connection of an instance replaces an older one, which may be to a former process.
+    const auto former = std::exchange(this->peers[peer->id], peer);
+    if (former) former->link->Close();
+    this->Converse(task, *peer);
+    const auto current = this->peers.find(peer->id);
+    if (current != this->peers.end() && current->second == peer) this->peers.erase(current);
+  }
+  link->Close();
+}
+
+std::shared_ptr<PeerNetwork::Peer> PeerNetwork::Greet(Task& task,
+                                                      const std::shared_ptr<PeerLink>& link,
+                                                      const Target* target) {
+  link->Send(EncodePeerMessage(this->hooks.hello()));
+  const auto bytes = link->Receive(task, SteadyNow() + kMaxSilence);
+  if (!bytes) return nullptr;
+  const auto message = DecodePeerMessage(*bytes);
+  const auto* hello = message ? std::get_if<HelloMessage>(&*message) : nullptr;
+  if (hello == nullptr) {
+    LogWarning(kPart, "the first message is no hello; closing the connection");
+    return nullptr;
+  }
+  const bool expected = target == nullptr || target->id.empty() || target->id == hello->instance;
+  if (hello->instance == this->self || !expected) {
+    LogWarning(kPart, "another instance answered than was expected; closing the connection",
+               {{"instance", hello->instance}});
+    return nullptr;
+  }
+  auto peer = std::make_shared<Peer>();
+  peer->id = hello->instance;
+  peer->seed = target != nullptr && target->id.empty();
+  peer->link = link;
+  peer->last_heard = SteadyNow();
+  return peer;
+}
+
+void PeerNetwork::Converse(Task& task, Peer& peer) {
+  constexpr std::size_t kMaxUnanswered = 8;
+  TimePoint next_ping = SteadyNow();
+  while (peer.link->CurrentState() == PeerLink::State::kOpen) {
+    const TimePoint now = SteadyNow();
+    if (now >= next_ping) {
+      peer.unanswered.push_back({peer.next_seq, now});
+      if (peer.unanswered.size() > kMaxUnanswered) peer.unanswered.pop_front();
+      const PingMessage ping{peer.next_seq++, false, this->hooks.digest(now)};
+      peer.link->Send(EncodePeerMessage(ping));
+      next_ping = now + kPingPeriod;
+    }
+    const TimePoint silent_at = peer.last_heard + kMaxSilence;
+    const auto bytes = peer.link->Receive(task, std::min(next_ping, silent_at));
+    if (!bytes) {
+      if (SteadyNow() < silent_at) continue;
+      LogWarning(kPart, "a peer is silent; closing the connection", {{"instance", peer.id}});
+      return;
+    }
+    const auto message = DecodePeerMessage(*bytes);
+    if (!message) {
+      LogWarning(kPart, "a message does not decode; closing the connection",
+                 {{"instance", peer.id}, {"error", message.error().message}});
+      return;
+    }
+    peer.last_heard = SteadyNow();
+    this->Handle(peer, *message);
+  }
+}
+
+void PeerNetwork::Handle(Peer& peer, const PeerMessage& message) {
+  const auto* ping = std::get_if<PingMessage>(&message);
+  if (ping == nullptr) {
+    if (std::holds_alternative<HelloMessage>(message)) return;
+    if (std::holds_alternative<UnknownMessage>(message)) return;
+    this->hooks.on_message(peer.id, message);
+    return;
+  }
+  if (!ping->answer) {
+    const PingMessage pong{ping->seq, true, this->hooks.digest(SteadyNow())};
+    peer.link->Send(EncodePeerMessage(pong));
+    this->hooks.on_digest(peer.id, ping->digest, std::nullopt);
+    return;
+  }
+  const auto sent =
+      std::find_if(peer.unanswered.begin(), peer.unanswered.end(),
+                   [&](const SentPing& candidate) { return candidate.seq == ping->seq; });
+  if (sent == peer.unanswered.end()) return;
+  const TimePoint asked_at = sent->at;
+  peer.unanswered.erase(peer.unanswered.begin(), std::next(sent));
+  peer.contact = asked_at;
+  this->hooks.on_digest(peer.id, ping->digest, asked_at);
+}
+
+bool PeerNetwork::Send(const std::string& peer, const PeerMessage& message) {
+  const auto found = this->peers.find(peer);
+  return found != this->peers.end() && found->second->link->Send(EncodePeerMessage(message));
+}
+
+void PeerNetwork::Broadcast(const PeerMessage& message, const std::string& except) {
+  const std::string bytes = EncodePeerMessage(message);
+  for (const auto& [id, peer] : this->peers) {
+    if (id != except) peer->link->Send(bytes);
+  }
+}
+
+std::vector<std::string> PeerNetwork::InContact(TimePoint now) const {
+  std::vector<std::string> ids;
+  for (const auto& [id, peer] : this->peers) {
+    if (peer->InContact(now)) ids.push_back(id);
+  }
+  return ids;
+}
+
+std::vector<std::string> PeerNetwork::SeedsInContact(TimePoint now) const {
+  std::vector<std::string> ids;
+  for (const auto& [id, peer] : this->peers) {
+    if (peer->seed && peer->InContact(now)) ids.push_back(id);
+  }
+  return ids;
+}
+
+void PeerNetwork::Halt() {
+  this->SetTargets({});
+  this->halted = true;
+  this->transport.StopListening();
+  for (const auto& weak : this->links) {
+    if (const auto link = weak.lock()) link->Close();
+  }
+}
+
+}  // namespace anvilcroft
