--- a/anvilcroft/peer_choice.cc
+++ b/anvilcroft/peer_choice.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <map>
 #include <set>
 
 #include "anvilcroft/hash.h"
@@ -9,9 +10,13 @@
 namespace anvilcroft {
 namespace {
 
-// Most peers of one member that are there to give others a peer in another region. Leaves room for
-// peers in its own region when that region is much the smaller one.
-constexpr std::size_t kMaxCrossPeers = 4;
+// Peers that each member has at least, if there are that many others. A member of a region with
+// few members gets more than one peer in other regions for it.
+constexpr std::size_t kMinPeers = 5;
+
+// Most peers of one member in other regions. Leaves room for peers in its own region when many
+// members elsewhere need one here.
+constexpr std::size_t kMaxCrossPeers = 5;
 
 struct Pair {
   uint64_t weight;
@@ -23,7 +28,13 @@
 class Graph {
  public:
   explicit Graph(const std::vector<Member>& members)
-      : members(members), peers(members.size()), cross_peers(members.size(), 0) {
+      : peers(members.size()), cross_peers(members.size(), 0), cross_needed(members.size(), 1) {
+    std::map<std::string, std::size_t> region_size;
+    for (const Member& member : members) ++region_size[member.Region()];
+    for (std::size_t i = 0; i < members.size(); ++i) {
+      const std::size_t near = region_size[members[i].Region()] - 1;
+      if (near + 1 < kMinPeers) this->cross_needed[i] = kMinPeers - near;
+    }
     for (std::size_t a = 0; a < members.size(); ++a) {
       for (std::size_t b = a + 1; b < members.size(); ++b) {
         this->pairs.push_back(Pair{RendezvousWeight(members[a].Id(), members[b].Id()), a, b,
@@ -35,15 +46,16 @@
   }
 
   std::set<std::size_t> PeersOf(std::size_t self) {
-    // One peer in another region for each; then one more for those whom the first pass left out;
-    // then peers within the region.
+    // One peer in another region for each; then more for those that still need some; then peers
+    // within the region.
     for (const Pair& pair : this->pairs) {
       if (pair.cross && this->cross_peers[pair.a] == 0 && this->cross_peers[pair.b] == 0) {
         this->Join(pair);
       }
     }
     for (const Pair& pair : this->pairs) {
-      const bool needed = this->cross_peers[pair.a] == 0 || this->cross_peers[pair.b] == 0;
+      const bool needed = this->cross_peers[pair.a] < this->cross_needed[pair.a] ||
+                          this->cross_peers[pair.b] < this->cross_needed[pair.b];
       const bool room =
           this->cross_peers[pair.a] < kMaxCrossPeers && this->cross_peers[pair.b] < kMaxCrossPeers;
       if (pair.cross && needed && room) this->Join(pair);
@@ -66,10 +78,10 @@
     }
   }
 
-  const std::vector<Member>& members;
   std::vector<Pair> pairs;
   std::vector<std::set<std::size_t>> peers;
   std::vector<std::size_t> cross_peers;
+  std::vector<std::size_t> cross_needed;
 };
 
 }  // namespace
--- /dev/null
+++ b/testing/cluster_node_test.cc
@@ -0,0 +1,276 @@
+// Guards the cluster roles as a whole: joining, propagation of patches, lost answers, removal of
+// members that are gone, and the behaviour during an outage of the table service.
+
+#include <catch2/catch.hpp>
+
+#include "anvilcroft/json.h"
+#include "testing/cluster_harness.h"
+
+namespace anvilcroft {
+namespace {
+
+// Guards against instances that do not find or connect to each other, and against patches that
+// reach only the instance that accepted them.
+TEST_CASE("all instances join, and a patch on one is in force on all", "[cluster]") {
+  ClusterHarness cluster;
+  cluster.Run([&](Task& task) {
+    cluster.Form(task, 5);
+    const HttpResponse response = cluster.Patch(task, cluster.At(3), 0, "p1", "t1");
+    REQUIRE(response.Status() == 200);
+    CHECK(ParseJson(response.Body())->at("version") == 1);
+    cluster.Await(task, "the patch is in force everywhere", [&] {
+      for (const auto& instance : cluster.instances) {
+        if (!instance->node->View().config()->Drained("t1")) return false;
+      }
+      return true;
+    });
+    const auto members =
+        cluster.Call(task, cluster.At(0), HttpRequest::Builder().SetTarget("/v1/members").Build());
+    const auto body = *ParseJson(members.Body());
+    CHECK(body["members"].size() == 5);
+    CHECK(body["peers_in_contact"].size() == 4);
+    CHECK(body["state"] == "serving");
+    CHECK(body["lease_remaining_ms"] > 0);
+    CHECK(body["members"][1]["epoch"] == cluster.At(1).node->View().epoch());
+    const auto addresses = cluster.Call(
+        task, cluster.At(0), HttpRequest::Builder().SetTarget("/v1/addresses?zone=zone-c").Build());
+    const auto listed = (*ParseJson(addresses.Body()))["addresses"];
+    CHECK(listed.size() == 4);
+    CHECK(listed[0]["instance"] == "c");
+  });
+}
+
+// Guards against a push that does not travel: with the head read rarely, only peers can carry it.
+TEST_CASE("a patch reaches an instance whose table service is down", "[cluster]") {
+  ClusterHarness cluster;
+  cluster.Run([&](Task& task) {
+    // The lease is longer than the test, so that the others do not remove the instance meanwhile.
+    cluster.Form(task, 3, seconds(30));
+    cluster.table.FaultsOf(2).down = true;
+    REQUIRE(cluster.Patch(task, cluster.At(0), 0, "p1", "t1").Status() == 200);
+    cluster.Await(task, "pushed", [&] { return cluster.At(2).ConfigVersion() == 1; });
+    // Its peers' confirmations reach it by their answers to pings.
+    SleepUntil(task, SteadyNow() + seconds(4));
+    const auto config =
+        cluster.Call(task, cluster.At(2), HttpRequest::Builder().SetTarget("/v1/config").Build());
+    CHECK((*ParseJson(config.Body()))["confirmed_age_ms"] < 3000);
+    CHECK(cluster.At(2).MayServe());
+  });
+}
+
+// Guards against two patches accepted on one base.
+TEST_CASE("of racing patches on one base exactly one is accepted", "[cluster]") {
+  ClusterHarness cluster;
+  cluster.Run([&](Task& task) {
+    cluster.Form(task, 4);
+    for (uint64_t base = 0; base < 5; ++base) {
+      int accepted = 0;
+      int refused = 0;
+      for (std::size_t i = 0; i < 4; ++i) {
+        cluster.runtime.Spawn([&, i, base](Task& racer) {
+          const std::string name = std::to_string(base) + "-" + std::to_string(i);
+          const auto response = cluster.Patch(racer, cluster.At(i), base, "p" + name, "t" + name);
+          (response.Status() == 200 ? accepted : refused) += 1;
+          if (response.Status() != 200) CHECK(response.Status() == 409);
+        });
+      }
+      cluster.Await(task, "answers", [&] { return accepted + refused == 4; });
+      CHECK(accepted == 1);
+    }
+    CHECK(cluster.table.Get("head", "head").value["config_version"] == 5);
+    CHECK(cluster.table.Count("config_log") == 5);
+  });
+}
+
+// Guards against a patch that is reported as failed, or applied twice, after a lost answer.
+TEST_CASE("lost answers of a patch are settled", "[cluster]") {
+  ClusterHarness cluster;
+  cluster.Run([&](Task& task) {
+    cluster.Form(task, 3);
+    cluster.table.FaultsOf(1).lose_commit_answers = 1;
+    CHECK(cluster.Patch(task, cluster.At(1), 0, "p1", "t1").Status() == 200);
+    cluster.table.FaultsOf(1).drop_commits = 1;
+    CHECK(cluster.Patch(task, cluster.At(1), 1, "p2", "t2").Status() == 200);
+    CHECK(cluster.table.Count("config_log") == 2);
+    // An author that lost the answer sends the same patch again, here to another instance.
+    cluster.Await(task, "in force", [&] { return cluster.At(2).ConfigVersion() == 2; });
+    const auto again = cluster.Patch(task, cluster.At(2), 1, "p2", "t2");
+    CHECK(again.Status() == 200);
+    const auto other = cluster.Patch(task, cluster.At(2), 1, "p3", "t3");
+    CHECK(other.Status() == 409);
+    CHECK((*ParseJson(other.Body()))["error"]["version"] == 2);
+    // With the service down the outcome is named truthfully.
+    cluster.table.SetDown(true);
+    const auto refused = cluster.Patch(task, cluster.At(0), 2, "p4", "t4", milliseconds(500));
+    CHECK(refused.Status() == 503);
+    CHECK((*ParseJson(refused.Body()))["error"]["ran"] == "no");
+  });
+}
+
+// Guards against members that stay in the roster for ever, and against a lease that its holder
+// believes in after others have removed it.
+TEST_CASE("a member that is gone is removed, and one that comes back joins anew", "[cluster]") {
+  ClusterHarness cluster;
+  cluster.Run([&](Task& task) {
+    cluster.Form(task, 4);
+    cluster.At(3).node->Halt();
+    cluster.Await(task, "removal of d", [&] { return cluster.At(0).RosterSize() == 3; });
+    CHECK(cluster.table.Get("leases", "d").version == 0);
+
+    const RowVersion former = cluster.At(1).node->View().epoch();
+    cluster.table.FaultsOf(1).down = true;
+    cluster.Await(task, "removal of b", [&] {
+      const bool removed = cluster.At(0).RosterSize() == 2;
+      if (removed) CHECK_FALSE(cluster.At(1).node->View().holds_lease(SteadyNow()));
+      return removed;
+    });
+    cluster.table.FaultsOf(1).down = false;
+    cluster.Await(task, "b joins again", [&] { return cluster.At(0).RosterSize() == 3; });
+    cluster.Await(task, "b is ready", [&] { return cluster.At(1).node->Ready(); });
+    CHECK(cluster.At(1).node->View().epoch() > former);
+  });
+}
+
+// Guards against a second process under one id that serves beside the first.
+TEST_CASE("a rejoin under the same id replaces the former process", "[cluster]") {
+  ClusterHarness cluster;
+  cluster.Run([&](Task& task) {
+    cluster.Form(task, 2);
+    const RowVersion former = cluster.At(1).node->View().epoch();
+    auto& second = cluster.Add("b");
+    cluster.Await(task, "the second is ready", [&] { return second.node->Ready(); });
+    CHECK(second.node->View().epoch() > former);
+    cluster.Await(task, "the first stops", [&] {
+      return cluster.At(1).node->State().Current() == Lifecycle::State::kStopped;
+    });
+    CHECK(cluster.At(1).ServeError() == ErrorCode::kNotReady);
+    CHECK(cluster.At(0).RosterSize() == 2);
+  });
+}
+
+// Guards against lost answers of a join that leave an instance out, or in twice.
+TEST_CASE("a join whose answers are lost is settled", "[cluster]") {
+  ClusterHarness cluster;
+  cluster.Run([&](Task& task) {
+    cluster.Form(task, 1);
+    auto& applied = cluster.Add("b");
+    cluster.table.FaultsOf(1).lose_commit_answers = 2;
+    auto& dropped = cluster.Add("c");
+    cluster.table.FaultsOf(2).drop_commits = 2;
+    cluster.Await(task, "both are ready", [&] {
+      return applied.node->Ready() && dropped.node->Ready() && cluster.At(0).RosterSize() == 3;
+    });
+    const auto roster = cluster.At(0).node->View().roster();
+    CHECK(roster->Find("b")->Epoch() == applied.node->View().epoch());
+    CHECK(roster->Find("c")->Epoch() == dropped.node->View().epoch());
+  });
+}
+
+// Guards against an outage that stops everything, and against a cut-off minority that serves an
+// old configuration.
+TEST_CASE("in an outage a majority serves on and a cut-off instance does not", "[cluster]") {
+  ClusterHarness cluster;
+  cluster.Run([&](Task& task) {
+    cluster.Form(task, 3);
+    REQUIRE(cluster.Patch(task, cluster.At(0), 0, "p1", "t1").Status() == 200);
+    cluster.Await(task, "in force", [&] { return cluster.At(2).ConfigVersion() == 1; });
+    cluster.table.SetDown(true);
+    cluster.Await(task, "the leases end",
+                  [&] { return !cluster.At(0).node->View().holds_lease(SteadyNow()); });
+    SleepUntil(task, SteadyNow() + seconds(4));
+    for (const auto& instance : cluster.instances) CHECK(instance->MayServe());
+    cluster.At(1).node->Halt();
+    SleepUntil(task, SteadyNow() + seconds(4));
+    CHECK(cluster.At(0).MayServe());  // two of three
+    cluster.At(2).node->Halt();
+    cluster.Await(task, "isolation", [&] { return !cluster.At(0).MayServe(); });
+    CHECK(cluster.At(0).ServeError() == ErrorCode::kIsolated);
+    CHECK(cluster.At(0).RosterSize() == 3);
+    CHECK(cluster.At(0).ConfigVersion() == 1);
+    cluster.table.SetDown(false);
+    cluster.Await(task, "service again", [&] { return cluster.At(0).MayServe(); });
+    cluster.Await(task, "removal of the others", [&] { return cluster.At(0).RosterSize() == 1; });
+  });
+}
+
+// Guards against instances that remove each other because none could renew during an outage.
+TEST_CASE("nobody is removed after an outage that all survived", "[cluster]") {
+  ClusterHarness cluster;
+  cluster.Run([&](Task& task) {
+    cluster.Form(task, 4);
+    std::vector<RowVersion> epochs;
+    for (const auto& instance : cluster.instances) epochs.push_back(instance->node->View().epoch());
+    for (int round = 0; round < 2; ++round) {
+      cluster.table.SetDown(true);
+      SleepUntil(task, SteadyNow() + seconds(4));
+      cluster.table.SetDown(false);
+      cluster.Await(task, "leases again", [&] {
+        for (const auto& instance : cluster.instances) {
+          if (!instance->node->View().holds_lease(SteadyNow())) return false;
+        }
+        return true;
+      });
+    }
+    SleepUntil(task, SteadyNow() + seconds(2));
+    for (std::size_t i = 0; i < 4; ++i) CHECK(cluster.At(i).node->View().epoch() == epochs[i]);
+  });
+}
+
+// Guards against a new instance that serves without a configuration, or with that of one seed.
+TEST_CASE("a new instance starts in an outage with the document of most seeds", "[cluster]") {
+  ClusterHarness cluster;
+  cluster.Run([&](Task& task) {
+    cluster.Form(task, 3);
+    REQUIRE(cluster.Patch(task, cluster.At(0), 0, "p1", "t1").Status() == 200);
+    cluster.Await(task, "in force", [&] { return cluster.At(2).ConfigVersion() == 1; });
+    cluster.table.SetDown(true);
+    std::vector<std::string> seeds;
+    for (const auto& instance : cluster.instances) seeds.push_back(instance->node->PeerAddress());
+    auto& alone = cluster.Add("x", {"127.0.0.1:1", "127.0.0.1:2", seeds[0]});
+    cluster.table.FaultsOf(3).down = true;
+    auto& fresh = cluster.Add("y", seeds);
+    cluster.table.FaultsOf(4).down = true;
+    cluster.Await(task, "the document of the seeds", [&] { return fresh.ConfigVersion() == 1; });
+    CHECK(fresh.node->Ready());
+    CHECK_FALSE(fresh.node->View().holds_lease(SteadyNow()));
+    CHECK(alone.ServeError() == ErrorCode::kNotReady);
+    cluster.table.SetDown(false);
+    cluster.Await(task, "both join", [&] { return cluster.At(0).RosterSize() == 5; });
+  });
+}
+
+// Guards against a leaving instance that is still handed out, and hooks that do not run.
+TEST_CASE("leaving, notifications and weights reach the other instances", "[cluster]") {
+  ClusterHarness cluster;
+  cluster.Run([&](Task& task) {
+    cluster.Form(task, 3);
+    std::string topic;
+    int64_t deaths = 0;
+    int weights = 0;
+    cluster.At(1).node->OnNotify([&](const std::string& t, const nlohmann::json&) { topic = t; });
+    cluster.At(1).node->OnSuspect([&](const std::string&, int64_t d, int64_t) { deaths = d; });
+    cluster.At(1).node->OnWeightsChange([&] { ++weights; });
+    cluster.At(0).node->Notify("group_shard", {{"shard", 7}});
+    cluster.At(0).node->BroadcastSuspect("f", 2, 1000);
+    cluster.Await(task, "both messages", [&] { return topic == "group_shard" && deaths == 2; });
+    auto head = cluster.table.Get("head", "head").value;
+    head["weights_version"] = 3;
+    cluster.table.Put("head", "head", head);
+    cluster.Await(task, "weights", [&] { return cluster.At(1).node->WeightsVersion() == 3; });
+    CHECK(weights == 1);
+
+    cluster.At(2).node->BeginLeaving(task);
+    CHECK(cluster.At(2).node->State().Current() == Lifecycle::State::kLeaving);
+    cluster.Await(task, "seen as leaving", [&] {
+      const auto roster = cluster.At(0).node->View().roster();
+      return roster->Find("c") != nullptr && !roster->Find("c")->Serving();
+    });
+    cluster.At(2).node->Leave(task);
+    cluster.Await(task, "gone", [&] { return cluster.At(0).RosterSize() == 2; });
+    CHECK(cluster.table.Get("leases", "c").version == 0);
+    CHECK(cluster.At(2).node->State().Current() == Lifecycle::State::kStopped);
+  });
+}
+
+}  // namespace
+}  // namespace anvilcroft
--- /dev/null
+++ b/testing/lease_observer_test.cc
@@ -0,0 +1,67 @@
+// Guards the decision that another member's lease has lapsed.
+
+#include "anvilcroft/lease_observer.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "anvilcroft/lease_watch.h"
+
+namespace anvilcroft {
+namespace {
+
+const TimePoint kBegin = TimePoint() + seconds(1000);
+
+// Guards against removal of a member that renews, and of one seen for less than a whole lease.
+TEST_CASE("a lease lapses when its row keeps one version for a whole lease", "[lease]") {
+  LeaseObserver observer(seconds(30));
+  for (int second = 0; second < 29; second += 5) {
+    observer.NoteRead(kBegin + seconds(second));
+    observer.Observe("dead", 7, kBegin + seconds(second));
+    observer.Observe("live", 100 + second, kBegin + seconds(second));
+    CHECK_FALSE(observer.Lapsed("dead", kBegin + seconds(second)));
+  }
+  observer.NoteRead(kBegin + seconds(30));
+  CHECK(observer.Lapsed("dead", kBegin + seconds(30)) == RowVersion(7));
+  CHECK_FALSE(observer.Lapsed("live", kBegin + seconds(30)));
+  CHECK_FALSE(observer.Lapsed("never seen", kBegin + seconds(30)));
+}
+
+// Guards against members that are removed because an outage kept all of them from renewing.
+TEST_CASE("nothing lapses for a whole lease after an outage", "[lease]") {
+  LeaseObserver observer(seconds(30));
+  observer.NoteRead(kBegin);
+  observer.Observe("m", 7, kBegin);
+  TimePoint now = kBegin + seconds(100);  // no read for 100 s
+  observer.NoteRead(now);
+  observer.Observe("m", 7, now);
+  CHECK_FALSE(observer.Lapsed("m", now));
+  for (int second = 5; second < 30; second += 5) observer.NoteRead(now + seconds(second));
+  CHECK_FALSE(observer.Lapsed("m", now + seconds(29)));
+  observer.NoteRead(now + seconds(30));
+  CHECK(observer.Lapsed("m", now + seconds(30)));
+  // Reads go on, but writes fail.
+  observer.NoteWriteFailure(now + seconds(31));
+  observer.NoteRead(now + seconds(40));
+  CHECK_FALSE(observer.Lapsed("m", now + seconds(60)));
+  CHECK(observer.Lapsed("m", now + seconds(61)));
+}
+
+// Guards against members that nobody watches.
+TEST_CASE("each member is watched by two others", "[lease]") {
+  std::vector<Member> members;
+  for (int i = 0; i < 40; ++i) {
+    members.push_back(Member::Builder().SetId("i-" + std::to_string(i)).Build());
+  }
+  const Roster roster(1, members);
+  std::map<std::string, int> watchers;
+  for (const Member& member : members) {
+    for (const std::string& id : WatchedBy(roster, member.Id())) ++watchers[id];
+    CHECK(WatchedBy(roster, member.Id()).count(member.Id()) == 0);
+  }
+  for (const Member& member : members) CHECK(watchers[member.Id()] == 2);
+}
+
+}  // namespace
+}  // namespace anvilcroft
--- /dev/null
+++ b/testing/peer_message_test.cc
@@ -0,0 +1,109 @@
+// Guards the decoder of messages between instances: whole round trips, bounds, and any bytes at all
+// without a crash.
+
+#include "anvilcroft/peer_message.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+namespace anvilcroft {
+namespace {
+
+std::vector<PeerMessage> Samples() {
+  ConfigEntry entry;
+  entry.version = 8;
+  entry.base = 7;
+  entry.patch_id = "p8";
+  entry.author = "asha";
+  entry.patch = {{"drained_targets", {{"t1", true}}}};
+  entry.at_ms = 1234567890123;
+  return {HelloMessage{"i-1", "ahmedabad", 17},
+          PingMessage{3, false, {8, 5, 2, 120}},
+          PingMessage{4, true, {8, 5, 2, -1}},
+          ConfigEntriesMessage{{entry, entry}},
+          ConfigFetchMessage{7, true},
+          ConfigSnapshotMessage{8, {{"deployments", nlohmann::json::object()}}},
+          NotifyMessage{"group_shard", {{"shard", 12}}},
+          SuspectMessage{"abc", 2, 600000}};
+}
+
+std::string Cbor(const nlohmann::json& value) {
+  std::string bytes;
+  nlohmann::json::to_cbor(value, bytes);
+  return bytes;
+}
+
+// Guards against a field that is lost or changed on the way.
+TEST_CASE("each message survives encoding and decoding", "[peer_message]") {
+  for (const PeerMessage& message : Samples()) {
+    const auto decoded = DecodePeerMessage(EncodePeerMessage(message));
+    REQUIRE(decoded);
+    CHECK(*decoded == message);
+  }
+}
+
+// Guards against fields out of their bounds, and against a newer peer's type closing connections.
+TEST_CASE("wrong fields are errors and unknown types are not", "[peer_message]") {
+  const auto refused = [](const nlohmann::json& value) {
+    return !DecodePeerMessage(Cbor(value)).has_value();
+  };
+  CHECK(refused(nullptr));
+  CHECK(refused({{"type", "hello"}, {"instance", "i"}, {"zone", "z"}, {"epoch", 1}}));
+  CHECK(refused({{"type", "hello"}, {"v", 1}, {"instance", ""}, {"zone", "z"}, {"epoch", 1}}));
+  CHECK(refused({{"type", "hello"}, {"v", 1}, {"instance", "i"}, {"zone", "z"}, {"epoch", -1}}));
+  CHECK(refused({{"type", "config_fetch"}, {"v", 1}, {"after", UINT64_MAX}}));
+  CHECK(refused({{"type", "config_entries"}, {"v", 1}, {"entries", {{{"version", 1}}}}}));
+  CHECK(refused({{"type", "suspect"}, {"v", 1}, {"fingerprint", "f"}, {"deaths", 1e9}}));
+  CHECK(refused({{"type", std::string(65, 'x')}, {"v", 1}}));
+  CHECK_FALSE(DecodePeerMessage(std::string(kMaxPeerMessageBytes + 1, '\0')));
+  const auto unknown = DecodePeerMessage(Cbor({{"type", "later"}, {"v", 2}, {"x", 1}}));
+  REQUIRE(unknown);
+  CHECK(std::holds_alternative<UnknownMessage>(*unknown));
+}
+
+// Guards against input that crashes the decoder, runs without bound, or decodes to a message that
+// does not encode again.
+TEST_CASE("random and mutated bytes never crash the decoder", "[peer_message]") {
+  std::mt19937 random(20261204);
+  const auto below = [&](std::size_t limit) {
+    return std::uniform_int_distribution<std::size_t>(0, limit - 1)(random);
+  };
+  std::size_t accepted = 0;
+  const auto check = [&](const std::string& bytes) {
+    const auto decoded = DecodePeerMessage(bytes);
+    if (!decoded) return;
+    ++accepted;
+    REQUIRE_FALSE(EncodePeerMessage(*decoded).empty());
+  };
+  for (int i = 0; i < 20000; ++i) {
+    std::string bytes(below(64), '\0');
+    for (char& byte : bytes) byte = static_cast<char>(below(256));
+    check(bytes);
+  }
+  const auto samples = Samples();
+  for (int i = 0; i < 40000; ++i) {
+    std::string bytes = EncodePeerMessage(samples[below(samples.size())]);
+    for (std::size_t change = below(4) + 1; change > 0 && !bytes.empty(); --change) {
+      const std::size_t at = below(bytes.size());
+      switch (below(4)) {
+        case 0:
+          bytes[at] = static_cast<char>(below(256));
+          break;
+        case 1:
+          bytes.erase(at, below(8) + 1);
+          break;
+        case 2:
+          bytes.insert(at, bytes.substr(below(bytes.size()), below(16)));
+          break;
+        default:
+          bytes.resize(at);
+          break;
+      }
+    }
+    check(bytes);
+  }
+  CHECK(accepted > 0);
+}
+
+}  // namespace
+}  // namespace anvilcroft
