--- /dev/null
+++ b/anvilcroft/admission.h
@@ -0,0 +1,68 @@
+#ifndef ANVILCROFT_ADMISSION_H_
+#define ANVILCROFT_ADMISSION_H_
+
+// Admission control of one service at one instance: a window of requests in flight and a bounded
+// queue, ordered by priority and then by arrival. A part of the window is reserved for short work,
+// so that it does not wait behind long work.
+//
+//   Result<AdmissionPermit> permit = admission.Enter(task, request, now);
+//   if (!permit) return tl::unexpected<Error>(permit.error());   // kOverloaded, ran = no
+//   ... the request counts as in flight while the permit lives ...
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+
+#include "anvilcroft/cancellation.h"
+#include "anvilcroft/error.h"
+#include "anvilcroft/runtime.h"
+#include "anvilcroft/time.h"
+#include "anvilcroft/work_request.h"
+
+namespace anvilcroft {
+
+namespace detail {
+class AdmissionState;
+}  // namespace detail
+
+struct AdmissionLimits {
+  int64_t max_in_flight = 64;
+  int64_t max_queued = 256;
+  double short_reserve = 0.25;  // fraction of the window that only short work may use
+};
+
+struct AdmissionRequest {
+  Priority priority = Priority::kNormal;
+  bool short_work = false;
+  TimePoint deadline;
+};
+
+// Ends the request's place in the window when the last copy is destroyed.
+using AdmissionPermit = std::shared_ptr<void>;
+
+class Admission {
+ public:
+  explicit Admission(AdmissionLimits limits);
+
+  // New limits hold for the next decisions; what is in flight stays.
+  void SetLimits(AdmissionLimits limits);
+
+  // Enters the window, waiting in the queue if it is full. Fails with kOverloaded, ran = no: at
+  // once if the expected wait exceeds the deadline or the queue is full of requests of no lower
+  // priority, and later if a request of higher priority needs the place; and with
+  // kDeadlineExceeded, ran = no, if the deadline passes in the queue.
+  Result<AdmissionPermit> Enter(Task& task, const AdmissionRequest& request, TimePoint now);
+
+  // Expected time until a request that arrives at `now` enters the window.
+  Duration ExpectedWait(const AdmissionRequest& request) const;
+
+  int64_t InFlight() const;
+  std::size_t Queued() const;
+
+ private:
+  std::shared_ptr<detail::AdmissionState> state;
+};
+
+}  // namespace anvilcroft
+
+#endif  // ANVILCROFT_ADMISSION_H_
--- /dev/null
+++ b/anvilcroft/claim_settler.cc
@@ -0,0 +1,71 @@
+#include "anvilcroft/claim_settler.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "anvilcroft/log.h"
+
+namespace anvilcroft {
+namespace {
+
+constexpr char kPart[] = "claims";
+constexpr Duration kAttempt = seconds(5);
+constexpr Duration kFirstPause = milliseconds(100);
+constexpr Duration kLongestPause = seconds(5);
+
+}  // namespace
+
+const char kClaimsTable[] = "claims";
+
+ClaimSettler::ClaimSettler(Runtime& runtime, CommitHook commit, ReadHook read)
+    : runtime(runtime), commit(std::move(commit)), read(std::move(read)) {}
+
+void ClaimSettler::Settle(ClaimSettlement settlement) {
+  if (*this->unsettled >= kMaxUnsettled) {
+    LogWarning(kPart, "too many claims wait for the table service; one stays claimed",
+               {{"key", settlement.key}});
+    return;
+  }
+  ++*this->unsettled;
+  this->runtime.Spawn([this, settlement = std::move(settlement)](Task& task) {
+    this->Run(task, settlement);
+    --*this->unsettled;
+  });
+}
+
+void ClaimSettler::Run(Task& task, ClaimSettlement settlement) {
+  const TimePoint late_until = SteadyNow() + kLateApply;
+  Duration pause = kFirstPause;
+  while (!this->TryOnce(task, settlement, late_until)) {
+    SleepUntil(task, SteadyNow() + pause);
+    pause = std::min(2 * pause, kLongestPause);
+  }
+}
+
+// Returns true when nothing is left to do.
+bool ClaimSettler::TryOnce(Task& task, ClaimSettlement& settlement, TimePoint late_until) {
+  if (settlement.version == 0) {
+    const auto row = this->read(task, kClaimsTable, settlement.key, SteadyNow() + kAttempt);
+    if (!row) return false;
+    if (!*row) return SteadyNow() >= late_until;
+    const auto found = DecodeClaim((*row)->value);
+    if (!found || found->nonce != settlement.nonce) return true;
+    if (found->state == ClaimRecord::State::kDone) return true;
+    settlement.version = (*row)->version;
+  }
+  Transaction::Builder transaction;
+  transaction.CheckVersion(kClaimsTable, settlement.key, settlement.version);
+  if (settlement.record) {
+    transaction.Put(kClaimsTable, settlement.key, EncodeClaim(*settlement.record));
+  } else {
+    transaction.Delete(kClaimsTable, settlement.key);
+  }
+  const auto committed = this->commit(task, transaction.Build(), SteadyNow() + kAttempt);
+  if (committed) return true;
+  // Applied with a lost answer, or the row has another version: the next try reads it first.
+  const Error& error = committed.error();
+  if (error.code == ErrorCode::kConflict || error.ran != Ran::kNo) settlement.version = 0;
+  return false;
+}
+
+}  // namespace anvilcroft
--- /dev/null
+++ b/anvilcroft/engine_output.h
@@ -0,0 +1,51 @@
+#ifndef ANVILCROFT_ENGINE_OUTPUT_H_
+#define ANVILCROFT_ENGINE_OUTPUT_H_
+
+// The output of one model request as it is collected, token by token, from one engine or from
+// several that resumed the work of each other.
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "anvilcroft/weight_span.h"
+
+namespace anvilcroft {
+
+class EngineOutput {
+ public:
+  // Appends one token. Without `version` the weight versions of the whole output count as unknown.
+  void Add(nlohmann::json token, const std::string& text, std::optional<int64_t> version);
+
+  // Compares the spans that an engine named at the end with the versions of its last
+  // `own_tokens` tokens. If they contradict each other, the versions count as unknown.
+  void CheckFinalSpans(const std::vector<WeightSpan>& named, int64_t own_tokens);
+
+  void SetFinish(std::string value) { this->finish = std::move(value); }
+
+  int64_t Size() const { return static_cast<int64_t>(this->tokens.size()); }
+  const nlohmann::json& Tokens() const { return this->tokens; }
+  const std::string& Finish() const { return this->finish; }
+
+  // The weight versions of all tokens in order, or nothing if one of them is unknown.
+  std::vector<WeightSpan> Spans() const;
+
+  // The JSON answer {request_id, tokens, text, spans, finish}.
+  std::string Body(const std::string& request_id) const;
+
+ private:
+  nlohmann::json tokens = nlohmann::json::array();
+  std::string text;
+  std::vector<int64_t> versions;  // one for each token while they are known
+  bool versions_known = true;
+  std::string finish;
+};
+
+// The JSON form of spans: [{version, tokens}].
+nlohmann::json EncodeSpans(const std::vector<WeightSpan>& spans);
+
+}  // namespace anvilcroft
+
+#endif  // ANVILCROFT_ENGINE_OUTPUT_H_
--- /dev/null
+++ b/anvilcroft/latency_window.h
@@ -0,0 +1,33 @@
+#ifndef ANVILCROFT_LATENCY_WINDOW_H_
+#define ANVILCROFT_LATENCY_WINDOW_H_
+
+// The newest latencies of one kind of work and their quantiles. A window rather than a running
+// estimate, because the hedge delay has to follow a change of load within a few hundred requests.
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+#include "anvilcroft/time.h"
+
+namespace anvilcroft {
+
+class LatencyWindow {
+ public:
+  static constexpr std::size_t kSize = 256;
+  // Fewer latencies than this give no quantile: the 95th percentile of a handful is their maximum.
+  static constexpr std::size_t kMinimum = 20;
+
+  void Add(Duration latency);
+
+  // The latency that a fraction `q` (0 to 1) of the window does not exceed.
+  std::optional<Duration> Quantile(double q) const;
+
+ private:
+  std::vector<Duration> latencies;
+  std::size_t next = 0;
+};
+
+}  // namespace anvilcroft
+
+#endif  // ANVILCROFT_LATENCY_WINDOW_H_
--- /dev/null
+++ b/anvilcroft/sse_parser.cc
@@ -0,0 +1,50 @@
+#include "anvilcroft/sse_parser.h"
+
+#include <utility>
+
+namespace anvilcroft {
+
+Result<std::vector<SseEvent>> SseParser::Feed(std::string_view piece) {
+  std::vector<SseEvent> events;
+  for (const char c : piece) {
+    if (c == '\n') {
+      this->TakeLine(events);
+      continue;
+    }
+    this->line += c;
+    if (this->line.size() + this->event.data.size() > kMaxEventBytes) {
+      return Fail(ErrorCode::kTooLarge, "an event of the stream is too large", "event");
+    }
+  }
+  return events;
+}
+
+void SseParser::TakeLine(std::vector<SseEvent>& events) {
+  std::string_view text = this->line;
+  if (!text.empty() && text.back() == '\r') text.remove_suffix(1);
+  if (text.empty()) {
+    if (this->fields > 0) events.push_back(std::exchange(this->event, {}));
+    this->fields = 0;
+  } else if (text.front() != ':') {  // a line that begins with a colon is a comment
+    const std::size_t colon = std::min(text.find(':'), text.size());
+    const std::string_view name = text.substr(0, colon);
+    std::string_view value = text.substr(std::min(colon + 1, text.size()));
+    if (!value.empty() && value.front() == ' ') value.remove_prefix(1);
+    if (name == "data") {
+      if (!this->event.data.empty()) this->event.data += '\n';
+      this->event.data += value;
+      ++this->fields;
+    } else if (name == "event") {
+      this->event.type = value;
+      ++this->fields;
+    }
+  }
+  this->line.clear();
+}
+
+std::string FormatSse(const std::string& data, const std::string& type) {
+  const std::string head = type.empty() ? "" : "event: " + type + "\n";
+  return head + "data: " + data + "\n\n";
+}
+
+}  // namespace anvilcroft
--- /dev/null
+++ b/anvilcroft/sse_parser.h
@@ -0,0 +1,50 @@
+#ifndef ANVILCROFT_SSE_PARSER_H_
+#define ANVILCROFT_SSE_PARSER_H_
+
+// Reads server-sent events from a body that arrives in pieces of any size.
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <vector>
+
+#include "anvilcroft/error.h"
+
+namespace anvilcroft {
+
+struct SseEvent {
+  std::string type;  // field "event"; empty if the event has none
+  std::string data;  // lines of field "data", joined by line feeds
+
+  friend bool operator==(const SseEvent& a, const SseEvent& b) {
+    return std::tie(a.type, a.data) == std::tie(b.type, b.data);
+  }
+};
+
+class SseParser {
+ public:
+  // Largest event, bytes.
+  static constexpr std::size_t kMaxEventBytes = 1 << 20;
+
+  // Takes the next piece and returns the events that it completes. Fails with kTooLarge; the
+  // stream is then of no further use.
+  Result<std::vector<SseEvent>> Feed(std::string_view piece);
+
+  // Whether the input ended between two events.
+  bool AtBoundary() const { return this->line.empty() && this->fields == 0; }
+
+ private:
+  void TakeLine(std::vector<SseEvent>& events);
+
+  std::string line;
+  SseEvent event;
+  int fields = 0;  // lines taken into `event`
+};
+
+// The wire form of one event; `data` must not hold a line break.
+std::string FormatSse(const std::string& data, const std::string& type = "");
+
+}  // namespace anvilcroft
+
+#endif  // ANVILCROFT_SSE_PARSER_H_
--- /dev/null
+++ b/anvilcroft/target_judge.cc
@@ -0,0 +1,73 @@
+#include "anvilcroft/target_judge.h"
+
+#include "anvilcroft/log.h"
+
+namespace anvilcroft {
+namespace {
+
+constexpr char kPart[] = "routing";
+
+}  // namespace
+
+TargetJudge::TargetJudge(HttpClient& http, TargetTable& targets, CrashGuard& crashes)
+    : http(http), targets(targets), crashes(crashes) {}
+
+Verdict TargetJudge::Judge(Task& task, const std::shared_ptr<TargetState>& target,
+                           const Error& error, const std::string& fingerprint,
+                           const std::string& start_before, TimePoint deadline) {
+  const TimePoint now = SteadyNow();
+  const Endpoint address = target->Description().Address();
+  switch (error.code) {
+    case ErrorCode::kConnectFailed:
+      // A connection given up at the request's own deadline says nothing of the target.
+      if (now >= deadline) return Verdict::kGiveUp;
+      this->http.Forget(address);
+      target->OnLost(now);
+      return Verdict::kRetryFree;
+    case ErrorCode::kLeaving:
+      if (error.part == "swapping") {
+        target->OnSwapping(now);
+      } else {
+        target->OnLeaving(now);
+      }
+      return Verdict::kRetryFree;
+    case ErrorCode::kOverloaded:
+      target->Suspect(now + kRefusalPause);
+      return Verdict::kRetryCharged;
+    case ErrorCode::kConnectionLost:
+      return this->JudgeLostConnection(task, target, fingerprint, start_before);
+    case ErrorCode::kDeadlineExceeded: {
+      // Idle connections over the same silent path are of no use either.
+      this->http.Forget(address);
+      if (now >= deadline) return Verdict::kGiveUp;
+      LogWarning(kPart, "a target was silent; opening a new connection to it",
+                 {{"target", target->Description().Id()}});
+      this->targets.Probe(task, target);
+      if (target->Phase() == TargetPhase::kLost) return Verdict::kRetryFree;
+      target->Suspect(SteadyNow() + kSilentPause);
+      return Verdict::kRetryCharged;
+    }
+    case ErrorCode::kBadResponse:
+      this->http.Forget(address);
+      return Verdict::kRetryCharged;
+    default:
+      return Verdict::kGiveUp;
+  }
+}
+
+Verdict TargetJudge::JudgeLostConnection(Task& task, const std::shared_ptr<TargetState>& target,
+                                         const std::string& fingerprint,
+                                         const std::string& start_before) {
+  this->http.Forget(target->Description().Address());
+  this->targets.Probe(task, target);
+  const bool refused = target->Phase() == TargetPhase::kLost;
+  // An engine that was restarted at once accepts connections again, but as another run.
+  const bool restarted = !start_before.empty() && target->InstanceStart() != start_before;
+  if (!refused && !restarted) return Verdict::kRetryCharged;
+  LogWarning(kPart, "a target died while it ran a request",
+             {{"target", target->Description().Id()}, {"fingerprint", fingerprint}});
+  this->crashes.AddDeath(fingerprint, SteadyNow());
+  return Verdict::kRetryFree;
+}
+
+}  // namespace anvilcroft
--- /dev/null
+++ b/anvilcroft/target_judge.h
@@ -0,0 +1,54 @@
+#ifndef ANVILCROFT_TARGET_JUDGE_H_
+#define ANVILCROFT_TARGET_JUDGE_H_
+
+// Decides, after a call of a target failed, what that says of the target and whether the work may
+// be tried again.
+//
+// A target counts as dead only after a new connection to it failed: a silent or reset connection
+// may be the link's fault. A target that died while it ran the request counts against the
+// request's fingerprint.
+
+#include <memory>
+#include <string>
+
+#include "anvilcroft/crash_guard.h"
+#include "anvilcroft/error.h"
+#include "anvilcroft/http_client.h"
+#include "anvilcroft/target_state.h"
+#include "anvilcroft/target_table.h"
+
+namespace anvilcroft {
+
+enum class Verdict {
+  kRetryFree,     // not a sign of overload: another target may be tried at no cost
+  kRetryCharged,  // may be tried again within the retry budget
+  kGiveUp,        // the error is final
+};
+
+class TargetJudge {
+ public:
+  // New work avoids a target that was silent, or refused for an unnamed reason, for this time.
+  static constexpr Duration kSilentPause = seconds(2);
+  static constexpr Duration kRefusalPause = milliseconds(200);
+
+  TargetJudge(HttpClient& http, TargetTable& targets, CrashGuard& crashes);
+
+  // Judges `error` of a call of `target` for the work with `fingerprint`, which has until
+  // `deadline`. May open a new connection to the target. `start_before` is the identity of the
+  // engine's run when the call began.
+  Verdict Judge(Task& task, const std::shared_ptr<TargetState>& target, const Error& error,
+                const std::string& fingerprint, const std::string& start_before,
+                TimePoint deadline);
+
+ private:
+  Verdict JudgeLostConnection(Task& task, const std::shared_ptr<TargetState>& target,
+                              const std::string& fingerprint, const std::string& start_before);
+
+  HttpClient& http;
+  TargetTable& targets;
+  CrashGuard& crashes;
+};
+
+}  // namespace anvilcroft
+
+#endif  // ANVILCROFT_TARGET_JUDGE_H_
--- /dev/null
+++ b/anvilcroft/target_state.cc
@@ -0,0 +1,282 @@
+#include "anvilcroft/target_state.h"
+
+#include <algorithm>
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+#include <cmath>
+#include <utility>
+
+namespace anvilcroft {
+namespace {
+
+namespace msm = boost::msm;
+using msm::front::none;
+using msm::front::Row;
+
+constexpr double kMeanWeight = 0.05;   // of one observation in the long-term mean
+constexpr double kRecentWeight = 0.3;  // of one observation in the recent mean
+constexpr int kFastProbes = 10;        // failed probes before the interval grows
+constexpr Duration kFastProbe = seconds(1);
+constexpr Duration kSlowProbe = seconds(10);
+
+// Events of the life cycle.
+struct Answered {};
+struct SwapSeen {};
+struct LeavingSeen {};
+struct LeavingCleared {};
+struct Refused {};
+
+// A state that notes its phase in the machine on entry.
+template <TargetPhase kPhase>
+struct PhaseState : msm::front::state<> {
+  template <typename Event, typename Machine>
+  void on_entry(const Event&, Machine& machine) {
+    machine.phase = kPhase;
+  }
+};
+
+struct LifeCycleDef : msm::front::state_machine_def<LifeCycleDef> {
+  using Unknown = PhaseState<TargetPhase::kUnknown>;
+  using Ready = PhaseState<TargetPhase::kReady>;
+  using Swapping = PhaseState<TargetPhase::kSwapping>;
+  using Leaving = PhaseState<TargetPhase::kLeaving>;
+  using Lost = PhaseState<TargetPhase::kLost>;
+  using initial_state = Unknown;  // NOLINT(readability-identifier-naming)
+
+  // clang-format off
+  struct transition_table : boost::mpl::vector<  // NOLINT(readability-identifier-naming)
+      Row<Unknown,  Answered,       Ready,    none, none>,
+      Row<Unknown,  SwapSeen,       Swapping, none, none>,
+      Row<Unknown,  LeavingSeen,    Leaving,  none, none>,
+      Row<Unknown,  Refused,        Lost,     none, none>,
+      Row<Ready,    SwapSeen,       Swapping, none, none>,
+      Row<Ready,    LeavingSeen,    Leaving,  none, none>,
+      Row<Ready,    Refused,        Lost,     none, none>,
+      Row<Swapping, Answered,       Ready,    none, none>,
+      Row<Swapping, LeavingSeen,    Leaving,  none, none>,
+      Row<Swapping, Refused,        Lost,     none, none>,
+      Row<Lost,     Answered,       Ready,    none, none>,
+      Row<Lost,     SwapSeen,       Swapping, none, none>,
+      Row<Lost,     LeavingSeen,    Leaving,  none, none>,
+      Row<Leaving,  LeavingCleared, Unknown,  none, none>> {};
+  // clang-format on
+
+  // Events without a row change nothing: a leaving target stays so whatever else is seen of it.
+  template <typename Machine, typename Event>
+  void no_transition(const Event&, Machine&, int) {}
+
+  TargetPhase phase = TargetPhase::kUnknown;
+};
+
+}  // namespace
+
+namespace detail {
+
+class TargetMachine {
+ public:
+  TargetMachine() { this->machine.start(); }
+
+  template <typename Event>
+  void Process(const Event& event) {
+    this->machine.process_event(event);
+  }
+
+  TargetPhase Phase() const { return this->machine.phase; }
+
+ private:
+  msm::back::state_machine<LifeCycleDef> machine;
+};
+
+}  // namespace detail
+
+const char* TargetPhaseName(TargetPhase phase) {
+  switch (phase) {
+    case TargetPhase::kUnknown:
+      return "unknown";
+    case TargetPhase::kReady:
+      return "ready";
+    case TargetPhase::kSwapping:
+      return "swapping";
+    case TargetPhase::kLeaving:
+      return "leaving";
+    case TargetPhase::kLost:
+      return "lost";
+  }
+  return "unknown";
+}
+
+TargetState::TargetState(Target target, PhaseHook hook)
+    : target(std::move(target)),
+      hook(std::move(hook)),
+      machine(std::make_unique<detail::TargetMachine>()) {
+  this->ApplyLeaving();
+}
+
+TargetState::~TargetState() = default;
+
+TargetPhase TargetState::Phase() const { return this->machine->Phase(); }
+
+bool TargetState::Eligible(TimePoint now) const {
+  return this->Phase() == TargetPhase::kReady && now >= this->suspected_until;
+}
+
+void TargetState::Process(Signal signal) {
+  const TargetPhase before = this->Phase();
+  switch (signal) {
+    case Signal::kAnswered:
+      this->machine->Process(Answered());
+      break;
+    case Signal::kSwapping:
+      this->machine->Process(SwapSeen());
+      break;
+    case Signal::kLeaving:
+      this->machine->Process(LeavingSeen());
+      break;
+    case Signal::kStayed:
+      this->machine->Process(LeavingCleared());
+      break;
+    case Signal::kRefused:
+      this->machine->Process(Refused());
+      break;
+  }
+  if (this->hook && this->Phase() != before) this->hook(*this, before, this->Phase());
+}
+
+bool TargetState::LeavingKnown() const {
+  return this->said_leaving || this->drained || this->target.ListState() != Target::Listed::kLive;
+}
+
+void TargetState::ApplyLeaving() {
+  if (this->LeavingKnown()) {
+    this->Process(Signal::kLeaving);
+  } else if (this->Phase() == TargetPhase::kLeaving) {
+    this->Process(Signal::kStayed);
+    this->next_probe = TimePoint();
+  }
+}
+
+void TargetState::Update(const Target& newer, bool now_drained) {
+  this->target = newer;
+  this->drained = now_drained;
+  this->ApplyLeaving();
+}
+
+void TargetState::OnAnswer(TimePoint now) {
+  this->failed_probes = 0;
+  if (this->said_leaving && now - this->leaving_since >= kLeavingRecheck) {
+    this->said_leaving = false;
+    this->ApplyLeaving();
+  }
+  this->Process(Signal::kAnswered);
+}
+
+void TargetState::OnReport(const EngineReport& report, TimePoint now) {
+  if (report.leaving) {
+    this->OnLeaving(now);
+  } else if (this->said_leaving && report.instance_start != this->leaving_start) {
+    // The engine restarted, so what the earlier run said no longer holds.
+    this->said_leaving = false;
+    this->ApplyLeaving();
+  }
+  this->weight_version = report.weight_version;
+  this->instance_start = report.instance_start;
+  this->OnLoad(report.running, report.waiting, now);
+  if (report.swapping) {
+    this->failed_probes = 0;
+    this->Process(Signal::kSwapping);
+  } else {
+    this->OnAnswer(now);
+  }
+}
+
+void TargetState::OnLoad(int64_t now_running, int64_t now_waiting, TimePoint now) {
+  this->running = now_running;
+  this->waiting = now_waiting;
+  this->load_time = now;
+}
+
+void TargetState::OnSwapping(TimePoint now) {
+  this->next_probe = now + kFastProbe;
+  this->Process(Signal::kSwapping);
+}
+
+void TargetState::OnLeaving(TimePoint now) {
+  if (!this->said_leaving) this->leaving_start = this->instance_start;
+  this->said_leaving = true;
+  this->leaving_since = now;
+  this->next_probe = now + kLeavingRecheck;
+  this->ApplyLeaving();
+}
+
+void TargetState::OnLost(TimePoint now) {
+  ++this->failed_probes;
+  this->next_probe = now + (this->failed_probes > kFastProbes ? kSlowProbe : kFastProbe);
+  this->Process(Signal::kRefused);
+}
+
+void TargetState::Suspect(TimePoint until) {
+  this->suspected_until = std::max(this->suspected_until, until);
+}
+
+bool TargetState::ProbeDue(TimePoint now) const {
+  if (this->probing || now < this->next_probe) return false;
+  switch (this->Phase()) {
+    case TargetPhase::kReady:
+      return false;
+    case TargetPhase::kLeaving:
+      return this->said_leaving;
+    default:
+      return true;
+  }
+}
+
+void TargetState::BeginProbe(TimePoint now) {
+  this->probing = true;
+  this->next_probe = now + kFastProbe;
+}
+
+void TargetState::EndProbe(TimePoint now) {
+  this->probing = false;
+  const bool rare = this->Phase() == TargetPhase::kLeaving || this->failed_probes > kFastProbes;
+  this->next_probe = now + (rare ? kSlowProbe : kFastProbe);
+}
+
+std::shared_ptr<void> TargetState::BeginWork() {
+  const std::shared_ptr<int64_t> count = this->in_flight;
+  ++*count;
+  return std::shared_ptr<void>(nullptr, [count](void*) { --*count; });
+}
+
+void TargetState::ObserveLatency(double seconds_per_unit, TimePoint now) {
+  if (this->mean_latency == 0) {
+    this->mean_latency = seconds_per_unit;
+    this->recent_latency = seconds_per_unit;
+  }
+  this->mean_latency += kMeanWeight * (seconds_per_unit - this->mean_latency);
+  this->recent_latency += kRecentWeight * (seconds_per_unit - this->recent_latency);
+  this->latency_time = now;
+}
+
+namespace {
+
+double Halved(Duration age, Duration half_life) {
+  return std::exp2(-std::chrono::duration<double>(std::max(age, Duration::zero())).count() /
+                   std::chrono::duration<double>(half_life).count());
+}
+
+}  // namespace
+
+double TargetState::Slowness(double typical, TimePoint now) const {
+  if (typical <= 0 || this->recent_latency <= typical) return 1;
+  const double excess = this->recent_latency / typical - 1;
+  return 1 + excess * Halved(now - this->latency_time, kSlownessHalfLife);
+}
+
+double TargetState::DiscountedLoad(TimePoint now) const {
+  if (this->running == 0 && this->waiting == 0) return 0;
+  return static_cast<double>(this->running + 2 * this->waiting) *
+         Halved(now - this->load_time, kLoadHalfLife);
+}
+
+}  // namespace anvilcroft
--- /dev/null
+++ b/anvilcroft/target_table.cc
@@ -0,0 +1,239 @@
+#include "anvilcroft/target_table.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "anvilcroft/json.h"
+#include "anvilcroft/log.h"
+#include "anvilcroft/target_subset.h"
+#include "anvilcroft/tcp_probe.h"
+
+namespace anvilcroft {
+namespace {
+
+using nlohmann::json;
+
+constexpr char kPart[] = "targets";
+constexpr std::size_t kMaxTargets = 100000;
+
+HttpRequest Get(const std::string& target) {
+  return HttpRequest::Builder().SetTarget(target).Build();
+}
+
+void LogPhase(const TargetState& state, TargetPhase from, TargetPhase to) {
+  LogInfo(kPart, "a target changed its phase",
+          {{"target", state.Description().Id()},
+           {"from", TargetPhaseName(from)},
+           {"to", TargetPhaseName(to)}});
+}
+
+}  // namespace
+
+TargetTable::TargetTable(Runtime& runtime, HttpClient& http, Endpoint instance_list,
+                         ClusterView view, Duration poll)
+    : runtime(runtime),
+      http(http),
+      instance_list(std::move(instance_list)),
+      view(std::move(view)),
+      poll(poll) {}
+
+void TargetTable::Start() {
+  this->runtime.Spawn([this](Task& task) {
+    while (true) {
+      const TimePoint started = SteadyNow();
+      this->Poll(task);
+      SleepUntil(task, started + this->poll);
+    }
+  });
+  this->runtime.Spawn([this](Task& task) {
+    while (true) {
+      this->ProbeDueTargets();
+      SleepUntil(task, SteadyNow() + kProbeTick);
+    }
+  });
+}
+
+std::vector<Target> TargetTable::All() const {
+  std::vector<Target> targets;
+  targets.reserve(this->all.size());
+  for (const auto& [id, target] : this->all) targets.push_back(target);
+  return targets;
+}
+
+std::vector<std::shared_ptr<TargetState>> TargetTable::Working(const std::string& service) const {
+  const auto found = this->by_service.find(service);
+  return found == this->by_service.end() ? std::vector<std::shared_ptr<TargetState>>()
+                                         : found->second;
+}
+
+std::shared_ptr<TargetState> TargetTable::Find(const std::string& target_id) const {
+  const auto found = this->working.find(target_id);
+  return found == this->working.end() ? nullptr : found->second;
+}
+
+void TargetTable::Report(const EngineReport& report) {
+  if (const auto state = this->Find(report.id)) state->OnReport(report, SteadyNow());
+}
+
+void TargetTable::Rebuild() {
+  const auto roster = this->view.roster();
+  const auto config = this->view.config();
+  std::map<std::string, std::shared_ptr<TargetState>> kept;
+  this->by_service.clear();
+  for (const auto& [id, target] : this->all) {
+    if (!InSubset(*roster, this->view.self, this->view.zone, target)) continue;
+    const auto found = this->working.find(id);
+    // Another address or service under the same id is another target.
+    const bool same = found != this->working.end() &&
+                      found->second->Description().Address() == target.Address() &&
+                      found->second->Description().Service() == target.Service() &&
+                      found->second->Description().Kind() == target.Kind();
+    const auto state = same ? found->second : std::make_shared<TargetState>(target, LogPhase);
+    state->Update(target, config->Drained(id));
+    kept.emplace(id, state);
+    this->by_service[target.Service()].push_back(state);
+  }
+  // Requests in flight keep the states of targets that left the subset alive.
+  this->working = std::move(kept);
+}
+
+Result<void> TargetTable::Apply(const json& answer) {
+  JsonFields fields(answer, "instances");
+  const int64_t answered = fields.Integer("revision", 0, INT64_MAX);
+  std::vector<Target> changed;
+  for (const json& item : fields.Array("instances", kMaxTargets)) {
+    auto target = DecodeTarget(item);
+    if (!target) {
+      // One malformed entry must not hide the others.
+      LogWarning(kPart, "ignored a malformed entry of the instance list",
+                 {{"part", target.error().part}, {"error", target.error().message}});
+      continue;
+    }
+    changed.push_back(std::move(*target));
+  }
+  if (const auto read = fields.Finish(); !read) return read;
+  if (answered < this->revision) {
+    // The list lost its history or another replica answered. What is known stays in use, and the
+    // next poll asks for everything.
+    LogWarning(kPart, "the instance list went back to an earlier revision",
+               {{"known", std::to_string(this->revision)}, {"got", std::to_string(answered)}});
+    this->revision = 0;
+    return {};
+  }
+  if (this->revision == 0) {
+    // A whole list: what it does not name is gone.
+    this->all.clear();
+  }
+  this->revision = answered;
+  for (Target& target : changed) {
+    if (target.ListState() == Target::Listed::kGone) {
+      this->all.erase(target.Id());
+    } else {
+      this->all.insert_or_assign(target.Id(), std::move(target));
+    }
+  }
+  this->Rebuild();
+  return {};
+}
+
+void TargetTable::Poll(Task& task) {
+  const auto response = this->http.Call(
+      task, this->instance_list, Get("/v1/instances?since=" + std::to_string(this->revision)),
+      CallOptions(SteadyNow() + seconds(2)).WithResend());
+  Result<void> outcome;
+  if (!response) {
+    outcome = tl::unexpected<Error>(response.error());
+  } else if (response->Status() != 200) {
+    outcome = Fail(ErrorCode::kBadResponse, "status " + std::to_string(response->Status()));
+  } else if (const auto body = ParseJson(response->Body()); !body) {
+    outcome = tl::unexpected<Error>(body.error());
+  } else {
+    outcome = this->Apply(*body);
+  }
+  if (!outcome && !this->list_failed) {
+    LogWarning(kPart, "the instance list does not answer; the last list stays in use",
+               {{"error", outcome.error().message}});
+  }
+  this->list_failed = !outcome;
+}
+
+void TargetTable::ProbeDueTargets() {
+  const TimePoint now = SteadyNow();
+  std::vector<std::shared_ptr<TargetState>> due;
+  for (const auto& [id, state] : this->working) {
+    if (state->ProbeDue(now)) due.push_back(state);
+  }
+  for (const auto& state : due) {
+    if (*this->probes >= kMaxProbes) return;
+    state->BeginProbe(now);
+    ++*this->probes;
+    this->runtime.Spawn([this, state, running = this->probes](Task& task) {
+      this->Probe(task, state);
+      state->EndProbe(SteadyNow());
+      --*running;
+    });
+  }
+}
+
+void TargetTable::Probe(Task& task, const std::shared_ptr<TargetState>& state) {
+  const TimePoint deadline = SteadyNow() + kProbeTimeout;
+  const Target target = state->Description();
+  if (target.Kind() != TargetKind::kModelEngine) {
+    const auto reached = ProbeConnection(task, target.Address(), deadline);
+    if (reached) {
+      state->OnAnswer(SteadyNow());
+    } else {
+      state->OnLost(SteadyNow());
+    }
+    return;
+  }
+  const auto response = this->http.Call(task, target.Address(), Get("/v1/state"),
+                                        CallOptions(deadline).WithFreshConnection());
+  if (!response) {
+    // A silent engine's state is not known; only a failed connection shows that it is down.
+    if (response.error().code == ErrorCode::kConnectFailed) state->OnLost(SteadyNow());
+    return;
+  }
+  const auto body = ParseJson(response->Body());
+  if (response->Status() != 200 || !body) return;
+  const auto report = DecodeEngineReport(*body);
+  if (!report || report->id != target.Id()) {
+    LogWarning(kPart, "a target's state report does not fit it", {{"target", target.Id()}});
+    return;
+  }
+  state->OnReport(*report, SteadyNow());
+}
+
+std::string TargetTable::Render() const {
+  const TimePoint now = SteadyNow();
+  json list = json::array();
+  for (const auto& [id, target] : this->all) {
+    json entry = {{"id", id},
+                  {"kind", TargetKindName(target.Kind())},
+                  {"service", target.Service()},
+                  {"address", target.Address().ToString()},
+                  {"zone", target.Zone()},
+                  {"working", false}};
+    if (const auto state = this->Find(id)) {
+      entry["working"] = true;
+      entry["phase"] = TargetPhaseName(state->Phase());
+      entry["eligible"] = state->Eligible(now);
+      entry["in_flight"] = state->InFlight();
+      entry["running"] = state->ReportedRunning();
+      entry["waiting"] = state->ReportedWaiting();
+      entry["weight_version"] = state->WeightVersion();
+      entry["mean_latency_s"] = state->MeanLatency();
+    }
+    list.push_back(std::move(entry));
+  }
+  return DumpJson({{"revision", this->revision}, {"targets", list}});
+}
+
+void TargetTable::RegisterRoutes(HttpRouter& router) {
+  router.Add("GET", "/v1/targets",
+             [this](Task& task, const HttpRequest&, const PathParts&, HttpReply& reply) {
+               reply.Send(task, JsonResponse(200, this->Render()));
+             });
+}
+
+}  // namespace anvilcroft
