--- a/anvilcroft/crash_guard.cc
+++ b/anvilcroft/crash_guard.cc
@@ -25,6 +25,11 @@
               "targets died while they ran this request; it is refused for a while", "body");
 }
 
+int64_t CrashGuard::Deaths(const std::string& fingerprint, TimePoint now) const {
+  const auto found = this->entries.find(fingerprint);
+  return found == this->entries.end() || found->second.expires <= now ? 0 : found->second.deaths;
+}
+
 CrashGuard::Entry& CrashGuard::Obtain(const std::string& fingerprint, TimePoint now) {
   const auto found = this->entries.find(fingerprint);
   if (found != this->entries.end()) {
--- a/anvilcroft/crash_guard.h
+++ b/anvilcroft/crash_guard.h
@@ -40,6 +40,9 @@
   // Fails with kCrashesTargets, ran = no, if the fingerprint is refused at `now`.
   Result<void> Check(const std::string& fingerprint, TimePoint now);
 
+  // Number of targets that died on the request, as far as is known at `now`.
+  int64_t Deaths(const std::string& fingerprint, TimePoint now) const;
+
   // Counts a target that died while it ran the request, and tells the other instances.
   void AddDeath(const std::string& fingerprint, TimePoint now);
 
--- a/anvilcroft/dispatcher.cc
+++ b/anvilcroft/dispatcher.cc
@@ -34,6 +34,7 @@
   std::set<std::string> avoided;  // targets of the other copy
   std::string current;            // the target of the attempt under way
   bool sent = false;              // whether a target may have run any part
+  std::shared_ptr<void> suspect;  // held while the work is a suspect without progress
   EngineOutput output;
 
   Error Final(Error error) const {
@@ -213,10 +214,12 @@
 std::shared_ptr<TargetState> Dispatcher::Pick(const WorkItem& item, const Leg& leg, bool repeat,
                                               TimePoint now) {
   Candidates eligible;
+  const bool suspected = this->crashes.Deaths(item.fingerprint, now) > 0;
   for (auto& state : this->targets.Working(item.request.Service())) {
     const std::string& id = state->Description().Id();
     if (!state->Eligible(now) || item.request.Excluded().count(id) != 0 ||
-        leg.avoided.count(id) != 0 || (!repeat && leg.tried.count(id) != 0)) {
+        (suspected && state->Suspects() > 0) || leg.avoided.count(id) != 0 ||
+        (!repeat && leg.tried.count(id) != 0)) {
       continue;
     }
     eligible.push_back(std::move(state));
@@ -229,6 +232,7 @@
 Result<WorkResult> Dispatcher::CallTarget(Task& task, const WorkItem& item, const StreamSink& sink,
                                           Leg& leg, const std::shared_ptr<TargetState>& target) {
   const auto in_flight = target->BeginWork();
+  if (this->crashes.Deaths(item.fingerprint, SteadyNow()) > 0) leg.suspect = target->BeginSuspect();
   Span span = this->tracer.Start("target", item.request.Trace());
   span.Set("target", target->Description().Id());
   span.Set("service", item.request.Service());
@@ -236,6 +240,7 @@
   auto result = item.kind == TargetKind::kModelEngine
                     ? this->CallModel(task, item, sink, leg, target, span)
                     : this->CallPlain(task, item, leg, target, span);
+  leg.suspect.reset();
   const std::string status = result ? "ok" : ErrorCodeName(result.error().code);
   this->tracer.End(span, status);
   this->metrics.Count("anvilcroft_target_calls_total",
@@ -255,6 +260,7 @@
     const TimePoint now = SteadyNow();
     target->ObserveLatency(Seconds(now - last_event), now);
     last_event = now;
+    leg.suspect.reset();
     if (!sink) return {};
     nlohmann::json passed = event;
     passed["request_id"] = request.RequestId();
--- a/anvilcroft/dispatcher.h
+++ b/anvilcroft/dispatcher.h
@@ -7,7 +7,13 @@
 // Model requests are repeatable: a broken stream is resumed on another engine from the tokens that
 // came, and the spans of all engines are joined. Repeatable short work that is not streamed is
 // hedged: after the 95th percentile of the latencies seen here a second copy starts on another
-// target, the first whole answer wins and the other copy is cancelled. Work that may not be
+// target, the first whole answer wins and the other copy is cancelled.
+//
+// All requests that run on a target when it dies are suspected of it. Suspects run on separate
+// targets until their first sign of progress, so that the one that crashes targets does not take
+// the others with it a second time and get them refused.
+//
+// Work that may not be
 // repeated is dispatched once; another target is tried only if no connection was made.
 
 #include <cstdint>
--- a/anvilcroft/engine_call.cc
+++ b/anvilcroft/engine_call.cc
@@ -43,6 +43,7 @@
 
 Result<EngineCallEnd> EngineCall::Run(Task& task, json body, const CallOptions& options,
                                       EngineOutput& output, const EngineEventHook& on_event) {
+  this->max_tokens = JsonFields(body, "body").IntegerOr("max_tokens", INT64_MAX, 0, INT64_MAX);
   body["request_id"] = this->call_id;
   body["stream"] = true;
   body.erase("resume_tokens");
@@ -127,7 +128,13 @@
 Result<EngineCallEnd> EngineCall::TakeLastEvent(const json& event, EngineOutput& output) {
   JsonFields fields(event, "event");
   EngineCallEnd end;
-  output.SetFinish(fields.StringOr("finish", "stop"));
+  const std::string finish = fields.StringOr("finish", "stop");
+  // An engine that was told to cancel, or that lost tokens, ends the stream as if it were whole.
+  const bool short_answer = finish == "length" && output.Size() < this->max_tokens;
+  if (finish == "cancelled" || short_answer || output.Size() > this->max_tokens) {
+    return Malformed("the engine ended the answer with a wrong number of tokens", "event.finish");
+  }
+  output.SetFinish(finish);
   std::vector<WeightSpan> spans;
   for (const json& item : fields.Array("spans", kMaxSpans)) {
     JsonFields span(item, "event.spans");
--- a/anvilcroft/engine_call.h
+++ b/anvilcroft/engine_call.h
@@ -45,8 +45,8 @@
   // `call_id` identifies this call at the engine.
   EngineCall(HttpClient& http, Endpoint endpoint, std::string call_id, TraceContext trace);
 
-  // Sends `body` with the fields request_id, stream and resume_tokens set, and appends the tokens
-  // to `output`. Errors:
+  // Sends `body`, which names max_tokens, with the fields request_id, stream and resume_tokens set,
+  // and appends the tokens to `output`. Errors:
   //   kConnectFailed, ran = no        no connection could be made
   //   kLeaving, ran = no              the engine refused; part is "leaving" or "swapping"
   //   kOverloaded, ran = no           the engine refused for another reason
@@ -69,6 +69,7 @@
   Endpoint endpoint;
   std::string call_id;
   TraceContext trace;
+  int64_t max_tokens = 0;  // of the whole answer
   int64_t own_tokens = 0;
 };
 
--- a/anvilcroft/target_state.cc
+++ b/anvilcroft/target_state.cc
@@ -242,8 +242,7 @@
   this->next_probe = now + (rare ? kSlowProbe : kFastProbe);
 }
 
-std::shared_ptr<void> TargetState::BeginWork() {
-  const std::shared_ptr<int64_t> count = this->in_flight;
+std::shared_ptr<void> TargetState::CountWhileHeld(const std::shared_ptr<int64_t>& count) {
   ++*count;
   return std::shared_ptr<void>(nullptr, [count](void*) { --*count; });
 }
--- a/anvilcroft/target_state.h
+++ b/anvilcroft/target_state.h
@@ -81,9 +81,13 @@
   void EndProbe(TimePoint now);
 
   // Counts one piece of work as in flight while the returned handle lives.
-  std::shared_ptr<void> BeginWork();
+  std::shared_ptr<void> BeginWork() { return CountWhileHeld(this->in_flight); }
   int64_t InFlight() const { return *this->in_flight; }
 
+  // Counts one request on which a target died before, until it has shown progress here.
+  std::shared_ptr<void> BeginSuspect() { return CountWhileHeld(this->suspects); }
+  int64_t Suspects() const { return *this->suspects; }
+
   // Records the seconds that one unit of work took (one token, or one call of an app engine).
   void ObserveLatency(double seconds_per_unit, TimePoint now);
   // Long-term mean of seconds per unit; 0 without observations.
@@ -104,6 +108,7 @@
  private:
   enum class Signal { kAnswered, kSwapping, kLeaving, kStayed, kRefused };
 
+  static std::shared_ptr<void> CountWhileHeld(const std::shared_ptr<int64_t>& count);
   void Process(Signal signal);
   bool LeavingKnown() const;
   void ApplyLeaving();
@@ -123,6 +128,7 @@
   bool probing = false;
 
   std::shared_ptr<int64_t> in_flight = std::make_shared<int64_t>(0);
+  std::shared_ptr<int64_t> suspects = std::make_shared<int64_t>(0);
   double mean_latency = 0;
   double recent_latency = 0;
   TimePoint latency_time;
