--- /dev/null
+++ b/testing/dispatch_test.cc
@@ -0,0 +1,304 @@
+// Guards the path of repeatable work: whole answers whatever targets and connections do.
+
+#include <catch2/catch.hpp>
+
+#include "anvilcroft/json.h"
+#include "anvilcroft/sse_parser.h"
+#include "testing/routing_fixture.h"
+
+namespace anvilcroft::testing {
+namespace {
+
+using nlohmann::json;
+
+// Model engines behind one instance.
+struct Engines {
+  explicit Engines(int count) {
+    std::vector<StubTarget*> all;
+    for (int i = 0; i < count; ++i) {
+      this->engine.push_back(std::make_unique<StubTarget>(this->runtime, "e" + std::to_string(i),
+                                                          TargetKind::kModelEngine, "model"));
+      this->engine.back()->version = i + 1;
+      all.push_back(this->engine.back().get());
+    }
+    this->instance = std::make_unique<StubInstance>(this->runtime, this->table, "i1", all);
+  }
+
+  void Run(const Runtime::Body& body) {
+    RunTask(this->runtime, [&](Task& task) {
+      REQUIRE(this->instance->WaitReady(task, this->engine.size()));
+      body(task);
+    });
+  }
+
+  // Makes every call go to engine 0 first, by keeping the others busy.
+  std::vector<std::shared_ptr<void>> PreferFirst() {
+    std::vector<std::shared_ptr<void>> held;
+    for (std::size_t i = 1; i < this->engine.size(); ++i) {
+      const auto state = this->instance->node->Targets().Find(this->engine[i]->Id());
+      for (int n = 0; n < 100; ++n) held.push_back(state->BeginWork());
+    }
+    return held;
+  }
+
+  Result<HttpResponse> Generate(Task& task, int max_tokens, bool stream = false,
+                                const std::string& prompt = "p") {
+    const json body = {{"prompt", prompt}, {"max_tokens", max_tokens}, {"stream", stream}};
+    return this->instance->Call(task, "/v1/services/model/generate", DumpJson(body),
+                                {{"X-Request-Id", "r1"}, {"X-Deadline-Ms", "20000"}});
+  }
+
+  Runtime runtime;
+  StubTable table;
+  std::vector<std::unique_ptr<StubTarget>> engine;
+  std::unique_ptr<StubInstance> instance;
+};
+
+std::string TextOf(int tokens) {
+  std::string text;
+  for (int i = 0; i < tokens; ++i) text += std::to_string(i) + " ";
+  return text;
+}
+
+void CheckWhole(const Result<HttpResponse>& response, int tokens) {
+  REQUIRE(response);
+  INFO(response->Body());
+  REQUIRE(response->Status() == 200);
+  const auto body = ParseJson(response->Body());
+  CHECK((*body)["text"] == TextOf(tokens));
+  CHECK((*body)["tokens"].size() == static_cast<std::size_t>(tokens));
+  CHECK((*body)["request_id"] == "r1");
+}
+
+// Guards against answers that mix up or lose tokens when an engine fails in the middle.
+TEST_CASE("a broken, crossed, gapped, short or silent stream is resumed elsewhere", "[routing]") {
+  Engines engines(2);
+  StubTarget& first = *engines.engine[0];
+  SECTION("reset connection") { first.break_after = 5; }
+  SECTION("event of another request") { first.cross_at = 5; }
+  SECTION("missing event") { first.skip_at = 5; }
+  SECTION("answer that claims to be whole") { first.finish_at = 5; }
+  SECTION("silence") { first.silent_after = 5; }
+  engines.Run([&](Task& task) {
+    const auto held = engines.PreferFirst();
+    const auto response = engines.Generate(task, 12);
+    CheckWhole(response, 12);
+    const auto body = ParseJson(response->Body());
+    CHECK((*body)["spans"] ==
+          json::parse(R"([{"version":1,"tokens":5},{"version":2,"tokens":7}])"));
+    CHECK(response->Headers().Find("X-Target") == "e1");
+    CHECK(first.calls.size() == 1);
+  });
+}
+
+// Guards invariant 1: a sample must not get a version that nobody reported.
+TEST_CASE("a token without a version leaves the spans empty", "[routing]") {
+  Engines engines(2);
+  engines.engine[0]->break_after = 5;
+  engines.engine[1]->version = 0;
+  engines.Run([&](Task& task) {
+    const auto held = engines.PreferFirst();
+    const auto response = engines.Generate(task, 12);
+    CheckWhole(response, 12);
+    CHECK((*ParseJson(response->Body()))["spans"].empty());
+  });
+}
+
+// Guards streams to callers: no gap or repetition over a change of engine, and one last event.
+TEST_CASE("a streamed answer goes on without a gap after its engine died", "[routing]") {
+  Engines engines(2);
+  engines.engine[0]->break_after = 3;
+  engines.Run([&](Task& task) {
+    const auto held = engines.PreferFirst();
+    const auto response = engines.Generate(task, 8, true);
+    REQUIRE(response);
+    SseParser parser;
+    const auto events = parser.Feed(response->Body());
+    REQUIRE(events);
+    REQUIRE(events->size() == 9);
+    for (int i = 0; i < 8; ++i) {
+      const json event = json::parse((*events)[i].data);
+      CHECK(event["index"] == i);
+      CHECK(event["request_id"] == "r1");
+    }
+    const json last = json::parse(events->back().data);
+    CHECK(last["done"] == true);
+    CHECK(last["spans"].size() == 2);
+  });
+}
+
+// Guards against a caller that takes a cut stream for a whole answer.
+TEST_CASE("an error in the middle of a stream is sent and breaks the body", "[routing]") {
+  Engines engines(1);
+  engines.engine[0]->on_call = [&] { engines.engine[0]->break_after = 2; };
+  engines.engine[0]->die_on = "\"resume_tokens\"";
+  engines.Run([&](Task& task) {
+    const json body = {{"prompt", "p"}, {"max_tokens", 8}, {"stream", true}};
+    const auto request = HttpRequest::Builder()
+                             .SetMethod("POST")
+                             .SetTarget("/v1/services/model/generate")
+                             .SetHeader("X-Deadline-Ms", "3000")
+                             .SetJson(DumpJson(body))
+                             .Build();
+    auto stream = engines.instance->Http().Open(task, engines.instance->Address(), request,
+                                                CallOptions(SteadyNow() + seconds(20)));
+    REQUIRE(stream);
+    std::string received;
+    auto piece = (*stream)->Read(task);
+    for (; piece && *piece; piece = (*stream)->Read(task)) received += **piece;
+    CHECK_FALSE(piece);
+    CHECK(received.find("\"index\":1") != std::string::npos);
+    CHECK(received.find("event: error") != std::string::npos);
+    CHECK(received.find("\"done\"") == std::string::npos);
+  });
+}
+
+// Guards invariant 7: leaving and swapping targets get no new work.
+TEST_CASE("a refusing target loses its work to another one and gets no more", "[routing]") {
+  Engines engines(2);
+  const std::string code = GENERATE("leaving", "swapping");
+  engines.Run([&](Task& task) {
+    engines.engine[0]->refuse_code = code;
+    const auto held = engines.PreferFirst();
+    for (int i = 0; i < 5; ++i) CheckWhole(engines.Generate(task, 2), 2);
+    CHECK(engines.engine[0]->refused == 1);
+    CHECK(engines.engine[1]->calls.size() == 5);
+  });
+}
+
+TEST_CASE("a target that is listed as leaving, gone or drained gets no new work", "[routing]") {
+  Engines engines(2);
+  engines.Run([&](Task& task) {
+    const auto held = engines.PreferFirst();
+    SECTION("leaving") {
+      engines.engine[0]->list_state = "leaving";
+      engines.instance->RenewList();
+    }
+    SECTION("gone") {
+      engines.engine[0]->list_state = "gone";
+      engines.instance->RenewList();
+    }
+    SECTION("drained") {
+      engines.instance->config["drained_targets"] = {{"e0", true}};
+      engines.instance->ConfigChanged();
+    }
+    for (int i = 0; i < 5; ++i) CheckWhole(engines.Generate(task, 2), 2);
+    CHECK(engines.engine[0]->calls.empty());
+    if (engines.engine[0]->list_state == "live") {
+      engines.instance->config["drained_targets"] = json::object();
+      engines.instance->ConfigChanged();
+      REQUIRE(engines.instance->WaitReady(task, 2));
+      CheckWhole(engines.Generate(task, 2), 2);
+      CHECK(engines.engine[0]->calls.size() == 1);
+    }
+  });
+}
+
+// Guards against a request that kills one engine after the other, and against refusing the
+// requests that merely ran beside it.
+TEST_CASE("two deaths refuse a request, and requests beside it get whole answers", "[routing]") {
+  Engines engines(5);
+  for (auto& engine : engines.engine) {
+    engine->die_on = "poison";
+    engine->die_delay = milliseconds(30);
+    engine->token_time = milliseconds(10);
+  }
+  engines.Run([&](Task& task) {
+    int whole = 0;
+    int ended = 0;
+    for (int i = 0; i < 20; ++i) {
+      engines.runtime.Spawn([&, i](Task& other) {
+        const auto response = engines.Generate(other, 40, false, "q" + std::to_string(i));
+        if (response && response->Status() == 200 &&
+            (*ParseJson(response->Body()))["text"] == TextOf(40)) {
+          ++whole;
+        }
+        ++ended;
+      });
+    }
+    SleepUntil(task, SteadyNow() + milliseconds(50));
+    const auto first = engines.Generate(task, 2, false, "poison");
+    REQUIRE(first);
+    CHECK(first->Status() == 422);
+    CHECK(ErrorCodeOf(*first) == "request_crashes_targets");
+    CHECK(first->Headers().Find("X-Ran") == "unknown");
+    const auto second = engines.Generate(task, 2, false, "poison");
+    REQUIRE(second);
+    CHECK(second->Status() == 422);
+    CHECK(second->Headers().Find("X-Ran") == "no");
+    CHECK(engines.instance->suspects.size() >= 2);
+    REQUIRE(WaitUntil(task, [&] { return ended == 20; }));
+    CHECK(whole == 20);
+    CHECK(engines.instance->Ready() == 3);
+  });
+}
+
+// Guards tail latency: one slow target must not hold short work back, and the loser is cancelled.
+TEST_CASE("short work on a slow target is hedged within the budget", "[routing]") {
+  Engines engines(2);
+  engines.Run([&](Task& task) {
+    for (int i = 0; i < 40; ++i) CheckWhole(engines.Generate(task, 2), 2);
+    engines.engine[0]->silent_after = 0;
+    const auto held = engines.PreferFirst();
+    CheckWhole(engines.Generate(task, 2), 2);
+    const MetricLabels labels = {{"service", "model"}};
+    CHECK(engines.instance->metrics.CounterValue("anvilcroft_hedges_total", labels) >= 1);
+    CHECK(engines.instance->metrics.CounterValue("anvilcroft_hedge_wins_total", {}) == 1);
+    CHECK(WaitUntil(task, [&] { return engines.engine[0]->cancelled.size() == 1; }));
+  });
+}
+
+// Guards against a flood of requests that wait in memory.
+TEST_CASE("a full queue refuses at once, and says that nothing ran", "[routing]") {
+  Engines engines(1);
+  engines.instance->config["deployments"]["d"]["services"]["model"]["max_in_flight"] = 1;
+  engines.instance->config["deployments"]["d"]["services"]["model"]["max_queued"] = 2;
+  engines.instance->ConfigChanged();
+  engines.engine[0]->token_time = milliseconds(100);
+  engines.Run([&](Task& task) {
+    int ok = 0;
+    int refused = 0;
+    for (int i = 0; i < 8; ++i) {
+      engines.runtime.Spawn([&](Task& other) {
+        const auto response = engines.Generate(other, 2);
+        if (response && response->Status() == 200) ++ok;
+        if (response && ErrorCodeOf(*response) == "overloaded" &&
+            response->Headers().Find("X-Ran") == "no") {
+          ++refused;
+        }
+      });
+    }
+    CHECK(WaitUntil(task, [&] { return ok + refused == 8; }));
+    CHECK(ok == 3);
+    CHECK(engines.engine[0]->calls.size() == 3);
+  });
+}
+
+TEST_CASE("malformed requests are refused with the offending part", "[routing]") {
+  Engines engines(1);
+  engines.Run([&](Task& task) {
+    const auto check = [&](const std::string& path, const std::string& body,
+                           const std::vector<HttpHeaders::Field>& headers, int status,
+                           const std::string& part) {
+      const auto response = engines.instance->Call(task, path, body, headers);
+      REQUIRE(response);
+      INFO(response->Body());
+      CHECK(response->Status() == status);
+      CHECK(response->Headers().Find("X-Ran") == "no");
+      CHECK((*ParseJson(response->Body()))["error"]["part"] == part);
+    };
+    const std::string generate = "/v1/services/model/generate";
+    check("/v1/services/none/generate", "{}", {}, 404, "none");
+    check("/v1/services/model/none", "{}", {}, 404, "none");
+    check(generate, "{", {}, 400, "body: byte 2");
+    check(generate, "{}", {}, 400, "body.prompt");
+    check(generate, R"({"prompt":"p","max_tokens":0})", {}, 400, "body.max_tokens");
+    check(generate, R"({"prompt":"p"})", {{"X-Deadline-Ms", "-1"}}, 400, "X-Deadline-Ms");
+    check(generate, R"({"prompt":"p"})", {{"X-Priority", "urgent"}}, 400, "X-Priority");
+    check("/v1/services/app/confirm", "{}", {}, 400, "Idempotency-Key");
+    CHECK(engines.engine[0]->calls.empty());
+  });
+}
+
+}  // namespace
+}  // namespace anvilcroft::testing
