Add the rollout part: weights, engine control, samples, takes

WorkRequest gains OnDispatch, so that the issuer of a second copy of a sample can exclude the target of the first.

--- /dev/null
+++ b/anvilcroft/group_runner.cc
@@ -0,0 +1,322 @@
+#include "anvilcroft/group_runner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "anvilcroft/hash.h"
+#include "anvilcroft/json.h"
+#include "anvilcroft/log.h"
+
+namespace anvilcroft {
+namespace {
+
+constexpr char kPart[] = "samples";
+constexpr Duration kStoreTimeout = seconds(10);
+constexpr Duration kStoreRetry = milliseconds(500);
+
+// Reads the answer of an engine. Fails with kBadResponse unless its spans name a weight version
+// for every token.
+Result<ReadyRecord> ReadOutput(const WorkResult& result) {
+  if (result.Status() != 200) {
+    const bool refused = result.Status() >= 400 && result.Status() < 500;
+    return Fail(refused ? ErrorCode::kInvalidArgument : ErrorCode::kBadResponse,
+                "the engine answered with status " + std::to_string(result.Status()));
+  }
+  const auto body = ParseJson(result.Body());
+  if (!body) return Fail(ErrorCode::kBadResponse, body.error().message);
+  JsonFields fields(*body, "");
+  ReadyRecord ready;
+  ready.output = fields.StringOr("text", "", ReadyRecord::kMaxOutputBytes);
+  const nlohmann::json& tokens = fields.Optional("tokens");
+  if (const auto read = fields.Finish(); !read) {
+    return Fail(ErrorCode::kBadResponse, read.error().message, read.error().part);
+  }
+  ready.weight_versions = result.Spans();
+  int64_t named = 0;
+  for (const WeightSpan& span : ready.weight_versions) {
+    if (span.version < 0 || span.tokens < 0) {
+      return Fail(ErrorCode::kBadResponse, "an invalid weight span", "spans");
+    }
+    named += span.tokens;
+  }
+  const bool all_named = !tokens.is_array() || named == static_cast<int64_t>(tokens.size());
+  if (ready.weight_versions.empty() || !all_named ||
+      ready.weight_versions.size() > ReadyRecord::kMaxSpans) {
+    return Fail(ErrorCode::kBadResponse, "the weight versions of the output are not known",
+                "spans");
+  }
+  return ready;
+}
+
+Duration Median(std::vector<Duration> values) {
+  const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+  std::nth_element(values.begin(), middle, values.end());
+  return *middle;
+}
+
+}  // namespace
+
+// One sample of this run.
+struct GroupRunner::Sample {
+  SampleStore::Missing missing;
+  bool done = false;
+  bool reissued = false;
+  bool running = false;  // the first copy has an attempt under way
+  TimePoint started;     // of that attempt
+  std::string target;    // to which that attempt was sent last
+  std::vector<std::shared_ptr<Cancellation>> cancellations;
+};
+
+// One of the up to two runs of a sample.
+struct GroupRunner::Copy {
+  bool first = true;
+  std::set<std::string> excluded;
+  std::shared_ptr<Cancellation> cancellation;
+  TimePoint started;
+};
+
+GroupRunner::GroupRunner(Context& context, SampleStore::Marker marker,
+                         std::function<bool()> may_start)
+    : context(context), marker(std::move(marker)), may_start(std::move(may_start)) {}
+
+bool GroupRunner::Run(Task& task) {
+  while (this->may_start()) {
+    auto record = this->context.store.ReadGroup(task, this->marker.id, SteadyNow() + kStoreTimeout);
+    if (!record && record.error().code != ErrorCode::kStoreUnavailable) {
+      LogError(kPart, "cannot run a group",
+               {{"group", this->marker.id.DefinitionKey()}, {"error", record.error().message}});
+      return true;
+    }
+    if (record) {
+      this->group = std::move(*record);
+      const auto missing =
+          this->context.store.ScanMissing(task, this->group, SteadyNow() + kStoreTimeout);
+      if (missing && missing->empty()) {
+        return this->context.store.RemoveMarker(task, this->marker, SteadyNow() + kStoreTimeout);
+      }
+      if (missing) {
+        if (!this->RunMissing(task, *missing)) return false;
+        continue;
+      }
+    }
+    this->changed.WaitUntil(task, SteadyNow() + kStoreRetry);
+  }
+  return false;
+}
+
+bool GroupRunner::RunMissing(Task& task, const std::vector<SampleStore::Missing>& missing) {
+  this->samples.clear();
+  this->durations.clear();
+  for (const SampleStore::Missing& item : missing) {
+    const auto sample = std::make_shared<Sample>();
+    sample->missing = item;
+    this->samples.push_back(sample);
+    this->context.budget.Started();
+    this->Issue(sample, {});
+  }
+  while (this->tasks > 0) {
+    this->changed.WaitUntil(task, SteadyNow() + kStragglerPoll);
+    this->ReissueStragglers(SteadyNow());
+  }
+  return std::all_of(this->samples.begin(), this->samples.end(),
+                     [](const auto& sample) { return sample->done; });
+}
+
+void GroupRunner::ReissueStragglers(TimePoint now) {
+  if (this->durations.empty() || !this->may_start()) return;
+  const auto done = std::count_if(this->samples.begin(), this->samples.end(),
+                                  [](const auto& sample) { return sample->done; });
+  if (done * 4 < static_cast<std::ptrdiff_t>(this->samples.size()) * 3) return;
+  const Duration limit = 2 * Median(this->durations);
+  for (const auto& sample : this->samples) {
+    if (sample->done || sample->reissued || !sample->running) continue;
+    if (now - sample->started <= limit) continue;
+    if (!this->context.budget.Take()) return;
+    sample->reissued = true;
+    this->context.metrics.Count("anvilcroft_samples_reissued_total", {});
+    std::set<std::string> excluded;
+    if (!sample->target.empty()) excluded.insert(sample->target);
+    this->Issue(sample, std::move(excluded));
+  }
+}
+
+void GroupRunner::Issue(const std::shared_ptr<Sample>& sample, std::set<std::string> excluded) {
+  ++this->tasks;
+  this->context.runtime.Spawn([this, sample, excluded = std::move(excluded)](Task& task) {
+    this->RunCopy(task, sample, excluded);
+    --this->tasks;
+    this->changed.NotifyAll();
+  });
+}
+
+void GroupRunner::RunCopy(Task& task, const std::shared_ptr<Sample>& sample,
+                          const std::set<std::string>& excluded) {
+  const bool first = !sample->reissued;
+  Duration backoff = kFirstBackoff;
+  while (!sample->done && this->may_start()) {
+    Copy copy;
+    copy.first = first;
+    copy.excluded = excluded;
+    copy.cancellation = std::make_shared<Cancellation>();
+    copy.started = SteadyNow();
+    sample->cancellations.push_back(copy.cancellation);
+    if (first) {
+      sample->running = true;
+      sample->started = copy.started;
+      sample->target.clear();
+    }
+    const Outcome outcome = this->Attempt(task, sample, copy);
+    if (first) sample->running = false;
+    auto& cancellations = sample->cancellations;
+    cancellations.erase(std::find(cancellations.begin(), cancellations.end(), copy.cancellation));
+    if (outcome == Outcome::kDone) break;
+    // Jitter keeps the samples that an overloaded service refused from returning together.
+    const Duration wait = outcome == Outcome::kRefused ? kRefusedBackoff : backoff;
+    const double factor = std::uniform_real_distribution<double>(0.5, 1)(this->context.random);
+    const TimePoint until = SteadyNow() + std::chrono::duration_cast<Duration>(wait * factor);
+    while (!sample->done && this->may_start() && this->changed.WaitUntil(task, until)) {
+    }
+    backoff = std::min<Duration>(backoff * 2, kLongestBackoff);
+  }
+}
+
+GroupRunner::Outcome GroupRunner::Attempt(Task& task, const std::shared_ptr<Sample>& sample,
+                                          Copy& copy) {
+  auto ready = this->Generate(task, sample, copy);
+  if (sample->done) return Outcome::kDone;
+  if (!ready) return this->Rerun(*sample, ready.error());
+  const auto reward = this->Judge(task, sample, copy, ready->output);
+  if (sample->done) return Outcome::kDone;
+  if (!reward) return this->Rerun(*sample, reward.error());
+  ready->reward = *reward;
+  if (this->TooStale(task, *ready)) {
+    return this->Rerun(
+        *sample, Error{ErrorCode::kStaleVersion, "the sample is too stale already", "", Ran::kYes});
+  }
+  this->Complete(task, sample, copy, std::move(*ready));
+  return Outcome::kDone;
+}
+
+GroupRunner::Outcome GroupRunner::Rerun(const Sample& sample, const Error& error) {
+  this->context.metrics.Count("anvilcroft_samples_rerun_total",
+                              {{"reason", ErrorCodeName(error.code)}});
+  LogInfo(kPart, "a sample has to run again",
+          {{"sample", this->group.id.SampleKey(sample.missing.index)},
+           {"reason", ErrorCodeName(error.code)},
+           {"error", error.message}});
+  const bool refused = error.code == ErrorCode::kCrashesTargets ||
+                       error.code == ErrorCode::kInvalidArgument ||
+                       error.code == ErrorCode::kTooLarge || error.code == ErrorCode::kNotFound;
+  return refused ? Outcome::kRefused : Outcome::kFailed;
+}
+
+Result<WorkResult> GroupRunner::Call(Task& task, const std::shared_ptr<Sample>& sample, Copy& copy,
+                                     WorkRequest::Builder builder, Duration timeout) {
+  Span span = this->context.tracer.Start("sample", TraceContext());
+  span.Set("sample", this->group.id.SampleKey(sample->missing.index));
+  const auto request =
+      builder.SetRequestId(this->context.self + "-" + RandomHex(this->context.random, 16))
+          .SetDeadline(SteadyNow() + timeout)
+          .SetPriority(Priority::kLow)
+          .SetTrace(span.Context())
+          .SetCancellation(copy.cancellation)
+          .Build();
+  span.Set("service", request.Service());
+  auto result = this->context.run(task, request);
+  if (result) span.Set("target", result->TargetId());
+  this->context.tracer.End(span, result ? "ok" : ErrorCodeName(result.error().code));
+  return result;
+}
+
+Result<ReadyRecord> GroupRunner::Generate(Task& task, const std::shared_ptr<Sample>& sample,
+                                          Copy& copy) {
+  const std::string key = this->group.id.SampleKey(sample->missing.index);
+  // The seed belongs to the sample, not to the attempt: a body that stays the same is recognised
+  // as the same request when it crashes its targets.
+  const nlohmann::json body = {{"prompt", this->group.prompt},
+                               {"max_tokens", this->group.max_tokens},
+                               {"seed", StableHash(key) & 0x7fffffff}};
+  WorkRequest::Builder builder;
+  builder.SetService(this->group.service)
+      .SetOperation(this->group.operation)
+      .SetBody(DumpJson(body))
+      .SetExcluded(copy.excluded);
+  if (copy.first) {
+    builder.SetOnDispatch([sample](const std::string& target) { sample->target = target; });
+  }
+  const auto result = this->Call(task, sample, copy, std::move(builder), kGenerateTimeout);
+  if (!result) return tl::unexpected<Error>(result.error());
+  return ReadOutput(*result);
+}
+
+Result<double> GroupRunner::Judge(Task& task, const std::shared_ptr<Sample>& sample, Copy& copy,
+                                  const std::string& output) {
+  const nlohmann::json body = {{"sample", this->group.id.SampleKey(sample->missing.index)},
+                               {"prompt", this->group.prompt},
+                               {"output", output}};
+  Duration backoff = kFirstBackoff;
+  for (int attempt = 1;; ++attempt) {
+    WorkRequest::Builder builder;
+    builder.SetService(this->group.judge).SetOperation("judge").SetBody(DumpJson(body));
+    const auto result = this->Call(task, sample, copy, std::move(builder), kJudgeTimeout);
+    Error failure{ErrorCode::kBadResponse, "the judge's answer holds no reward", "", Ran::kYes};
+    if (result && result->Status() == 200) {
+      const auto answer = ParseJson(result->Body());
+      if (answer && answer->is_object() && answer->contains("reward") &&
+          (*answer)["reward"].is_number()) {
+        return (*answer)["reward"].get<double>();
+      }
+    } else if (!result) {
+      failure = result.error();
+    }
+    if (sample->done || attempt >= kJudgeAttempts) return tl::unexpected<Error>(failure);
+    SleepUntil(task, SteadyNow() + backoff);
+    backoff = std::min<Duration>(backoff * 2, kLongestBackoff);
+  }
+}
+
+bool GroupRunner::TooStale(Task& task, const ReadyRecord& ready) {
+  const auto trainer =
+      this->context.store.ReadTrainer(task, this->group.id.trainer, SteadyNow() + kStoreTimeout);
+  // Without an answer the sample goes on: the take checks its staleness again.
+  return trainer && *trainer && ready.MinVersion() < (*trainer)->OldestAllowed();
+}
+
+void GroupRunner::Complete(Task& task, const std::shared_ptr<Sample>& sample, const Copy& copy,
+                           ReadyRecord ready) {
+  ready.output_bytes = static_cast<int64_t>(DumpJson(ready.output).size());
+  if (ready.output_bytes > static_cast<int64_t>(ReadyRecord::kMaxInlineBytes)) {
+    while (ready.output_key.empty() && !sample->done) {
+      auto key = this->context.objects.Put(task, ready.output, SteadyNow() + kStoreTimeout);
+      if (key) {
+        ready.output_key = std::move(*key);
+        ready.output.clear();
+      } else {
+        SleepUntil(task, SteadyNow() + kStoreRetry);
+      }
+    }
+  }
+  while (!sample->done) {
+    const auto completion = this->context.store.Complete(task, this->group.id, sample->missing,
+                                                         ready, SteadyNow() + kStoreTimeout);
+    if (sample->done) break;
+    if (!completion) {
+      LogWarning(kPart, "cannot complete a sample yet",
+                 {{"sample", this->group.id.SampleKey(sample->missing.index)},
+                  {"error", completion.error().message}});
+      SleepUntil(task, SteadyNow() + kStoreRetry);
+      continue;
+    }
+    sample->done = true;
+    const bool own = *completion == SampleStore::Completion::kCompleted;
+    this->context.metrics.Count("anvilcroft_samples_completed_total",
+                                {{"outcome", own ? "completed" : "superseded"}});
+    this->durations.push_back(SteadyNow() - copy.started);
+  }
+  // Only the other copy still listens; a cancellation of finished work does nothing.
+  const auto cancellations = sample->cancellations;
+  for (const auto& cancellation : cancellations) cancellation->Cancel();
+  this->changed.NotifyAll();
+}
+
+}  // namespace anvilcroft
--- /dev/null
+++ b/anvilcroft/object_client.cc
@@ -0,0 +1,57 @@
+#include "anvilcroft/object_client.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "anvilcroft/hash.h"
+
+namespace anvilcroft {
+namespace {
+
+CallOptions OptionsUntil(TimePoint deadline) {
+  const TimePoint limit = SteadyNow() + ObjectClient::kAttemptTimeout;
+  return CallOptions(std::min(deadline, limit), ObjectClient::kAttemptTimeout).WithResend();
+}
+
+std::string TargetOf(const std::string& key) { return "/v1/objects/" + PercentEncode(key); }
+
+tl::unexpected<Error> Unavailable(const std::string& message, Ran ran) {
+  return Fail(ErrorCode::kStoreUnavailable, "object store: " + message, "", ran);
+}
+
+}  // namespace
+
+ObjectClient::ObjectClient(HttpClient& http, Endpoint endpoint)
+    : http(http), endpoint(std::move(endpoint)) {}
+
+Result<std::string> ObjectClient::Put(Task& task, const std::string& content, TimePoint deadline) {
+  std::string key = "output-" + HexDigest(content);
+  const auto request = HttpRequest::Builder()
+                           .SetMethod("PUT")
+                           .SetTarget(TargetOf(key))
+                           .SetHeader("Content-Type", "application/octet-stream")
+                           .SetBody(content)
+                           .Build();
+  const auto response = this->http.Call(task, this->endpoint, request, OptionsUntil(deadline));
+  if (!response) return Unavailable(response.error().message, response.error().ran);
+  if (response->Status() / 100 != 2) {
+    return Unavailable("status " + std::to_string(response->Status()), Ran::kUnknown);
+  }
+  return key;
+}
+
+Result<std::string> ObjectClient::Get(Task& task, const std::string& key, TimePoint deadline) {
+  const auto request = HttpRequest::Builder().SetTarget(TargetOf(key)).Build();
+  const auto response = this->http.Call(task, this->endpoint, request, OptionsUntil(deadline));
+  if (!response) return Unavailable(response.error().message, Ran::kNo);
+  if (response->Status() != 200) {
+    return Unavailable("status " + std::to_string(response->Status()), Ran::kNo);
+  }
+  // A truncated or foreign object must not be delivered under the versions of this one.
+  if ("output-" + HexDigest(response->Body()) != key) {
+    return Unavailable("the object does not match its key", Ran::kNo);
+  }
+  return response->Body();
+}
+
+}  // namespace anvilcroft
--- /dev/null
+++ b/anvilcroft/swap_schedule.h
@@ -0,0 +1,74 @@
+#ifndef ANVILCROFT_SWAP_SCHEDULE_H_
+#define ANVILCROFT_SWAP_SCHEDULE_H_
+
+// When each engine of a service may start to swap weights after a publication. Pure: every owner
+// computes the same schedule from the same list of engines, so no message is needed.
+//
+//   SwapSchedule schedule = SwapSchedule::Builder().SetEngines(8).SetMaxSwapping(0.25)
+//       .SetDownloadsPerSecond(4).Build();
+//   Duration wait = schedule.NextStart(rank, since_published) - since_published;
+//
+// Slot i of an endless sequence belongs to the engine with rank i modulo the number of engines;
+// the later slots of an engine are for retries. Slots are at least 1 / downloads_per_second apart,
+// and slot i + k starts at least one spacing after slot i, where k engines may swap at once. So at
+// most k swaps run at any time as long as the start of each is at most kStartGrace late and the
+// swap takes no longer than the swap time. A swap that takes longer can exceed the limit.
+
+#include <cstddef>
+#include <cstdint>
+
+#include "anvilcroft/time.h"
+
+namespace anvilcroft {
+
+class SwapSchedule {
+ public:
+  class Builder;
+
+  // How late an engine may start in its slot: the time in which every owner learns of a
+  // publication (head is polled every 2 s).
+  static constexpr Duration kStartGrace = seconds(2);
+  // Time that one swap is assumed to take. With it, four waves of a quarter each end within the
+  // 25 s that new weights may take to reach all engines.
+  static constexpr Duration kSwapTime = seconds(4);
+
+  // Engines that may swap at once, at least 1.
+  int64_t MaxAtOnce() const { return this->at_once; }
+
+  // Time from one slot to the earliest slot that may not overlap it.
+  Duration Spacing() const { return this->spacing; }
+
+  // Start of slot `index`, counted from the publication.
+  Duration SlotStart(int64_t index) const;
+
+  // The earliest time, counted from the publication and not before `since_published`, at which the
+  // engine of `rank` (0 to engines - 1) may start.
+  Duration NextStart(int64_t rank, Duration since_published) const;
+
+ private:
+  int64_t engines = 1;
+  int64_t at_once = 1;
+  Duration interval = seconds(1);
+  Duration spacing = kStartGrace + kSwapTime;
+};
+
+class SwapSchedule::Builder {
+ public:
+  Builder& SetEngines(std::size_t value);
+  // Largest part of the engines that may swap at once, 0 to 1.
+  Builder& SetMaxSwapping(double value);
+  // More than 0.
+  Builder& SetDownloadsPerSecond(double value);
+  Builder& SetSwapTime(Duration value);
+  SwapSchedule Build() const;
+
+ private:
+  std::size_t engines = 1;
+  double max_swapping = 0.25;
+  double downloads_per_second = 1;
+  Duration swap_time = kSwapTime;
+};
+
+}  // namespace anvilcroft
+
+#endif  // ANVILCROFT_SWAP_SCHEDULE_H_
--- /dev/null
+++ b/anvilcroft/take.cc
@@ -0,0 +1,246 @@
+#include "anvilcroft/take.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "anvilcroft/conditional_update.h"
+#include "anvilcroft/group_id.h"
+#include "anvilcroft/json.h"
+#include "anvilcroft/log.h"
+#include "anvilcroft/row_key.h"
+#include "anvilcroft/sample_record.h"
+#include "anvilcroft/step_record.h"
+
+namespace anvilcroft {
+namespace {
+
+constexpr char kPart[] = "takes";
+// Ready rows looked at in one pass: one read of the table service.
+constexpr std::size_t kScanRows = 100;
+// Part of the deadline that a wait for samples leaves for the transaction.
+constexpr Duration kCommitReserve = seconds(1);
+
+struct ReadySample {
+  std::string key;
+  RowVersion version = 0;
+  ReadyRecord record;
+  int64_t bytes = 0;  // in the row and in the answer
+};
+
+nlohmann::json EncodeSpans(const ReadyRecord& record) { return record.Encode()["weight_versions"]; }
+
+}  // namespace
+
+struct Take::Candidates {
+  TrainerRecord trainer;
+  RowVersion trainer_version = 0;
+  StepRecord step;
+  RowVersion step_version = 0;
+  std::vector<ReadySample> fresh;
+  std::vector<ReadySample> stale;
+};
+
+Result<Take::Request> Take::Request::Decode(const std::string& trainer,
+                                            const nlohmann::json& body) {
+  JsonFields fields(body, "");
+  Request request;
+  request.trainer = trainer;
+  request.take_id = fields.String("take_id", GroupId::kMaxNameBytes);
+  request.step = fields.Integer("step", 0, INT64_MAX);
+  request.weight_version = fields.Integer("weight_version", 0, INT64_MAX);
+  const auto max = fields.IntegerOr("max", TakeRecord::kMaxSamples, 1, INT32_MAX);
+  request.max = std::min(static_cast<std::size_t>(max), TakeRecord::kMaxSamples);
+  fields.RefuseUnknown();
+  if (const auto read = fields.Finish(); !read) return tl::unexpected<Error>(read.error());
+  return request;
+}
+
+Take::Take(StoreAccess store, ObjectClient& objects, std::function<bool(TimePoint)> holds_lease,
+           std::function<void(int)> notify_shard, Metrics& metrics)
+    : store(std::move(store)),
+      objects(objects),
+      holds_lease(std::move(holds_lease)),
+      notify_shard(std::move(notify_shard)),
+      metrics(metrics) {}
+
+Result<nlohmann::json> Take::Run(Task& task, const Request& request, TimePoint deadline) {
+  const auto record = this->Commit(task, request, deadline);
+  if (!record) return tl::unexpected<Error>(record.error());
+  return this->Answer(task, *record, deadline);
+}
+
+Result<Take::Candidates> Take::Read(Task& task, const Request& request, TimePoint deadline) {
+  Candidates found;
+  const auto trainer = this->store.read(task, "trainers", RowKey({request.trainer}), deadline);
+  if (!trainer) return tl::unexpected<Error>(trainer.error());
+  if (!*trainer) return Fail(ErrorCode::kNotFound, "no such trainer", "trainer");
+  const auto trainer_record = TrainerRecord::Decode((*trainer)->value);
+  if (!trainer_record) return Fail(ErrorCode::kInternal, "malformed trainers row", "trainer");
+  found.trainer = *trainer_record;
+  found.trainer_version = (*trainer)->version;
+  if (found.trainer.weight_version != request.weight_version) {
+    return Fail(ErrorCode::kConflict,
+                "the trainer's recorded version is " + std::to_string(found.trainer.weight_version),
+                "weight_version");
+  }
+  const std::string step_key = StepRecord::Key(request.trainer, request.step);
+  const auto step = this->store.read(task, "steps", step_key, deadline);
+  if (!step) return tl::unexpected<Error>(step.error());
+  if (!*step) return Fail(ErrorCode::kNotFound, "no such step", "step");
+  const auto step_record = StepRecord::Decode((*step)->value);
+  if (!step_record) return Fail(ErrorCode::kInternal, "malformed steps row", "step");
+  found.step = *step_record;
+  found.step_version = (*step)->version;
+  const auto rows = this->store.scan(task, "ready", step_key + "/", kScanRows, deadline);
+  if (!rows) return tl::unexpected<Error>(rows.error());
+  for (const Row& row : *rows) {
+    auto record = ReadyRecord::Decode(row.value);
+    if (!record) {
+      LogError(kPart, "malformed ready row", {{"key", row.key}});
+      continue;
+    }
+    const bool stale = record->MinVersion() < found.trainer.OldestAllowed();
+    const auto row_bytes = static_cast<int64_t>(DumpJson(row.value).size());
+    ReadySample sample{row.key, row.version, std::move(*record), 0};
+    sample.bytes = std::max(row_bytes, sample.record.output_bytes);
+    (stale ? found.stale : found.fresh).push_back(std::move(sample));
+  }
+  return found;
+}
+
+Result<TakeRecord> Take::Commit(Task& task, const Request& request, TimePoint deadline) {
+  using Plan = UpdatePlan<TakeRecord>;
+  const std::string take_key = RowKey({request.trainer, request.take_id});
+  const TimePoint wait_until = std::min(SteadyNow() + kEmptyWait, deadline - kCommitReserve);
+  return ApplyUpdate<TakeRecord>(
+      task, this->store.commit, deadline, [&](Task& task) -> Result<Plan> {
+        const auto earlier = this->store.read(task, "takes", take_key, deadline);
+        if (!earlier) return tl::unexpected<Error>(earlier.error());
+        if (*earlier) {
+          auto record = TakeRecord::Decode((*earlier)->value);
+          if (!record) return Fail(ErrorCode::kInternal, "malformed takes row", "take_id");
+          return Plan::Settled(std::move(*record));
+        }
+        auto found = this->Read(task, request, deadline);
+        while (found) {
+          if (!found->stale.empty()) {
+            const auto set_back = this->SetBack(task, request, *found, deadline);
+            if (!set_back) return tl::unexpected<Error>(set_back.error());
+          } else if (found->fresh.empty() && found->step.Remaining() > 0 &&
+                     SteadyNow() + kEmptyPoll < wait_until) {
+            SleepUntil(task, SteadyNow() + kEmptyPoll);
+          } else {
+            break;
+          }
+          found = this->Read(task, request, deadline);
+        }
+        if (!found) return tl::unexpected<Error>(found.error());
+
+        TakeRecord record;
+        record.take_id = request.take_id;
+        record.step = request.step;
+        Transaction::Builder builder;
+        builder.CheckAbsent("takes", take_key)
+            .CheckVersion("trainers", RowKey({request.trainer}), found->trainer_version);
+        int64_t bytes = 0;
+        for (ReadySample& sample : found->fresh) {
+          bytes += sample.bytes;
+          const bool full = bytes > TakeRecord::kMaxContentBytes && !record.samples.empty();
+          if (full || record.samples.size() >= request.max) break;
+          SampleRecord taken;
+          taken.state = SampleRecord::State::kTaken;
+          taken.attempt = sample.record.attempt;
+          taken.take_id = request.take_id;
+          builder.CheckVersion("ready", sample.key, sample.version)
+              .Delete("ready", sample.key)
+              .Put("samples", sample.key, taken.Encode());
+          record.samples.emplace_back(sample.key, std::move(sample.record));
+        }
+        const std::string step_key = StepRecord::Key(request.trainer, request.step);
+        StepRecord step = found->step;
+        step.taken += static_cast<int64_t>(record.samples.size());
+        record.remaining = step.Remaining();
+        builder.CheckVersion("steps", step_key, found->step_version)
+            .Put("steps", step_key, step.Encode())
+            .Put("takes", take_key, record.Encode());
+        if (!this->holds_lease(SteadyNow())) {
+          return Fail(ErrorCode::kNoLease, "the instance holds no valid lease");
+        }
+        return Plan::Write(
+            builder.Build(), [this, record, newest = request.weight_version](RowVersion) {
+              for (const auto& [name, ready] : record.samples) {
+                this->metrics.Count("anvilcroft_samples_delivered_total", {});
+                this->metrics.Observe("anvilcroft_sample_staleness_versions", {},
+                                      static_cast<double>(newest - ready.MinVersion()));
+              }
+              return record;
+            });
+      });
+}
+
+Result<void> Take::SetBack(Task& task, const Request& request, const Candidates& candidates,
+                           TimePoint deadline) {
+  Transaction::Builder builder;
+  builder.CheckVersion("trainers", RowKey({request.trainer}), candidates.trainer_version);
+  std::set<GroupId> groups;
+  std::size_t count = 0;
+  for (const ReadySample& sample : candidates.stale) {
+    int64_t index = 0;
+    const auto id = GroupId::ParseSampleKey(sample.key, index);
+    if (!id) return Fail(ErrorCode::kInternal, "malformed key of a ready row", sample.key);
+    if (count >= kMaxSetBack) break;
+    ++count;
+    SampleRecord record;
+    record.state = SampleRecord::State::kRegenerate;
+    record.attempt = sample.record.attempt;
+    builder.CheckVersion("ready", sample.key, sample.version)
+        .Delete("ready", sample.key)
+        .Put("samples", sample.key, record.Encode());
+    if (groups.insert(*id).second) builder.Put("groups", id->MarkerKey(), id->Encode());
+  }
+  if (!this->holds_lease(SteadyNow())) {
+    return Fail(ErrorCode::kNoLease, "the instance holds no valid lease");
+  }
+  const auto version = this->store.commit(task, builder.Build(), deadline);
+  if (!version) {
+    // After a conflict the caller reads the rows again; nothing of the take itself has run.
+    if (version.error().code == ErrorCode::kConflict) return {};
+    return tl::unexpected<Error>(version.error().WithRan(Ran::kNo));
+  }
+  this->metrics.Count("anvilcroft_samples_set_back_total", {}, static_cast<double>(count));
+  LogInfo(kPart, "set stale samples back",
+          {{"trainer", request.trainer}, {"samples", std::to_string(count)}});
+  std::set<int> shards;
+  for (const GroupId& id : groups) shards.insert(id.Shard());
+  for (const int shard : shards) this->notify_shard(shard);
+  return {};
+}
+
+Result<nlohmann::json> Take::Answer(Task& task, const TakeRecord& record, TimePoint deadline) {
+  nlohmann::json samples = nlohmann::json::array();
+  for (const auto& [name, ready] : record.samples) {
+    std::string output = ready.output;
+    while (!ready.output_key.empty()) {
+      auto content = this->objects.Get(task, ready.output_key, deadline);
+      if (content) {
+        output = std::move(*content);
+        break;
+      }
+      // The take is recorded; the trainer gets its samples by asking with the same take_id.
+      if (SteadyNow() + kEmptyPoll >= deadline) {
+        return tl::unexpected<Error>(content.error().WithRan(Ran::kYes));
+      }
+      SleepUntil(task, SteadyNow() + kEmptyPoll);
+    }
+    samples.push_back({{"sample", name},
+                       {"output", output},
+                       {"weight_versions", EncodeSpans(ready)},
+                       {"reward", ready.reward},
+                       {"attempt", ready.attempt}});
+  }
+  return nlohmann::json{
+      {"take_id", record.take_id}, {"samples", samples}, {"remaining", record.remaining}};
+}
+
+}  // namespace anvilcroft
--- a/anvilcroft/work_request.cc
+++ b/anvilcroft/work_request.cc
@@ -59,4 +59,10 @@
   return *this;
 }
 
+WorkRequest::Builder& WorkRequest::Builder::SetOnDispatch(
+    std::function<void(const std::string&)> value) {
+  this->request.on_dispatch = std::move(value);
+  return *this;
+}
+
 }  // namespace anvilcroft
--- a/anvilcroft/work_request.h
+++ b/anvilcroft/work_request.h
@@ -4,6 +4,7 @@
 // One piece of work for a service: a caller's request or one sample. Immutable; made by
 // WorkRequest::Builder.
 
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
@@ -38,6 +39,11 @@
   const std::set<std::string>& Excluded() const { return this->excluded; }
   // Null if nobody will cancel.
   const std::shared_ptr<Cancellation>& CancelledBy() const { return this->cancellation; }
+  // Called with the id of each target directly before the work is sent to it; may be empty. The
+  // issuer of a second copy excludes the target that runs the first.
+  const std::function<void(const std::string& target_id)>& OnDispatch() const {
+    return this->on_dispatch;
+  }
 
   friend bool operator==(const WorkRequest& a, const WorkRequest& b) {
     return std::tie(a.service, a.operation, a.request_id, a.idempotency_key, a.deadline, a.priority,
@@ -59,6 +65,7 @@
   TraceContext trace;
   std::set<std::string> excluded;
   std::shared_ptr<Cancellation> cancellation;
+  std::function<void(const std::string&)> on_dispatch;
 };
 
 class WorkRequest::Builder {
@@ -74,6 +81,7 @@
   Builder& SetTrace(TraceContext value);
   Builder& SetExcluded(std::set<std::string> value);
   Builder& SetCancellation(std::shared_ptr<Cancellation> value);
+  Builder& SetOnDispatch(std::function<void(const std::string& target_id)> value);
   WorkRequest Build() const { return this->request; }
 
  private:
