--- a/anvilcroft/engine_order.cc
+++ b/anvilcroft/engine_order.cc
@@ -10,7 +10,7 @@
   std::string value;
   switch (kind) {
     case Kind::kLoadModel:
-      value = goal.model;
+      value = goal.model + "@" + std::to_string(goal.revision);
       this->fields["model"] = goal.model;
       break;
     case Kind::kLoadWeights:
@@ -19,7 +19,7 @@
       this->fields["uri"] = goal.weight_uri;
       break;
     case Kind::kSetRole:
-      value = goal.role;
+      value = goal.role + "@" + std::to_string(goal.revision);
       this->fields["role"] = goal.role;
       break;
   }
--- a/anvilcroft/engine_order.h
+++ b/anvilcroft/engine_order.h
@@ -6,7 +6,9 @@
 //   std::optional<EngineOrder> order = NextOrder(target_id, goal, report);
 //
 // Orders are idempotent and convergent: one target, kind and value always give one order_id, and
-// what an engine reports, not what was ordered, decides what comes next.
+// what an engine reports, not what was ordered, decides what comes next. An engine does not run an
+// order again whose id it has carried out, so the ids for model and role, which may return to an
+// earlier value, hold the configuration version too.
 
 #include <cstdint>
 #include <nlohmann/json.hpp>
@@ -26,6 +28,8 @@
   int64_t weight_version = 0;
   std::string weight_uri;
   std::string role;
+  // Version of the configuration that names model and role.
+  uint64_t revision = 0;
 };
 
 class EngineOrder {
--- a/anvilcroft/rollout_node.cc
+++ b/anvilcroft/rollout_node.cc
@@ -106,6 +106,7 @@
     goal.goal.service = target.Service();
     if (this->role) goal.goal.role = this->role(target);
     const auto config = this->view.config();
+    goal.goal.revision = config->Version();
     if (const ServiceConfig* service = config->FindService(target.Service())) {
       goal.goal.model = service->Model();
       goal.downloads_per_second = service->DownloadsPerSecond();
--- a/anvilcroft/swap_schedule.h
+++ b/anvilcroft/swap_schedule.h
@@ -28,9 +28,9 @@
   // How late an engine may start in its slot: the time in which every owner learns of a
   // publication (head is polled every 2 s).
   static constexpr Duration kStartGrace = seconds(2);
-  // Time that one swap is assumed to take. With it, four waves of a quarter each end within the
-  // 25 s that new weights may take to reach all engines.
-  static constexpr Duration kSwapTime = seconds(4);
+  // Time that one swap is assumed to take. With it, five waves (9 engines, 2 at once) end within
+  // the 25 s that new weights may take to reach all engines.
+  static constexpr Duration kSwapTime = seconds(3);
 
   // Engines that may swap at once, at least 1.
   int64_t MaxAtOnce() const { return this->at_once; }
--- /dev/null
+++ b/testing/swap_schedule_test.cc
@@ -0,0 +1,91 @@
+// Guards the limits of weight swaps: more engines than allowed swapping at once, or more downloads
+// a second than the weight store gives, for any small service.
+
+#include "anvilcroft/swap_schedule.h"
+
+#include <catch2/catch.hpp>
+#include <vector>
+
+namespace anvilcroft {
+namespace {
+
+SwapSchedule Make(int engines, double part, double rate, Duration swap_time) {
+  return SwapSchedule::Builder()
+      .SetEngines(engines)
+      .SetMaxSwapping(part)
+      .SetDownloadsPerSecond(rate)
+      .SetSwapTime(swap_time)
+      .Build();
+}
+
+TEST_CASE("no more than the allowed engines hold a slot at any time", "[swap_schedule]") {
+  for (int engines = 1; engines <= 13; ++engines) {
+    for (const double part : {0.01, 0.1, 0.25, 0.34, 0.5, 1.0}) {
+      for (const double rate : {0.2, 1.0, 4.0, 100.0}) {
+        for (const Duration swap : {Duration(milliseconds(100)), Duration(seconds(4))}) {
+          const auto schedule = Make(engines, part, rate, swap);
+          const auto allowed = std::max<int64_t>(1, static_cast<int64_t>(part * engines + 1e-9));
+          CAPTURE(engines, part, rate);
+          REQUIRE(schedule.MaxAtOnce() == allowed);
+          const int64_t slots = 4 * engines + 3;
+          for (int64_t i = 0; i < slots; ++i) {
+            // The slots that still hold at the start of slot i: those less than a spacing earlier.
+            int64_t holding = 1;
+            for (int64_t j = 0; j < i; ++j) {
+              holding += schedule.SlotStart(j) + schedule.Spacing() > schedule.SlotStart(i);
+            }
+            REQUIRE(holding <= allowed);
+            const Duration step = schedule.SlotStart(i + 1) - schedule.SlotStart(i);
+            REQUIRE(step >=
+                    std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / rate)));
+          }
+        }
+      }
+    }
+  }
+}
+
+// The direct search over all slots of the engine.
+Duration SlowNextStart(const SwapSchedule& schedule, int engines, int rank, Duration now) {
+  int64_t index = rank;
+  while (schedule.SlotStart(index) + SwapSchedule::kStartGrace <= now) index += engines;
+  return std::max(schedule.SlotStart(index), now);
+}
+
+TEST_CASE("the next start is the first usable slot of the engine", "[swap_schedule]") {
+  for (int engines = 1; engines <= 7; ++engines) {
+    for (const double part : {0.1, 0.25, 0.5, 1.0}) {
+      for (const double rate : {0.3, 2.0, 50.0}) {
+        const auto schedule = Make(engines, part, rate, seconds(4));
+        for (int rank = 0; rank < engines; ++rank) {
+          for (int64_t ms = 0; ms < 120000; ms += 1370) {
+            CAPTURE(engines, part, rate, rank, ms);
+            REQUIRE(schedule.NextStart(rank, milliseconds(ms)) ==
+                    SlowNextStart(schedule, engines, rank, milliseconds(ms)));
+          }
+        }
+      }
+    }
+  }
+}
+
+TEST_CASE("the search stays short long after the publication", "[swap_schedule]") {
+  const auto schedule = Make(7, 0.3, 4, seconds(4));
+  const Duration now = std::chrono::hours(24 * 365 * 56);
+  for (int rank = 0; rank < 7; ++rank) {
+    const Duration start = schedule.NextStart(rank, now);
+    CHECK(start >= now);
+    CHECK(start - now <= 8 * schedule.Spacing());
+  }
+}
+
+TEST_CASE("a service of the present size is done within 25 s", "[swap_schedule]") {
+  for (const int engines : {8, 9}) {
+    const auto schedule = Make(engines, 0.25, 4, SwapSchedule::kSwapTime);
+    const Duration last = schedule.SlotStart(engines - 1) + schedule.Spacing();
+    CHECK(last <= seconds(25));
+  }
+}
+
+}  // namespace
+}  // namespace anvilcroft
