--- a/anvilcroft/error.cc
+++ b/anvilcroft/error.cc
@@ -64,6 +64,15 @@
   return "internal";
 }
 
+std::optional<ErrorCode> ParseErrorCode(const std::string& name) {
+  // kInternal is the last code.
+  for (int i = 0; i <= static_cast<int>(ErrorCode::kInternal); ++i) {
+    const auto code = static_cast<ErrorCode>(i);
+    if (name == ErrorCodeName(code)) return code;
+  }
+  return std::nullopt;
+}
+
 const char* RanName(Ran ran) {
   switch (ran) {
     case Ran::kNo:
--- a/anvilcroft/error.h
+++ b/anvilcroft/error.h
@@ -7,6 +7,7 @@
 // list below), in words, which part of the input is at fault, and whether the work that was asked
 // for ran. Exceptions are not used for outcomes; only a broken invariant stops the process.
 
+#include <optional>
 #include <string>
 #include <tl/expected.hpp>
 #include <tuple>
@@ -50,6 +51,9 @@
 // Name of `code` on the wire, in snake case, for example "stale_base".
 const char* ErrorCodeName(ErrorCode code);
 
+// The code whose name is `name`, or nullopt.
+std::optional<ErrorCode> ParseErrorCode(const std::string& name);
+
 // Name of `ran` on the wire: "no", "yes" or "unknown".
 const char* RanName(Ran ran);
 
--- /dev/null
+++ b/anvilcroft/instance.h
@@ -0,0 +1,16 @@
+#ifndef ANVILCROFT_INSTANCE_H_
+#define ANVILCROFT_INSTANCE_H_
+
+// One running instance of anvilcroft.
+
+#include "anvilcroft/settings.h"
+
+namespace anvilcroft {
+
+// Runs an instance until its graceful shutdown is complete. Returns the exit code of the process.
+// The log is set up before the call.
+int RunInstance(const Settings& settings);
+
+}  // namespace anvilcroft
+
+#endif  // ANVILCROFT_INSTANCE_H_
--- a/anvilcroft/json.cc
+++ b/anvilcroft/json.cc
@@ -93,6 +93,10 @@
   return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+std::string IndentJson(const json& value) {
+  return value.dump(2, ' ', false, json::error_handler_t::replace);
+}
+
 JsonFields::JsonFields(const json& object, std::string path)
     : object(object), path(std::move(path)) {
   if (!object.is_object()) {
--- a/anvilcroft/json.h
+++ b/anvilcroft/json.h
@@ -35,6 +35,9 @@
 // The text of `value`; invalid UTF-8 is replaced, so that this cannot fail.
 std::string DumpJson(const nlohmann::json& value);
 
+// The same with line breaks and two spaces of indentation, for people.
+std::string IndentJson(const nlohmann::json& value);
+
 class JsonFields {
  public:
   // Reads the fields of `object`; `path` names it in errors. A value that is no object is an error.
