--- a/anvilcroft/instance.cc
+++ b/anvilcroft/instance.cc
@@ -1,12 +1,220 @@
 #include "anvilcroft/instance.h"
 
-#include <cstdio>
+#include <iostream>
+#include <memory>
+#include <random>
+#include <utility>
+
+#include "anvilcroft/cluster_node.h"
+#include "anvilcroft/commit_queue.h"
+#include "anvilcroft/endpoint.h"
+#include "anvilcroft/event.h"
+#include "anvilcroft/exit_code.h"
+#include "anvilcroft/http_client.h"
+#include "anvilcroft/http_router.h"
+#include "anvilcroft/http_server.h"
+#include "anvilcroft/log.h"
+#include "anvilcroft/metrics.h"
+#include "anvilcroft/operator_api.h"
+#include "anvilcroft/rollout_node.h"
+#include "anvilcroft/routing_node.h"
+#include "anvilcroft/runtime.h"
+#include "anvilcroft/table_client.h"
+#include "anvilcroft/tracer.h"
 
 namespace anvilcroft {
+namespace {
+
+constexpr char kPart[] = "instance";
+
+// Time that an instance goes on accepting after the answers that name it have expired: a caller
+// may have read its answer just before the roster changed, and the roster takes up to a poll of
+// the head row to reach every instance.
+constexpr Duration kStaleAnswerMargin = seconds(2);
+
+// Time between looks at what still runs during a shutdown.
+constexpr Duration kDrainCheck = milliseconds(50);
+
+// The addresses of settings are checked when they are loaded.
+Endpoint CheckedEndpoint(const std::string& text) {
+  auto endpoint = ParseEndpoint(text);
+  ANVILCROFT_CHECK(endpoint.has_value());
+  return std::move(*endpoint);
+}
+
+class Instance {
+ public:
+  Instance(const Settings& settings, uint64_t seed)
+      : settings(settings),
+        http(runtime),
+        table(http, CheckedEndpoint(settings.TableAddress())),
+        commits([this](Task& task, const Transaction& transaction, TimePoint deadline) {
+          return this->table.Commit(task, transaction, deadline);
+        }),
+        tracer(seed, settings.InstanceId(), settings.Tracing()) {
+    this->BuildRoles(seed);
+    this->ConnectRoles();
+  }
+
+  int Run() {
+    const auto api = this->server->Start();
+    if (!api) return this->RefuseAddress(api.error());
+    const auto started = this->cluster->Start(*api);
+    if (!started) return this->RefuseAddress(started.error());
+    this->routing->Start();
+    this->rollout->Start();
+    this->runtime.OnTerminate([this] { this->RequestStop(); });
+    std::cout << "listening api=" << *api << " peer=" << this->cluster->PeerAddress() << std::endl;
+    this->runtime.Run();
+    return kExitOk;
+  }
+
+ private:
+  void BuildRoles(uint64_t seed) {
+    this->cluster = ClusterNode::Builder(this->runtime)
+                        .SetSettings(this->settings)
+                        .SetHttpClient(this->http)
+                        .SetTable(this->table)
+                        .SetMetrics(this->metrics)
+                        .SetSeed(seed + 1)
+                        .Build();
+    this->routing =
+        RoutingNode::Builder(this->runtime)
+            .SetSettings(this->settings)
+            .SetView(this->cluster->View())
+            .SetHttpClient(this->http)
+            .SetInstanceList(CheckedEndpoint(this->settings.InstanceListAddress()))
+            .SetCommit([this](Task& task, const Transaction& transaction, TimePoint deadline) {
+              return this->commits.Commit(task, transaction, deadline);
+            })
+            .SetRead([this](Task& task, const std::string& table_name, const std::string& key,
+                            TimePoint deadline) {
+              return this->table.Read(task, table_name, key, deadline);
+            })
+            .SetTracer(this->tracer)
+            .SetMetrics(this->metrics)
+            .SetSeed(seed + 2)
+            .SetBroadcastSuspect(
+                [this](const std::string& fingerprint, int64_t deaths, int64_t ttl_ms) {
+                  this->cluster->BroadcastSuspect(fingerprint, deaths, ttl_ms);
+                })
+            .Build();
+    this->rollout = RolloutNode::Builder(this->runtime)
+                        .SetView(this->cluster->View())
+                        .SetHttpClient(this->http)
+                        .SetTable(this->table)
+                        .SetCommitQueue(this->commits)
+                        .SetObjects(CheckedEndpoint(this->settings.ObjectAddress()))
+                        .SetRun([this](Task& task, const WorkRequest& request) {
+                          return this->routing->Run(task, request, StreamSink());
+                        })
+                        .SetTargets([this] { return this->routing->Targets().All(); })
+                        .SetReport([this](const EngineReport& report) {
+                          this->routing->Targets().Report(report);
+                        })
+                        .SetNotify([this](const std::string& topic, const nlohmann::json& payload) {
+                          this->cluster->Notify(topic, payload);
+                        })
+                        .SetTracer(this->tracer)
+                        .SetMetrics(this->metrics)
+                        .SetSeed(seed + 3)
+                        .Build();
+    this->server =
+        HttpServer::Builder(this->runtime)
+            .SetAddress(this->settings.ApiAddress())
+            .SetHandler([this](Task& task, const HttpRequest& request, HttpReply& reply) {
+              this->router.Handle(task, request, reply);
+            })
+            .Build();
+  }
+
+  void ConnectRoles() {
+    this->cluster->OnRosterChange([this] {
+      this->routing->OnRosterChange();
+      this->rollout->OnRosterChange();
+    });
+    this->cluster->OnConfigChange([this] {
+      this->routing->OnConfigChange();
+      this->rollout->OnConfigChange();
+    });
+    this->cluster->OnWeightsChange([this] { this->rollout->OnWeightsChange(); });
+    this->cluster->OnNotify([this](const std::string& topic, const nlohmann::json& payload) {
+      this->rollout->OnNotify(topic, payload);
+    });
+    this->cluster->OnSuspect(
+        [this](const std::string& fingerprint, int64_t deaths, int64_t ttl_ms) {
+          this->routing->OnSuspect(fingerprint, deaths, ttl_ms);
+        });
+    this->cluster->RegisterRoutes(this->router);
+    this->routing->RegisterRoutes(this->router);
+    this->rollout->RegisterRoutes(this->router);
+    OperatorApi::Builder(this->cluster->View(), this->metrics)
+        .SetReady([this] { return this->cluster->Ready(); })
+        .SetDrain([this] { this->RequestStop(); })
+        .Build()
+        .AddRoutes(this->router);
+  }
+
+  int RefuseAddress(const Error& error) const {
+    LogError(kPart, error.message, {{"address", error.part}});
+    return kExitBadSettings;
+  }
+
+  // Starts the graceful shutdown once; a second request changes nothing.
+  void RequestStop() {
+    if (this->stopping) return;
+    this->stopping = true;
+    this->runtime.Spawn([this](Task& task) { this->StopGracefully(task); });
+  }
+
+  void StopGracefully(Task& task) {
+    LogInfo(kPart, "graceful shutdown begins");
+    this->rollout->StopTakingWork();
+    this->cluster->BeginLeaving(task);
+    this->server->CloseAfterResponse();
+    SleepUntil(task, SteadyNow() + this->settings.AddressTtl() + kStaleAnswerMargin);
+    this->server->StopAccepting();
+    const TimePoint begin = SteadyNow();
+    while (!this->Drained() && !this->StopLimitReached(begin, SteadyNow())) {
+      SleepUntil(task, SteadyNow() + kDrainCheck);
+    }
+    this->cluster->Leave(task);
+    LogInfo(kPart, "graceful shutdown ends");
+    this->runtime.Stop();
+  }
+
+  bool Drained() const {
+    return this->server->ActiveRequests() == 0 && this->routing->InFlight() == 0 &&
+           this->routing->Settled() && this->rollout->Idle();
+  }
+
+  bool StopLimitReached(TimePoint begin, TimePoint now) const {
+    const Duration limit = this->settings.StopLimit();
+    return limit > Duration::zero() && now - begin >= limit;
+  }
+
+  Settings settings;
+  Runtime runtime;
+  HttpClient http;
+  TableClient table;
+  CommitQueue commits;
+  Metrics metrics;
+  Tracer tracer;
+  HttpRouter router;
+  std::unique_ptr<ClusterNode> cluster;
+  std::unique_ptr<RoutingNode> routing;
+  std::unique_ptr<RolloutNode> rollout;
+  std::unique_ptr<HttpServer> server;
+  bool stopping = false;
+};
+
+}  // namespace
 
-int RunInstance(const Settings&) {
-  std::fputs("the instance is not implemented yet\n", stderr);
-  return 1;
+int RunInstance(const Settings& settings) {
+  InitLog(settings.MinimumLogLevel());
+  std::random_device entropy;
+  Instance instance(settings, (static_cast<uint64_t>(entropy()) << 32) | entropy());
+  return instance.Run();
 }
 
 }  // namespace anvilcroft
