Add the fake trainer

It checks every sample it receives: once, whole, within the staleness bound, with the versions of all tokens and the right reward. Takes whose answers are lost are repeated with their take_id. An engine now recognizes only the last order of a kind as repeated, because an owner names orders by content and must be able to order a version again after a stale owner changed it.

--- a/fakes/engine_orders.cc
+++ b/fakes/engine_orders.cc
@@ -1,7 +1,5 @@
 #include "fakes/engine_orders.h"
 
-#include <algorithm>
-
 #include "anvilcroft/json.h"
 
 namespace anvilcroft::fakes {
@@ -37,7 +35,7 @@
 Result<void> EngineOrders::Run(Task& task, const nlohmann::json& value) {
   const auto order = Decode(value);
   if (!order) return tl::unexpected<Error>(order.error());
-  const bool repeated = this->done.count(order->id) != 0;
+  const bool repeated = this->IsDone(*order);
   const Result<void> outcome = this->WaitAndExecute(task, *order);
   const std::string code = outcome ? "done" : ErrorCodeName(outcome.error().code);
   this->log.push_back({{"order_id", order->id},
@@ -50,6 +48,11 @@
   return outcome;
 }
 
+bool EngineOrders::IsDone(const Order& order) const {
+  const auto last = this->done.find(order.kind);
+  return last != this->done.end() && last->second == order.id;
+}
+
 Result<void> EngineOrders::CheckFencing(const Order& order) {
   if (!this->options.checks_fencing) return {};
   if (order.fencing < this->last_fencing) {
@@ -64,7 +67,7 @@
   const uint64_t before = this->restarts;
   while (true) {
     if (auto fenced = this->CheckFencing(order); !fenced) return fenced;
-    if (this->done.count(order.id) != 0) return {};
+    if (this->IsDone(order)) return {};
     if (!this->busy) break;
     event->Wait(task);
     if (before != this->restarts) return Crashed();
@@ -75,7 +78,7 @@
   this->busy = false;
   this->swapping = false;
   this->installing = false;
-  if (outcome) this->done.insert(order.id);
+  if (outcome) this->done[order.kind] = order.id;
   event->NotifyAll();
   return outcome;
 }
--- a/fakes/engine_orders.h
+++ b/fakes/engine_orders.h
@@ -3,12 +3,15 @@
 
 // What a fake engine has loaded, and the orders that change it, one at a time.
 //
-// An order that succeeded is not run again when it comes again with the same order_id; one that
-// failed is. With fencing checks an order whose token is lower than the highest one seen is
-// rejected, also if the higher one came while it waited for its turn.
+// The last order of a kind that succeeded is not run again when it comes again with the same
+// order_id; one that failed is. Only the last one counts: an owner may name orders by their
+// content, and must be able to undo a change that an old owner made in between. With fencing checks
+// an order whose token is lower than the highest one seen is rejected, also if the higher one came
+// while it waited for its turn.
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -81,6 +84,7 @@
 
   static Result<Order> Decode(const nlohmann::json& value);
   Result<void> WaitAndExecute(Task& task, const Order& order);
+  bool IsDone(const Order& order) const;
   Result<void> CheckFencing(const Order& order);
   Result<void> Execute(Task& task, const Order& order);
   Result<void> Swap(Task& task, const Order& order);
@@ -89,7 +93,7 @@
   Loaded loaded;
   Options options;
   Hooks hooks;
-  std::set<std::string> done;
+  std::map<std::string, std::string> done;  // last order_id that succeeded, by kind
   uint64_t last_fencing = 0;
   bool busy = false;
   bool swapping = false;
--- /dev/null
+++ b/fakes/fake_trainer.h
@@ -0,0 +1,131 @@
+#ifndef FAKES_FAKE_TRAINER_H_
+#define FAKES_FAKE_TRAINER_H_
+
+// A trainer (docs/design.md, section 5.2). For each step it takes all samples, trains for the step
+// time, publishes the next weight version and submits a later step, so that the engines work while
+// it trains.
+//
+//   auto trainer = FakeTrainer::Builder(runtime)
+//       .SetInstances({"127.0.0.1:8080"}).SetName("t1").SetService("s").SetJudge("j")
+//       .Build();
+//   trainer->Start();
+//   trainer->Wait(task);
+//   CHECK(trainer->Ok());
+//
+// A take whose answer is lost is repeated with its take_id. GET /control/log gives the summary and
+// every sample.
+
+#include <cstdint>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "anvilcroft/http_client.h"
+#include "fakes/fake_server.h"
+#include "fakes/sample_ledger.h"
+#include "fakes/trainer_client.h"
+
+namespace anvilcroft::fakes {
+
+class FakeTrainer {
+ public:
+  class Builder;
+
+  struct Options {
+    std::string address = "127.0.0.1:0";
+    std::vector<Endpoint> instances;
+    std::string name = "trainer";
+    std::string service = "service";
+    std::string operation = "generate";
+    std::string judge = "judge";
+    std::string zone;
+    std::string weights_uri;
+    uint64_t seed = 1;  // part of every prompt and take_id
+    int64_t steps = 2;
+    int64_t groups = 4;
+    int64_t samples = 4;  // in each group
+    int64_t max_tokens = 32;
+    // One group in this many has ten times the tokens; 0: none.
+    int64_t long_group_every = 0;
+    int64_t staleness_bound = 1;
+    int64_t first_version = 1;
+    int64_t steps_ahead = 1;  // steps submitted before the samples of the present one are all there
+    bool publishes = true;    // whether it publishes a new weight version after each step
+    Duration step_time = milliseconds(100);
+    int64_t take_max = 64;
+    // Every n-th take is sent once more and must give the same samples; 0: never.
+    int64_t repeat_take_every = 5;
+    // Gives up when no call succeeds, or no sample arrives, for this long.
+    Duration stall_limit = seconds(300);
+    bool checks_rewards = true;
+  };
+
+  // Starts the run and returns the address of the log.
+  Result<std::string> Start();
+  FakeServer& Server() { return this->server; }
+
+  bool Finished() const { return this->finished; }
+  // Waits for the end of the run.
+  void Wait(Task& task);
+  // Whether every sample of every step arrived exactly once, whole and within the bound.
+  bool Ok() const;
+  nlohmann::json Summary() const;
+
+ private:
+  FakeTrainer(Runtime& runtime, const Options& options);
+
+  Result<void> RunSteps(Task& task);
+  Result<void> RunStep(Task& task, int64_t step);
+  Result<void> PutTrainer(Task& task);
+  Result<void> Publish(Task& task);
+  Result<void> Submit(Task& task, int64_t step);
+  Result<void> TakeAll(Task& task, int64_t step);
+  // Takes once and returns the answer.
+  Result<nlohmann::json> TakeOnce(Task& task, int64_t step);
+  Result<nlohmann::json> Call(Task& task, const char* method, const std::string& target,
+                              const nlohmann::json& body);
+  std::vector<SampleLedger::Group> GroupsOf(int64_t step) const;
+
+  Options options;
+  FakeServer server;
+  HttpClient http;
+  TrainerClient client;
+  SampleLedger ledger;
+  int64_t weight_version;
+  int64_t takes = 0;
+  int64_t changed_takes = 0;  // repeated takes that gave other samples
+  int64_t steps_done = 0;
+  TimePoint started;
+  Duration idle{0};        // waiting for samples, after the first step
+  Duration first_wait{0};  // waiting for the samples of the first step
+  Duration total{0};
+  std::string failure;
+  bool finished = false;
+  std::shared_ptr<Event> end = std::make_shared<Event>();
+};
+
+class FakeTrainer::Builder {
+ public:
+  explicit Builder(Runtime& runtime) : runtime(runtime) {}
+
+  // Sets everything at once; the other setters change single options.
+  Builder& SetOptions(Options value);
+  Builder& SetInstances(std::vector<Endpoint> value);
+  Builder& SetName(std::string value);
+  Builder& SetService(std::string value);
+  Builder& SetJudge(std::string value);
+  Builder& SetSteps(int64_t steps, int64_t groups, int64_t samples, int64_t max_tokens);
+  Builder& SetStalenessBound(int64_t value);
+  Builder& SetStepTime(Duration value);
+
+  std::unique_ptr<FakeTrainer> Build() const;
+
+ private:
+  Runtime& runtime;
+  Options options;
+};
+
+}  // namespace anvilcroft::fakes
+
+#endif  // FAKES_FAKE_TRAINER_H_
--- a/fakes/main.cc
+++ b/fakes/main.cc
@@ -19,6 +19,7 @@
       {"judge", anvilcroft::fakes::RunJudge},
       {"objects", anvilcroft::fakes::RunObjects},
       {"table", anvilcroft::fakes::RunTable},
+      {"trainer", anvilcroft::fakes::RunTrainer},
       {"weights", anvilcroft::fakes::RunWeights},
   };
   return commands;
--- a/fakes/program.h
+++ b/fakes/program.h
@@ -85,6 +85,7 @@
 int RunJudge(const Arguments& arguments);
 int RunObjects(const Arguments& arguments);
 int RunTable(const Arguments& arguments);
+int RunTrainer(const Arguments& arguments);
 int RunWeights(const Arguments& arguments);
 
 }  // namespace anvilcroft::fakes
--- /dev/null
+++ b/fakes/run_trainer.cc
@@ -0,0 +1,91 @@
+#include <sstream>
+
+#include "anvilcroft/json.h"
+#include "fakes/fake_trainer.h"
+#include "fakes/program.h"
+
+namespace anvilcroft::fakes {
+namespace {
+
+// Splits "ip:port,ip:port".
+Result<std::vector<Endpoint>> ParseList(const std::string& text) {
+  std::vector<Endpoint> endpoints;
+  std::istringstream list(text);
+  for (std::string item; std::getline(list, item, ',');) {
+    const auto endpoint = ParseEndpoint(item);
+    if (!endpoint) return tl::unexpected<Error>(endpoint.error());
+    endpoints.push_back(*endpoint);
+  }
+  if (endpoints.empty()) return Fail(ErrorCode::kInvalidArgument, "is missing", "instances");
+  return endpoints;
+}
+
+}  // namespace
+
+int RunTrainer(const Arguments& arguments) {
+  const FakeTrainer::Options defaults;
+  Options options("trainer", "trainer that takes samples and publishes weights");
+  const auto address = options.AddText("address", "address of the log", defaults.address);
+  const auto instances = options.AddText("instances", "ip:port list, by commas", "");
+  const auto name = options.AddText("name", "name of the trainer", defaults.name);
+  const auto service = options.AddText("service", "service to train", defaults.service);
+  const auto operation = options.AddText("operation", "its operation", defaults.operation);
+  const auto judge = options.AddText("judge", "service that judges", defaults.judge);
+  const auto zone = options.AddText("zone", "availability zone", "");
+  const auto uri = options.AddText("weights-uri", "uri of published weights", "");
+  const auto seed = options.Add("seed", "part of prompts and take ids", 1);
+  const auto steps = options.Add("steps", "number of steps", defaults.steps);
+  const auto groups = options.Add("groups", "groups per step", defaults.groups);
+  const auto samples = options.Add("samples", "samples per group", defaults.samples);
+  const auto tokens = options.Add("max-tokens", "length of a sample", defaults.max_tokens);
+  const auto long_every = options.Add("long-group-every", "one group in n is ten times longer", 0);
+  const auto bound = options.Add("staleness-bound", "in versions", defaults.staleness_bound);
+  const auto first = options.Add("first-version", "weight version at the start", 1);
+  const auto ahead = options.Add("steps-ahead", "steps submitted ahead", defaults.steps_ahead);
+  const auto silent = options.AddSwitch("no-publish", "publishes no weights");
+  const auto step_ms = options.Add("step-ms", "time of one step", 100);
+  const auto take_max = options.Add("take-max", "samples per take", defaults.take_max);
+  const auto stall = options.Add("stall-seconds", "gives up without progress for this long", 300);
+  const auto any_reward = options.AddSwitch("any-reward", "does not check rewards");
+  options.Parse(arguments);
+  const auto endpoints = ParseList(instances->getValue());
+  if (!endpoints) {
+    std::cerr << "fakes: " << endpoints.error().message << ": " << endpoints.error().part << "\n";
+    return 2;
+  }
+  FakeTrainer::Options chosen;
+  chosen.address = address->getValue();
+  chosen.instances = *endpoints;
+  chosen.name = name->getValue();
+  chosen.service = service->getValue();
+  chosen.operation = operation->getValue();
+  chosen.judge = judge->getValue();
+  chosen.zone = zone->getValue();
+  chosen.weights_uri = uri->getValue();
+  chosen.seed = static_cast<uint64_t>(seed->getValue());
+  chosen.steps = steps->getValue();
+  chosen.groups = groups->getValue();
+  chosen.samples = samples->getValue();
+  chosen.max_tokens = tokens->getValue();
+  chosen.long_group_every = long_every->getValue();
+  chosen.staleness_bound = bound->getValue();
+  chosen.first_version = first->getValue();
+  chosen.steps_ahead = ahead->getValue();
+  chosen.publishes = !silent->getValue();
+  chosen.step_time = milliseconds(step_ms->getValue());
+  chosen.take_max = take_max->getValue();
+  chosen.stall_limit = seconds(stall->getValue());
+  chosen.checks_rewards = !any_reward->getValue();
+  Runtime runtime;
+  const auto trainer = FakeTrainer::Builder(runtime).SetOptions(chosen).Build();
+  runtime.Spawn([&](Task& task) {
+    trainer->Wait(task);
+    runtime.Stop();
+  });
+  const int code = Serve(runtime, *trainer);
+  if (code != 0) return code;
+  std::cout << DumpJson(trainer->Summary()) << std::endl;
+  return trainer->Ok() ? 0 : 1;
+}
+
+}  // namespace anvilcroft::fakes
--- /dev/null
+++ b/fakes/trainer_client.h
@@ -0,0 +1,57 @@
+#ifndef FAKES_TRAINER_CLIENT_H_
+#define FAKES_TRAINER_CLIENT_H_
+
+// Calls to the instances on behalf of a fake trainer: asks any instance for addresses, keeps the
+// answer for its time to live, and repeats each call at the next address until it succeeds.
+
+#include <cstdint>
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "anvilcroft/endpoint.h"
+#include "anvilcroft/error.h"
+#include "anvilcroft/http_client.h"
+
+namespace anvilcroft::fakes {
+
+class TrainerClient {
+ public:
+  // Time for one attempt. An instance waits up to 2 s for samples before it answers an empty take.
+  static constexpr Duration kAttemptTimeout = seconds(6);
+  static constexpr Duration kBackoff = milliseconds(200);
+
+  // `seeds`: addresses to ask first, and again when no other answers.
+  TrainerClient(HttpClient& http, std::vector<Endpoint> seeds, std::string service,
+                std::string zone);
+
+  // Sends a JSON body and returns that of the 200 answer. Every call must be idempotent. Fails with
+  // the last error at `deadline`.
+  Result<nlohmann::json> Call(Task& task, const std::string& method, const std::string& target,
+                              const nlohmann::json& body, TimePoint deadline);
+
+  // Attempts beyond the first of each call.
+  uint64_t Retries() const { return this->retries; }
+  // The last error of an attempt, for the summary.
+  const std::string& LastError() const { return this->last_error; }
+
+ private:
+  void RefreshAddresses(Task& task);
+  Result<nlohmann::json> Attempt(Task& task, const Endpoint& endpoint, const HttpRequest& request,
+                                 Duration timeout);
+
+  HttpClient& http;
+  std::vector<Endpoint> seeds;
+  std::vector<Endpoint> addresses;
+  TimePoint addresses_until;
+  std::string service;
+  std::string zone;
+  std::size_t next = 0;
+  uint64_t retries = 0;
+  std::string last_error;
+};
+
+}  // namespace anvilcroft::fakes
+
+#endif  // FAKES_TRAINER_CLIENT_H_
