--- a/fakes/trainer_client.cc
+++ b/fakes/trainer_client.cc
@@ -19,7 +19,7 @@
 Result<json> TrainerClient::Attempt(Task& task, const Endpoint& endpoint,
                                     const HttpRequest& request, Duration timeout) {
   const auto response =
-      this->http.Call(task, endpoint, request, CallOptions(SteadyNow() + timeout).WithResend());
+      this->http.Call(task, endpoint, request, CallOptions(SteadyNow() + timeout));
   if (!response) return tl::unexpected<Error>(response.error());
   if (response->Status() != 200) {
     return Fail(ErrorCode::kBadResponse, "status " + std::to_string(response->Status()) + ": " +
--- a/testing/fake_trainer_test.cc
+++ b/testing/fake_trainer_test.cc
@@ -92,10 +92,11 @@
     const std::string id = body["take_id"];
     if (this->takes.count(id) == 0) {
       std::vector<json>& left = this->ready[body["step"]];
-      const std::size_t count = std::min<std::size_t>(left.size(), 2);
-      json samples(left.begin(), left.begin() + static_cast<std::ptrdiff_t>(count));
-      left.erase(left.begin(), left.begin() + static_cast<std::ptrdiff_t>(count));
-      if (samples.is_null()) samples = json::array();
+      json samples = json::array();
+      while (!left.empty() && samples.size() < 2) {
+        samples.push_back(left.back());
+        left.pop_back();
+      }
       this->takes[id] = {{"samples", samples}, {"remaining", left.size()}};
       if (this->takes.size() % 2 == 1) return reply.Abort();
     }
