--- a/anvilcroft/app_call.h
+++ b/anvilcroft/app_call.h
@@ -18,6 +18,8 @@
   std::string request_id;
   std::string body;
   TraceContext trace;
+  // Passed on to the target, which may use it to tell repeated calls; empty: none.
+  std::string idempotency_key;
   // App engines echo X-Request-Id; judges need not.
   bool id_required = true;
 };
--- a/anvilcroft/dispatcher.cc
+++ b/anvilcroft/dispatcher.cc
@@ -310,6 +310,7 @@
   call.path = item.operation.path;
   call.request_id = request.RequestId();
   call.body = request.Body();
+  call.idempotency_key = request.IdempotencyKey();
   call.trace = span.Context();
   call.id_required = item.kind == TargetKind::kAppEngine;
   const TimePoint started = SteadyNow();
--- a/anvilcroft/instance.cc
+++ b/anvilcroft/instance.cc
@@ -66,6 +66,7 @@
     this->runtime.OnTerminate([this] { this->RequestStop(); });
     std::cout << "listening api=" << *api << " peer=" << this->cluster->PeerAddress() << std::endl;
     this->runtime.Run();
+    this->runtime.EndTasks();
     return kExitOk;
   }
 
--- a/anvilcroft/runtime.cc
+++ b/anvilcroft/runtime.cc
@@ -31,6 +31,8 @@
 
 void Runtime::Stop() { this->impl->io.stop(); }
 
+void Runtime::EndTasks() { this->impl->io.End(); }
+
 void Runtime::OnTerminate(std::function<void()> handler) {
   this->impl->signals.add(SIGTERM);
   this->impl->signals.add(SIGINT);
--- a/anvilcroft/runtime.h
+++ b/anvilcroft/runtime.h
@@ -14,8 +14,10 @@
 //   });
 //   runtime.Run();
 //
-// A task that is still waiting when its Runtime is destroyed is unwound by an exception of the
-// coroutine library; code in a task must therefore not swallow exceptions with catch (...).
+// A task that still waits when EndTasks() is called or its Runtime is destroyed is unwound by an
+// exception of the coroutine library; code in a task must therefore not swallow exceptions with
+// catch (...). Unwinding runs destructors that may refer to the objects the task used, so call
+// EndTasks() after Run() and before those objects are destroyed.
 
 #include <functional>
 #include <memory>
@@ -48,6 +50,9 @@
   // Ends Run() after the step that is under way. May be called from any task.
   void Stop();
 
+  // Unwinds every task that still waits. The runtime cannot run afterwards.
+  void EndTasks();
+
   // Calls `handler` on the runtime's thread when the process receives SIGTERM or SIGINT.
   void OnTerminate(std::function<void()> handler);
 
--- a/anvilcroft/runtime_impl.h
+++ b/anvilcroft/runtime_impl.h
@@ -26,13 +26,22 @@
 
 namespace detail {
 
+// An io_context whose pending operations can be dropped while the objects that use it still live.
+class EndableContext : public boost::asio::io_context {
+ public:
+  EndableContext() : boost::asio::io_context(1) {}
+
+  // Destroys the handlers of all pending operations, and with them the tasks that wait for them.
+  void End() { this->shutdown(); }
+};
+
 class RuntimeImpl {
  public:
   // The stack of one task. Only touched pages become resident; 64 KiB overflowed in the JSON
   // parser at the nesting limit when combined with logging.
   static constexpr std::size_t kStackBytes = 256 * 1024;
 
-  boost::asio::io_context io{1};
+  EndableContext io;
   boost::asio::signal_set signals{io};
 };
 
