Add the fake network link

A TCP relay with delay, jitter and loss. It can reset all connections, silence those that are open while new ones work, or hold back everything until the partition ends.

--- /dev/null
+++ b/fakes/fake_link.cc
@@ -0,0 +1,332 @@
+#include "fakes/fake_link.h"
+
+#include <algorithm>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <deque>
+#include <list>
+#include <random>
+#include <utility>
+#include <vector>
+
+#include "anvilcroft/event.h"
+#include "anvilcroft/http_router.h"
+#include "anvilcroft/http_server.h"
+#include "anvilcroft/json.h"
+#include "anvilcroft/runtime_impl.h"
+
+namespace anvilcroft::fakes {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using nlohmann::json;
+
+constexpr std::size_t kPieceBytes = 16 << 10;
+// Data in flight in one direction of one connection; a sender beyond it is held back.
+constexpr std::size_t kMaxInFlight = 1 << 20;
+// Lowest retransmission timeout of Linux.
+constexpr Duration kRetransmission = milliseconds(200);
+
+// One direction of a connection.
+struct Flow {
+  struct Piece {
+    TimePoint due;
+    std::string bytes;  // empty: the end of the data
+  };
+
+  std::deque<Piece> pieces;
+  std::size_t bytes = 0;
+  TimePoint last_due;
+};
+
+// One relayed connection.
+struct Relay {
+  explicit Relay(asio::io_context& io) : near(io), far(io) {}
+
+  // Ends the connection at both sides with a reset.
+  void Reset() {
+    if (this->dead) return;
+    this->dead = true;
+    for (auto* socket : {&this->near, &this->far}) {
+      error_code ignored;
+      socket->set_option(asio::socket_base::linger(true, 0), ignored);
+      socket->close(ignored);
+    }
+    this->changed.NotifyAll();
+  }
+
+  asio::ip::tcp::socket near;  // to whoever connected
+  asio::ip::tcp::socket far;   // to the target
+  Flow out;
+  Flow back;
+  bool dead = false;
+  bool silenced = false;
+  Event changed;  // of the flows, the mode or the flags
+};
+
+using RelayPtr = std::shared_ptr<Relay>;
+
+Result<FakeLink::Mode> ParseMode(const std::string& name) {
+  if (name == "up") return FakeLink::Mode::kUp;
+  if (name == "cut") return FakeLink::Mode::kCut;
+  if (name == "silent") return FakeLink::Mode::kSilent;
+  if (name == "silent_all") return FakeLink::Mode::kSilentAll;
+  return Fail(ErrorCode::kInvalidArgument, "must be up, cut, silent or silent_all", "mode");
+}
+
+}  // namespace
+
+class FakeLinkImpl : public FakeLink {
+ public:
+  explicit FakeLinkImpl(const Builder& builder)
+      : runtime(builder.runtime),
+        listen(builder.listen),
+        target(builder.target),
+        quality(builder.quality),
+        random(builder.seed),
+        acceptor(builder.runtime.Impl().io) {
+    this->router.Add(
+        "POST", "/control/faults",
+        [this](Task& task, const HttpRequest& request, const PathParts&, HttpReply& reply) {
+          const auto changed = this->Change(request.Body());
+          reply.Send(task, changed ? JsonResponse(200, "{}") : ErrorResponse(changed.error()));
+        });
+    this->router.Add("GET", "/control/log",
+                     [this](Task& task, const HttpRequest&, const PathParts&, HttpReply& reply) {
+                       reply.Send(task, JsonResponse(200, DumpJson(this->Log())));
+                     });
+    this->control =
+        HttpServer::Builder(builder.runtime)
+            .SetAddress(builder.control)
+            .SetHandler([this](Task& task, const HttpRequest& request, HttpReply& reply) {
+              this->router.Handle(task, request, reply);
+            })
+            .Build();
+  }
+
+  Result<std::string> Start() override {
+    const auto parsed = ParseEndpoint(this->listen);
+    if (!parsed) return tl::unexpected<Error>(parsed.error());
+    const asio::ip::tcp::endpoint local(asio::ip::make_address(parsed->ip), parsed->port);
+    error_code failed;
+    this->acceptor.open(local.protocol(), failed);
+    if (!failed) this->acceptor.set_option(asio::socket_base::reuse_address(true), failed);
+    if (!failed) this->acceptor.bind(local, failed);
+    if (!failed) this->acceptor.listen(asio::socket_base::max_listen_connections, failed);
+    if (failed) {
+      return Fail(ErrorCode::kInvalidArgument, "cannot listen: " + failed.message(), this->listen);
+    }
+    auto bound = this->control->Start();
+    if (!bound) return bound;
+    this->control_address = *bound;
+    this->runtime.Spawn([this](Task& task) { this->Accept(task); });
+    return Endpoint{parsed->ip, this->acceptor.local_endpoint().port()}.ToString();
+  }
+
+  std::string ControlAddress() const override { return this->control_address; }
+
+  void SetMode(Mode value) override {
+    this->mode = value;
+    for (const RelayPtr& relay : this->Open()) {
+      if (value == Mode::kCut) relay->Reset();
+      if (value == Mode::kSilent) relay->silenced = true;
+      relay->changed.NotifyAll();
+    }
+  }
+
+  void SetQuality(const Quality& value) override { this->quality = value; }
+
+ private:
+  // The connections that still exist.
+  std::vector<RelayPtr> Open() {
+    std::vector<RelayPtr> open;
+    this->relays.remove_if([](const std::weak_ptr<Relay>& weak) { return weak.expired(); });
+    for (const auto& weak : this->relays) open.push_back(weak.lock());
+    return open;
+  }
+
+  Result<void> Change(const std::string& body) {
+    const auto parsed = ParseJson(body);
+    if (!parsed) return tl::unexpected<Error>(parsed.error());
+    constexpr int64_t kMaxMillis = 60000;
+    JsonFields fields(*parsed, "faults");
+    const std::string name = fields.StringOr("mode", "");
+    Quality changed = this->quality;
+    changed.delay =
+        milliseconds(fields.IntegerOr("delay_ms", ToMillis(changed.delay), 0, kMaxMillis));
+    changed.jitter =
+        milliseconds(fields.IntegerOr("jitter_ms", ToMillis(changed.jitter), 0, kMaxMillis));
+    changed.loss = fields.NumberOr("loss", changed.loss, 0, 1);
+    fields.RefuseUnknown();
+    if (const auto read = fields.Finish(); !read) return read;
+    if (!name.empty()) {
+      const auto wanted = ParseMode(name);
+      if (!wanted) return tl::unexpected<Error>(wanted.error());
+      this->SetMode(*wanted);
+    }
+    this->quality = changed;
+    return {};
+  }
+
+  json Log() {
+    return {
+        {"connections", this->connections}, {"open", this->Open().size()}, {"bytes", this->bytes}};
+  }
+
+  Duration NextDelay() {
+    std::uniform_real_distribution<double> part(0, 1);
+    const auto jitter = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(this->quality.jitter) * part(this->random));
+    const bool lost = part(this->random) < this->quality.loss;
+    return this->quality.delay + jitter + (lost ? kRetransmission : Duration(0));
+  }
+
+  void Accept(Task& task) {
+    while (true) {
+      const auto relay = std::make_shared<Relay>(this->runtime.Impl().io);
+      error_code failed;
+      this->acceptor.async_accept(relay->near, task.yield[failed]);
+      if (failed == asio::error::operation_aborted) return;
+      if (failed) {
+        SleepUntil(task, SteadyNow() + milliseconds(20));
+        continue;
+      }
+      ++this->connections;
+      if (this->mode == Mode::kCut) {
+        relay->Reset();
+        continue;
+      }
+      this->relays.push_back(relay);
+      this->runtime.Spawn([this, relay](Task& inner) { this->Connect(inner, relay); });
+    }
+  }
+
+  void Connect(Task& task, const RelayPtr& relay) {
+    SleepUntil(task, SteadyNow() + this->NextDelay());
+    this->WaitWhileBlocked(task, *relay);
+    if (relay->dead) return;
+    error_code failed;
+    const auto ip = asio::ip::make_address(this->target.ip, failed);
+    if (!failed) {
+      relay->far.async_connect(asio::ip::tcp::endpoint(ip, this->target.port), task.yield[failed]);
+    }
+    if (failed || relay->dead) {
+      relay->Reset();
+      return;
+    }
+    for (auto* socket : {&relay->near, &relay->far}) {
+      error_code ignored;
+      socket->set_option(asio::ip::tcp::no_delay(true), ignored);
+    }
+    this->runtime.Spawn(
+        [this, relay](Task& inner) { this->Read(inner, *relay, relay->near, relay->out); });
+    this->runtime.Spawn(
+        [this, relay](Task& inner) { this->Write(inner, *relay, relay->far, relay->out); });
+    this->runtime.Spawn(
+        [this, relay](Task& inner) { this->Read(inner, *relay, relay->far, relay->back); });
+    this->Write(task, *relay, relay->near, relay->back);
+  }
+
+  void WaitWhileBlocked(Task& task, Relay& relay) {
+    while (this->mode == Mode::kSilentAll && !relay.dead) relay.changed.Wait(task);
+  }
+
+  void Read(Task& task, Relay& relay, asio::ip::tcp::socket& from, Flow& flow) {
+    std::string buffer(kPieceBytes, '\0');
+    while (!relay.dead) {
+      error_code failed;
+      const std::size_t read = from.async_read_some(asio::buffer(buffer), task.yield[failed]);
+      if (relay.dead) return;
+      if (relay.silenced) {
+        if (failed) return;
+        continue;
+      }
+      if (failed && failed != asio::error::eof) {
+        // A partition hides the reset, too.
+        this->WaitWhileBlocked(task, relay);
+        if (!relay.silenced) relay.Reset();
+        return;
+      }
+      flow.last_due = std::max(flow.last_due, SteadyNow() + this->NextDelay());
+      flow.pieces.push_back(Flow::Piece{flow.last_due, buffer.substr(0, read)});
+      flow.bytes += read;
+      relay.changed.NotifyAll();
+      if (failed) return;
+      while (flow.bytes > kMaxInFlight && !relay.dead && !relay.silenced) relay.changed.Wait(task);
+    }
+  }
+
+  void Write(Task& task, Relay& relay, asio::ip::tcp::socket& to, Flow& flow) {
+    while (true) {
+      while (flow.pieces.empty() && !relay.dead && !relay.silenced) relay.changed.Wait(task);
+      if (relay.dead || relay.silenced) return;
+      SleepUntil(task, flow.pieces.front().due);
+      this->WaitWhileBlocked(task, relay);
+      if (relay.dead || relay.silenced) return;
+      const Flow::Piece piece = std::move(flow.pieces.front());
+      flow.pieces.pop_front();
+      flow.bytes -= piece.bytes.size();
+      this->bytes += piece.bytes.size();
+      relay.changed.NotifyAll();
+      error_code failed;
+      if (piece.bytes.empty()) {
+        to.shutdown(asio::ip::tcp::socket::shutdown_send, failed);
+        return;
+      }
+      asio::async_write(to, asio::buffer(piece.bytes), task.yield[failed]);
+      if (failed) return relay.Reset();
+    }
+  }
+
+  Runtime& runtime;
+  std::string listen;
+  Endpoint target;
+  Quality quality;
+  std::mt19937_64 random;
+  asio::ip::tcp::acceptor acceptor;
+  HttpRouter router;
+  std::unique_ptr<HttpServer> control;
+  std::string control_address;
+  Mode mode = Mode::kUp;
+  std::list<std::weak_ptr<Relay>> relays;
+  uint64_t connections = 0;
+  uint64_t bytes = 0;
+};
+
+FakeLink::Builder& FakeLink::Builder::SetListen(std::string value) {
+  this->listen = std::move(value);
+  return *this;
+}
+
+FakeLink::Builder& FakeLink::Builder::SetControl(std::string value) {
+  this->control = std::move(value);
+  return *this;
+}
+
+FakeLink::Builder& FakeLink::Builder::SetTarget(Endpoint value) {
+  this->target = std::move(value);
+  return *this;
+}
+
+FakeLink::Builder& FakeLink::Builder::SetDelay(Duration delay, Duration jitter) {
+  this->quality.delay = delay;
+  this->quality.jitter = jitter;
+  return *this;
+}
+
+FakeLink::Builder& FakeLink::Builder::SetLoss(double value) {
+  this->quality.loss = value;
+  return *this;
+}
+
+FakeLink::Builder& FakeLink::Builder::SetSeed(uint64_t value) {
+  this->seed = value;
+  return *this;
+}
+
+std::unique_ptr<FakeLink> FakeLink::Builder::Build() const {
+  return std::make_unique<FakeLinkImpl>(*this);
+}
+
+}  // namespace anvilcroft::fakes
--- a/fakes/main.cc
+++ b/fakes/main.cc
@@ -17,6 +17,7 @@
       {"engine", anvilcroft::fakes::RunEngine},
       {"instances", anvilcroft::fakes::RunInstances},
       {"judge", anvilcroft::fakes::RunJudge},
+      {"link", anvilcroft::fakes::RunLink},
       {"objects", anvilcroft::fakes::RunObjects},
       {"table", anvilcroft::fakes::RunTable},
       {"trainer", anvilcroft::fakes::RunTrainer},
--- a/fakes/program.h
+++ b/fakes/program.h
@@ -83,6 +83,7 @@
 int RunEngine(const Arguments& arguments);
 int RunInstances(const Arguments& arguments);
 int RunJudge(const Arguments& arguments);
+int RunLink(const Arguments& arguments);
 int RunObjects(const Arguments& arguments);
 int RunTable(const Arguments& arguments);
 int RunTrainer(const Arguments& arguments);
--- /dev/null
+++ b/testing/fake_link_test.cc
@@ -0,0 +1,83 @@
+// Guards the fake link: tests of partitions and silent connections rely on which connections it
+// breaks and which it leaves alone.
+
+#include "fakes/fake_link.h"
+
+#include <catch2/catch.hpp>
+
+#include "anvilcroft/http_server.h"
+#include "testing/fake_test_util.h"
+
+namespace anvilcroft::fakes {
+namespace {
+
+TEST_CASE("the link breaks the connections that its mode names", "[fakes]") {
+  Runtime runtime;
+  const auto server = HttpServer::Builder(runtime)
+                          .SetHandler([](Task& task, const HttpRequest& request, HttpReply& reply) {
+                            reply.Send(task, JsonResponse(200, request.Body()));
+                          })
+                          .Build();
+  const auto link = FakeLink::Builder(runtime)
+                        .SetTarget(StartFake(*server))
+                        .SetDelay(milliseconds(2), milliseconds(2))
+                        .Build();
+  const Endpoint endpoint = StartFake(*link);
+  const Endpoint control = *ParseEndpoint(link->ControlAddress());
+  HttpClient http(runtime);
+  RunTask(runtime, [&](Task& task) {
+    const std::string body(300000, 'x');
+    const auto request = HttpRequest::Builder().SetMethod("POST").SetBody(body).Build();
+    const auto call = [&](Duration limit) {
+      const auto response = http.Call(task, endpoint, request, CallOptions(SteadyNow() + limit));
+      return response ? std::string(response->Body() == body ? "whole" : "changed")
+                      : std::string(ErrorCodeName(response.error().code));
+    };
+    const auto set = [&](const char* mode) {
+      BodyOf(
+          http.Call(task, control, Post("/control/faults", {{"mode", mode}}), CallOptions(Soon())));
+    };
+    CHECK(call(seconds(10)) == "whole");
+    set("silent");
+    CHECK(call(milliseconds(200)) == "deadline_exceeded");  // on the connection kept from before
+    CHECK(call(seconds(10)) == "whole");                    // on a new one
+    set("silent_all");
+    CHECK(call(milliseconds(200)) == "deadline_exceeded");
+    CHECK(call(milliseconds(200)) == "deadline_exceeded");
+    set("up");
+    CHECK(call(seconds(10)) == "whole");
+    set("cut");
+    CHECK(call(seconds(10)) == "connection_lost");
+    set("up");
+    CHECK(call(seconds(10)) == "whole");
+    CHECK(BodyOf(http.Call(task, control, Get("/control/log"), CallOptions(Soon())))["bytes"] >
+          4 * 600000);
+  });
+}
+
+TEST_CASE("a partition that ends lets open connections go on", "[fakes]") {
+  Runtime runtime;
+  const auto server = HttpServer::Builder(runtime)
+                          .SetHandler([](Task& task, const HttpRequest& request, HttpReply& reply) {
+                            reply.Send(task, JsonResponse(200, request.Body()));
+                          })
+                          .Build();
+  const auto link = FakeLink::Builder(runtime).SetTarget(StartFake(*server)).Build();
+  const Endpoint endpoint = StartFake(*link);
+  HttpClient http(runtime);
+  RunTask(runtime, [&](Task& task) {
+    const auto call = [&] {
+      return http.Call(task, endpoint, Post("/", {{"a", 1}}), CallOptions(Soon()));
+    };
+    REQUIRE(call());
+    link->SetMode(FakeLink::Mode::kSilentAll);
+    runtime.Spawn([&](Task& other) {
+      SleepUntil(other, SteadyNow() + milliseconds(50));
+      link->SetMode(FakeLink::Mode::kUp);
+    });
+    CHECK(call());
+  });
+}
+
+}  // namespace
+}  // namespace anvilcroft::fakes
