--- a/anvilcroft/cluster_node.cc
+++ b/anvilcroft/cluster_node.cc
@@ -21,9 +21,9 @@
 constexpr char kPart[] = "cluster";
 constexpr char kHeadTopic[] = "head";
 
-void CallAll(const std::vector<ClusterNode::ChangeHook>& hooks) {
-  const auto to_call = hooks;
-  for (const auto& hook : to_call) hook();
+// Takes a copy, because a hook may register another.
+void CallAll(std::vector<ClusterNode::ChangeHook> hooks) {
+  for (const auto& hook : hooks) hook();
 }
 
 }  // namespace
--- a/anvilcroft/peer_choice.cc
+++ b/anvilcroft/peer_choice.cc
@@ -70,7 +70,7 @@
 
  private:
   void Join(const Pair& pair) {
-    this->peers[pair.a].insert(pair.b);
+    if (!this->peers[pair.a].insert(pair.b).second) return;
     this->peers[pair.b].insert(pair.a);
     if (pair.cross) {
       ++this->cross_peers[pair.a];
