--- /dev/null
+++ b/testing/admission_test.cc
@@ -0,0 +1,226 @@
+// Guards the limits of the request path: admission, budgets, crash counts, event parsing.
+
+#include "anvilcroft/admission.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+#include "anvilcroft/crash_guard.h"
+#include "anvilcroft/engine_output.h"
+#include "anvilcroft/latency_window.h"
+#include "anvilcroft/retry_budget.h"
+#include "anvilcroft/sse_parser.h"
+#include "testing/routing_fixture.h"
+
+namespace anvilcroft::testing {
+namespace {
+
+AdmissionRequest Request(Priority priority, bool short_work, Duration time = seconds(20)) {
+  AdmissionRequest request;
+  request.priority = priority;
+  request.short_work = short_work;
+  request.deadline = SteadyNow() + time;
+  return request;
+}
+
+// Guards against short work waiting behind long work.
+TEST_CASE("long work leaves the reserved places to short work", "[admission]") {
+  Runtime runtime;
+  Admission admission(AdmissionLimits{4, 10, 0.5});
+  RunTask(runtime, [&](Task& task) {
+    const auto enter = [&](bool short_work) {
+      return admission.Enter(task, Request(Priority::kNormal, short_work, milliseconds(10)),
+                             SteadyNow());
+    };
+    auto one = enter(false);
+    auto two = enter(false);
+    REQUIRE(one);
+    REQUIRE(two);
+    CHECK_FALSE(enter(false));
+    const auto three = enter(true);
+    const auto four = enter(true);
+    CHECK(three);
+    CHECK(four);
+    const auto five = enter(true);
+    REQUIRE_FALSE(five);
+    CHECK(five.error().ran == Ran::kNo);
+    CHECK(admission.Queued() == 0);
+    one = Result<AdmissionPermit>();
+    CHECK(enter(false));
+  });
+  CHECK(admission.InFlight() == 0);
+}
+
+// Guards against low priority first, and against an unbounded queue.
+TEST_CASE("the queue goes by priority, then arrival, and its end makes room", "[admission]") {
+  Runtime runtime;
+  Admission admission(AdmissionLimits{1, 3, 0});
+  std::string order;
+  std::string evicted;
+  RunTask(runtime, [&](Task& task) {
+    auto held = admission.Enter(task, Request(Priority::kNormal, false), SteadyNow());
+    int ended = 0;
+    const auto start = [&](char name, Priority priority) {
+      runtime.Spawn([&, name, priority](Task& other) {
+        const auto permit = admission.Enter(other, Request(priority, false), SteadyNow());
+        (permit ? order : evicted) += name;
+        ++ended;
+      });
+      SleepUntil(task, SteadyNow());
+    };
+    start('a', Priority::kLow);
+    start('b', Priority::kNormal);
+    start('c', Priority::kNormal);
+    start('d', Priority::kHigh);  // takes the place of a
+    start('e', Priority::kLow);   // finds the queue full
+    CHECK(WaitUntil(task, [&] { return evicted == "ae"; }));
+    CHECK(admission.Queued() == 3);
+    held = Result<AdmissionPermit>();
+    CHECK(WaitUntil(task, [&] { return ended == 5; }));
+  });
+  CHECK(order == "dbc");
+  CHECK(admission.InFlight() == 0);
+}
+
+// Guards against requests that wait although they cannot be served in time.
+TEST_CASE("a request whose expected wait exceeds its deadline is refused at once", "[admission]") {
+  Runtime runtime;
+  Admission admission(AdmissionLimits{1, 10, 0});
+  RunTask(runtime, [&](Task& task) {
+    {
+      const auto permit = admission.Enter(task, Request(Priority::kNormal, false), SteadyNow());
+      SleepUntil(task, SteadyNow() + milliseconds(300));
+    }
+    const auto held = admission.Enter(task, Request(Priority::kNormal, false), SteadyNow());
+    const TimePoint before = SteadyNow();
+    const auto refused =
+        admission.Enter(task, Request(Priority::kNormal, false, milliseconds(200)), before);
+    REQUIRE_FALSE(refused);
+    CHECK(refused.error().code == ErrorCode::kOverloaded);
+    CHECK(refused.error().ran == Ran::kNo);
+  });
+}
+
+// Guards the limits of the window through random arrivals, departures and limit changes.
+TEST_CASE("the window is never exceeded and no place is lost", "[admission]") {
+  Runtime runtime;
+  std::mt19937_64 random(9);
+  Admission admission(AdmissionLimits{5, 20, 0.4});
+  int long_now = 0;
+  int all_now = 0;
+  int ended = 0;
+  constexpr int kRequests = 300;
+  RunTask(runtime, [&](Task& task) {
+    for (int i = 0; i < kRequests; ++i) {
+      runtime.Spawn([&, priority = static_cast<Priority>(random() % 3),
+                     short_work = random() % 2 == 0, hold = random() % 8](Task& other) {
+        const auto permit = admission.Enter(other, Request(priority, short_work), SteadyNow());
+        if (permit) {
+          all_now += 1;
+          long_now += short_work ? 0 : 1;
+          CHECK(all_now <= 5);
+          CHECK(long_now <= 3);
+          SleepUntil(other, SteadyNow() + milliseconds(hold));
+          all_now -= 1;
+          long_now -= short_work ? 0 : 1;
+        }
+        ++ended;
+      });
+      if (random() % 4 == 0) SleepUntil(task, SteadyNow() + milliseconds(3));
+    }
+    CHECK(WaitUntil(task, [&] { return ended == kRequests; }));
+  });
+  CHECK(admission.InFlight() == 0);
+  CHECK(admission.Queued() == 0);
+}
+
+// Guards against retries that multiply the load of a failing service.
+TEST_CASE("retries stay within their fraction of the requests", "[admission]") {
+  RetryBudget budget(0.1, 5);
+  int retries = 0;
+  for (int i = 0; i < 1000; ++i) {
+    budget.OnRequest();
+    while (budget.TryTake()) ++retries;
+  }
+  CHECK(retries >= 100);
+  CHECK(retries <= 105);
+}
+
+TEST_CASE("two deaths refuse a request for ten minutes, within bounded memory", "[admission]") {
+  const TimePoint start = SteadyNow();
+  std::vector<int64_t> told;
+  CrashGuard guard([&](const std::string&, int64_t deaths, int64_t) { told.push_back(deaths); });
+  const std::string bad = CrashGuard::Fingerprint("s", "o", "body");
+  CHECK(bad != CrashGuard::Fingerprint("so", "", "body"));
+  guard.AddDeath(bad, start);
+  CHECK(guard.Check(bad, start));
+  guard.AddDeath(bad, start + seconds(10));
+  CHECK(told == std::vector<int64_t>{1, 2});
+  REQUIRE_FALSE(guard.Check(bad, start + seconds(20)));
+  CHECK(guard.Check(bad, start + seconds(20)).error().ran == Ran::kNo);
+  CHECK_FALSE(guard.Check(bad, start + seconds(600)));
+  CHECK(guard.Check(bad, start + seconds(611)));
+
+  guard.Merge("peer", 1, 600000, start);
+  guard.AddDeath("peer", start);
+  CHECK_FALSE(guard.Check("peer", start));
+  guard.Merge("absurd", INT64_MAX, INT64_MAX, start);
+  CHECK(guard.Check("absurd", start + CrashGuard::kTtl));
+  for (int i = 0; i < 1000; ++i) guard.AddDeath(std::to_string(i), start + milliseconds(i));
+  CHECK(guard.Size() == CrashGuard::kMaxEntries);
+  CHECK(guard.Deaths("999", start + seconds(2)) == 1);
+}
+
+TEST_CASE("the window's quantile follows new latencies", "[admission]") {
+  LatencyWindow window;
+  for (int i = 1; i < 20; ++i) window.Add(milliseconds(i));
+  CHECK_FALSE(window.Quantile(0.95));
+  for (int i = 20; i <= 100; ++i) window.Add(milliseconds(i));
+  CHECK(window.Quantile(0.95) == milliseconds(95));
+  for (int i = 0; i < 300; ++i) window.Add(milliseconds(7));
+  CHECK(window.Quantile(0.95) == milliseconds(7));
+}
+
+// Guards against events lost or merged at the borders of network packets.
+TEST_CASE("events are read alike however the input is cut", "[admission]") {
+  const std::string input =
+      ": comment\r\ndata: one\r\n\r\nevent: error\ndata: {\"a\":1}\ndata: two\n\n\n\ndata:three\n\n"
+      "id: 7\n\ndata: open";
+  const std::vector<SseEvent> expected = {{"", "one"}, {"error", "{\"a\":1}\ntwo"}, {"", "three"}};
+  std::mt19937_64 random(2);
+  for (int round = 0; round < 500; ++round) {
+    SseParser parser;
+    std::vector<SseEvent> events;
+    for (std::size_t at = 0; at < input.size();) {
+      const std::size_t length = 1 + random() % (round + 1);
+      const auto got = parser.Feed(std::string_view(input).substr(at, length));
+      REQUIRE(got);
+      events.insert(events.end(), got->begin(), got->end());
+      at += length;
+    }
+    REQUIRE(events == expected);
+  }
+  SseParser parser;
+  CHECK(parser.Feed("data: " + std::string(SseParser::kMaxEventBytes, 'x')).error().code ==
+        ErrorCode::kTooLarge);
+}
+
+// Guards invariant 1: an engine that contradicts itself leaves the versions unknown.
+TEST_CASE("final spans must agree with the versions of the tokens", "[admission]") {
+  const auto check = [](const std::vector<WeightSpan>& named, int64_t own) {
+    EngineOutput output;
+    for (const int64_t version : {1, 1, 2, 2, 2}) output.Add(0, "x", version);
+    output.CheckFinalSpans(named, own);
+    return output.Spans();
+  };
+  const std::vector<WeightSpan> joined = {{1, 2}, {2, 3}};
+  CHECK(check({{1, 2}, {2, 3}}, 5) == joined);
+  CHECK(check({{2, 2}}, 2) == joined);          // only the tokens of the last engine
+  CHECK(check({{1, 2}, {2, 3}}, 2) == joined);  // all tokens, though it made two
+  CHECK(check({{2, 5}}, 5).empty());
+  CHECK(check({{1, 1}, {2, 3}}, 5).empty());
+  CHECK(check({}, 3).empty());
+}
+
+}  // namespace
+}  // namespace anvilcroft::testing
