--- a/anvilcroft/engine_control.cc
+++ b/anvilcroft/engine_control.cc
@@ -47,10 +47,11 @@
 
 void EngineControl::Wake() {
   ++this->wakes;
-  this->wake.NotifyAll();
+  this->wake->NotifyAll();
 }
 
 void EngineControl::Run(Task& task, const std::string& target_id) {
+  const std::shared_ptr<Event> event = this->wake;  // outlives the waits of this task
   const auto watched = std::make_shared<Watched>();
   while (const auto before = this->owned(target_id)) {
     const uint64_t seen = this->wakes;
@@ -60,7 +61,7 @@
     if (!current) return;
     TimePoint next = SteadyNow() + kPollInterval;
     if (state) next = std::min(next, this->Act(*current, *state, watched));
-    while (seen == this->wakes && this->wake.WaitUntil(task, next)) {
+    while (seen == this->wakes && event->WaitUntil(task, next)) {
     }
   }
 }
@@ -138,6 +139,11 @@
     if (outcome == ErrorCodeName(ErrorCode::kOldFencing)) {
       this->refused_token(owned.target.Id(), owned.token);
     }
+    if (outcome == ErrorCodeName(ErrorCode::kNoLease)) {
+      // Nothing was sent, so the engine has not failed.
+      watched->not_before = now + kFirstRetryDelay;
+      return;
+    }
     this->Failed(*watched, now);
   });
 }
--- a/anvilcroft/engine_control.h
+++ b/anvilcroft/engine_control.h
@@ -95,7 +95,7 @@
   Duration swap_time = SwapSchedule::kSwapTime;
   std::mt19937_64 random;
   std::set<std::string> running;
-  Event wake;
+  std::shared_ptr<Event> wake = std::make_shared<Event>();
   uint64_t wakes = 0;
   bool orders_stopped = false;
   int64_t orders_in_flight = 0;
--- a/anvilcroft/engine_owner.cc
+++ b/anvilcroft/engine_owner.cc
@@ -28,11 +28,12 @@
 
 void EngineOwner::Start() {
   this->runtime.Spawn([this](Task& task) {
+    const std::shared_ptr<Event> event = this->wake;  // outlives the waits of this task
     while (!this->stopped) {
       this->look_due = false;
       this->Look();
       const TimePoint next = SteadyNow() + kInterval;
-      while (!this->look_due && this->wake.WaitUntil(task, next)) {
+      while (!this->look_due && event->WaitUntil(task, next)) {
       }
     }
   });
@@ -40,7 +41,7 @@
 
 void EngineOwner::Wake() {
   this->look_due = true;
-  this->wake.NotifyAll();
+  this->wake->NotifyAll();
 }
 
 void EngineOwner::Stop() {
--- a/anvilcroft/engine_owner.h
+++ b/anvilcroft/engine_owner.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -82,7 +83,7 @@
   std::map<std::string, Owned> owned;
   std::set<std::string> acquiring;
   std::map<std::string, TimePoint> not_before;
-  Event wake;
+  std::shared_ptr<Event> wake = std::make_shared<Event>();
   bool look_due = false;
   bool stopped = false;
 };
--- a/anvilcroft/group_runner.cc
+++ b/anvilcroft/group_runner.cc
@@ -80,6 +80,7 @@
     : context(context), marker(std::move(marker)), may_start(std::move(may_start)) {}
 
 bool GroupRunner::Run(Task& task) {
+  const std::shared_ptr<Event> event = this->changed;  // outlives the waits of this task
   while (this->may_start()) {
     auto record = this->context.store.ReadGroup(task, this->marker.id, SteadyNow() + kStoreTimeout);
     if (!record && record.error().code != ErrorCode::kStoreUnavailable) {
@@ -99,7 +100,7 @@
         continue;
       }
     }
-    this->changed.WaitUntil(task, SteadyNow() + kStoreRetry);
+    event->WaitUntil(task, SteadyNow() + kStoreRetry);
   }
   return false;
 }
@@ -114,8 +115,9 @@
     this->context.budget.Started();
     this->Issue(sample, {});
   }
+  const std::shared_ptr<Event> event = this->changed;  // outlives the waits of this task
   while (this->tasks > 0) {
-    this->changed.WaitUntil(task, SteadyNow() + kStragglerPoll);
+    event->WaitUntil(task, SteadyNow() + kStragglerPoll);
     this->ReissueStragglers(SteadyNow());
   }
   return std::all_of(this->samples.begin(), this->samples.end(),
@@ -145,12 +147,13 @@
   this->context.runtime.Spawn([this, sample, excluded = std::move(excluded)](Task& task) {
     this->RunCopy(task, sample, excluded);
     --this->tasks;
-    this->changed.NotifyAll();
+    this->changed->NotifyAll();
   });
 }
 
 void GroupRunner::RunCopy(Task& task, const std::shared_ptr<Sample>& sample,
                           const std::set<std::string>& excluded) {
+  const std::shared_ptr<Event> event = this->changed;  // outlives the waits of this task
   const bool first = !sample->reissued;
   Duration backoff = kFirstBackoff;
   while (!sample->done && this->may_start()) {
@@ -174,7 +177,7 @@
     const Duration wait = outcome == Outcome::kRefused ? kRefusedBackoff : backoff;
     const double factor = std::uniform_real_distribution<double>(0.5, 1)(this->context.random);
     const TimePoint until = SteadyNow() + std::chrono::duration_cast<Duration>(wait * factor);
-    while (!sample->done && this->may_start() && this->changed.WaitUntil(task, until)) {
+    while (!sample->done && this->may_start() && event->WaitUntil(task, until)) {
     }
     backoff = std::min<Duration>(backoff * 2, kLongestBackoff);
   }
@@ -316,7 +319,7 @@
   // Only the other copy still listens; a cancellation of finished work does nothing.
   const auto cancellations = sample->cancellations;
   for (const auto& cancellation : cancellations) cancellation->Cancel();
-  this->changed.NotifyAll();
+  this->changed->NotifyAll();
 }
 
 }  // namespace anvilcroft
--- a/anvilcroft/group_runner.h
+++ b/anvilcroft/group_runner.h
@@ -78,7 +78,7 @@
   bool Run(Task& task);
 
   // Makes waiting tasks ask `may_start` again.
-  void Wake() { this->changed.NotifyAll(); }
+  void Wake() { this->changed->NotifyAll(); }
 
   // Number of samples whose tasks are running.
   int64_t Running() const { return this->tasks; }
@@ -111,7 +111,7 @@
   std::vector<std::shared_ptr<Sample>> samples;
   std::vector<Duration> durations;  // of completed samples
   int64_t tasks = 0;
-  Event changed;
+  std::shared_ptr<Event> changed = std::make_shared<Event>();
 };
 
 }  // namespace anvilcroft
--- a/anvilcroft/shard_worker.cc
+++ b/anvilcroft/shard_worker.cc
@@ -19,6 +19,7 @@
 
 void ShardWorker::Start() {
   this->context.runtime.Spawn([this](Task& task) {
+    const std::shared_ptr<Event> event = this->wake;  // outlives the waits of this task
     TimePoint next_scan = SteadyNow();
     while (!this->stopped) {
       this->woken = false;
@@ -34,7 +35,7 @@
       this->StartPending();
       const TimePoint until =
           this->due.empty() ? next_scan : std::min(next_scan, SteadyNow() + kScanRetry);
-      while (!this->woken && this->wake.WaitUntil(task, until)) {
+      while (!this->woken && event->WaitUntil(task, until)) {
       }
     }
   });
@@ -44,13 +45,13 @@
   if (shard < 0 || shard >= GroupId::kShards) return;
   this->due.insert(shard);
   this->woken = true;
-  this->wake.NotifyAll();
+  this->wake->NotifyAll();
 }
 
 void ShardWorker::OnRosterChange() {
   this->all_due = true;
   this->woken = true;
-  this->wake.NotifyAll();
+  this->wake->NotifyAll();
   for (const auto& [id, runner] : this->running) runner->Wake();
 }
 
@@ -58,7 +59,7 @@
   this->stopped = true;
   this->pending.clear();
   this->woken = true;
-  this->wake.NotifyAll();
+  this->wake->NotifyAll();
   for (const auto& [id, runner] : this->running) runner->Wake();
 }
 
@@ -139,7 +140,7 @@
     this->running.erase(id);
     if (!finished) this->due.insert(shard);
     this->woken = true;
-    this->wake.NotifyAll();
+    this->wake->NotifyAll();
   });
 }
 
--- a/anvilcroft/shard_worker.h
+++ b/anvilcroft/shard_worker.h
@@ -71,7 +71,7 @@
   std::set<int> due;
   std::map<GroupId, SampleStore::Marker> pending;
   std::map<GroupId, std::shared_ptr<GroupRunner>> running;
-  Event wake;
+  std::shared_ptr<Event> wake = std::make_shared<Event>();
   bool woken = false;
   bool all_due = true;
   bool stopped = false;
--- a/anvilcroft/weight_catalog.cc
+++ b/anvilcroft/weight_catalog.cc
@@ -29,11 +29,12 @@
 
 void WeightCatalog::Start() {
   this->runtime.Spawn([this](Task& task) {
+    const std::shared_ptr<Event> event = this->wake;  // outlives the waits of this task
     while (true) {
       this->refresh_due = false;
       this->Refresh(task);
       const TimePoint next = SteadyNow() + kRefreshInterval;
-      while (!this->refresh_due && this->wake.WaitUntil(task, next)) {
+      while (!this->refresh_due && event->WaitUntil(task, next)) {
       }
     }
   });
@@ -87,7 +88,7 @@
 
 void WeightCatalog::OnWeightsChange() {
   this->refresh_due = true;
-  this->wake.NotifyAll();
+  this->wake->NotifyAll();
 }
 
 void WeightCatalog::Refresh(Task& task) {
--- a/anvilcroft/weight_catalog.h
+++ b/anvilcroft/weight_catalog.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -59,7 +60,7 @@
   StoreAccess store;
   std::function<void()> changed;
   std::map<std::string, WeightRecord> newest;
-  Event wake;
+  std::shared_ptr<Event> wake = std::make_shared<Event>();
   bool refresh_due = false;
 };
 
