--- a/anvilcroft/endpoint.cc
+++ b/anvilcroft/endpoint.cc
@@ -16,6 +16,8 @@
   };
   const std::size_t colon = text.rfind(':');
   if (colon == std::string::npos || colon == 0) return malformed();
+  // make_address reads only up to a zero byte.
+  if (text.find('\0') != std::string::npos) return malformed();
   std::string ip = text.substr(0, colon);
   if (ip.front() == '[' && ip.back() == ']') ip = ip.substr(1, ip.size() - 2);
 
--- a/anvilcroft/json.cc
+++ b/anvilcroft/json.cc
@@ -65,6 +65,41 @@
   int depth = 0;
 };
 
+// Whether a string of indefinite length begins anywhere in `bytes`. The parser reads the chunks of
+// such a string by recursion without asking the handler, so that nested ones exhaust the stack.
+// to_cbor writes none. Malformed input is left to the parser.
+bool HasIndefiniteCborString(std::string_view bytes) {
+  constexpr unsigned kBytes = 2;  // major types of RFC 8949
+  constexpr unsigned kText = 3;
+  constexpr unsigned kSimple = 7;
+  constexpr unsigned kIndefinite = 31;
+  std::size_t at = 0;
+  while (at < bytes.size()) {
+    const auto head = static_cast<unsigned char>(bytes[at++]);
+    const unsigned major = head >> 5;
+    const unsigned info = head & 0x1f;
+    const bool is_string = major == kBytes || major == kText;
+    if (is_string && info == kIndefinite) return true;
+    // The argument: in the head itself, or in the 1, 2, 4 or 8 bytes that follow.
+    uint64_t argument = info;
+    if (info >= 24 && info <= 27) {
+      argument = 0;
+      const std::size_t width = std::size_t{1} << (info - 24);
+      if (bytes.size() - at < width) return false;
+      for (std::size_t i = 0; i < width; ++i) {
+        argument = (argument << 8) | static_cast<unsigned char>(bytes[at++]);
+      }
+    } else if (info > 27 && major != kSimple && info != kIndefinite) {
+      return false;  // reserved; the parser stops here
+    }
+    if (is_string) {
+      if (bytes.size() - at < argument) return false;
+      at += static_cast<std::size_t>(argument);
+    }
+  }
+  return false;
+}
+
 Result<json> ParseAs(std::string_view input, json::input_format_t format) {
   json root;
   BoundedSax sax(root);
@@ -86,6 +121,9 @@
 Result<json> ParseJson(std::string_view text) { return ParseAs(text, json::input_format_t::json); }
 
 Result<json> ParseCbor(std::string_view bytes) {
+  if (HasIndefiniteCborString(bytes)) {
+    return Fail(ErrorCode::kInvalidArgument, "CBOR strings of indefinite length are not accepted");
+  }
   return ParseAs(bytes, json::input_format_t::cbor);
 }
 
--- a/anvilcroft/json.h
+++ b/anvilcroft/json.h
@@ -29,7 +29,7 @@
 // the byte offset) and with kTooLarge on nesting deeper than kMaxJsonDepth.
 Result<nlohmann::json> ParseJson(std::string_view text);
 
-// Decodes CBOR under the same bounds as ParseJson.
+// Decodes CBOR under the same bounds as ParseJson. Strings of indefinite length are refused.
 Result<nlohmann::json> ParseCbor(std::string_view bytes);
 
 // The text of `value`; invalid UTF-8 is replaced, so that this cannot fail.
--- a/anvilcroft/settings_loader.cc
+++ b/anvilcroft/settings_loader.cc
@@ -158,7 +158,7 @@
   }
 
   std::optional<Endpoint> Address(const YamlTree& node, const std::string& key, bool port_zero) {
-    if (node.kind == Kind::kScalar && node.scalar.find('\0') == std::string::npos) {
+    if (node.kind == Kind::kScalar) {
       const auto endpoint = ParseEndpoint(node.scalar);
       if (endpoint && (endpoint->ip == "0.0.0.0" || endpoint->ip == "::")) {
         this->Report(node, key, "an IP number that others can connect to");
