--- a/anvilcroft/metrics.cc
+++ b/anvilcroft/metrics.cc
@@ -5,6 +5,7 @@
 #include <boost/accumulators/statistics/extended_p_square.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
+#include <iomanip>
 #include <sstream>
 
 namespace anvilcroft {
@@ -99,6 +100,8 @@
 
 std::string Metrics::Render() const {
   std::ostringstream out;
+  // The default of 6 digits would make a counter beyond a million stand still between scrapes.
+  out << std::setprecision(15);
   for (const auto& [name, family] : this->counters) {
     out << "# TYPE " << name << " counter\n";
     for (const auto& [labels, value] : family)
