--- a/anvilcroft/http_server.cc
+++ b/anvilcroft/http_server.cc
@@ -29,8 +29,9 @@
       : stream(std::move(socket)), write_timeout(write_timeout) {}
 
   // Prepares for the answer to the next request.
-  void BeginRequest(bool keep_alive_wanted) {
+  void BeginRequest(bool keep_alive_wanted, bool head_only_wanted = false) {
     this->answered = false;
+    this->head_only = head_only_wanted;
     this->streaming = false;
     this->keep_alive = keep_alive_wanted && !this->closing;
   }
@@ -42,7 +43,13 @@
     this->keep_alive = message.keep_alive();
     error_code failed;
     this->stream.expires_after(this->write_timeout);
-    http::async_write(this->stream, message, task.yield[failed]);
+    if (this->head_only) {
+      // A body after the response to HEAD would be taken for the next response.
+      http::response_serializer<http::string_body> serializer(message);
+      http::async_write_header(this->stream, serializer, task.yield[failed]);
+    } else {
+      http::async_write(this->stream, message, task.yield[failed]);
+    }
     return this->Outcome(failed);
   }
 
@@ -97,6 +104,7 @@
   beast::flat_buffer buffer;
   bool answered = false;
   bool streaming = false;
+  bool head_only = false;  // the request is a HEAD
   bool keep_alive = true;
   bool busy = false;     // a request is being read or served
   bool closing = false;  // close after the answer that is under way
@@ -222,7 +230,7 @@
       this->RefuseInput(task, session, failed);
       return false;
     }
-    session.BeginRequest(parser.keep_alive());
+    session.BeginRequest(parser.keep_alive(), parser.get().method() == http::verb::head);
     const HttpRequest request = FromWire(parser.get());
     // The handler may run for long (a stream of many minutes); each write sets its own limit.
     session.stream.expires_never();
