--- a/anvilcroft/config_document.cc
+++ b/anvilcroft/config_document.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "anvilcroft/json.h"
+#include "anvilcroft/name.h"
 
 namespace anvilcroft {
 namespace {
@@ -31,8 +32,12 @@
   JsonFields fields(json, "");
   for (const auto& [name, body] : fields.Object("deployments").items()) {
     JsonFields deployment(body, "deployments." + name);
+    if (!IsName(name)) deployment.Refuse("", std::string("must have a name of ") + kNameRule);
     document.zones[name] = deployment.Strings("zones", kMaxZones);
     if (document.zones[name].empty()) deployment.Refuse("zones", "must name a zone");
+    for (const std::string& zone : document.zones[name]) {
+      if (!IsName(zone)) deployment.Refuse("zones", std::string("must hold names of ") + kNameRule);
+    }
     for (const auto& [service_name, service_body] : deployment.Object("services").items()) {
       auto service = DecodeServiceConfig(name, service_name, service_body);
       if (!service) return Invalid(service.error());
--- a/anvilcroft/json.cc
+++ b/anvilcroft/json.cc
@@ -153,7 +153,8 @@
 
 void JsonFields::Refuse(const char* key, std::string message) {
   if (!this->outcome) return;
-  const std::string part = this->path.empty() ? key : this->path + "." + key;
+  const bool whole = *key == '\0';
+  const std::string part = this->path.empty() ? key : whole ? this->path : this->path + "." + key;
   this->outcome = Fail(ErrorCode::kInvalidArgument, std::move(message), part);
 }
 
--- a/anvilcroft/json.h
+++ b/anvilcroft/json.h
@@ -62,7 +62,7 @@
   // Reports fields that none of the calls above asked for.
   void RefuseUnknown();
 
-  // Records an error found by the caller in `key`.
+  // Records an error found by the caller in `key`, or in the object itself if `key` is "".
   void Refuse(const char* key, std::string message);
 
   bool Ok() const { return this->outcome.has_value(); }
--- a/anvilcroft/service_config.cc
+++ b/anvilcroft/service_config.cc
@@ -1,6 +1,7 @@
 #include "anvilcroft/service_config.h"
 
 #include "anvilcroft/json.h"
+#include "anvilcroft/name.h"
 
 namespace anvilcroft {
 
@@ -36,6 +37,7 @@
   ServiceConfig service;
   service.name = name;
   service.deployment = deployment;
+  if (!IsName(name)) fields.Refuse("", std::string("must have a name of ") + kNameRule);
   const auto kind = ParseTargetKind(fields.String("kind"));
   if (kind) {
     service.kind = *kind;
@@ -44,6 +46,7 @@
   }
   for (const auto& [operation, body] : fields.Object("operations").items()) {
     JsonFields inner(body, path + ".operations." + operation);
+    if (!IsName(operation)) inner.Refuse("", std::string("must have a name of ") + kNameRule);
     OperationConfig config;
     config.path = inner.String("path");
     config.repeatable = inner.Bool("repeatable");
--- a/anvilcroft/settings_loader.cc
+++ b/anvilcroft/settings_loader.cc
@@ -8,6 +8,7 @@
 
 #include "anvilcroft/endpoint.h"
 #include "anvilcroft/input_file.h"
+#include "anvilcroft/name.h"
 #include "anvilcroft/yaml_tree.h"
 
 namespace anvilcroft {
@@ -15,7 +16,6 @@
 
 using Kind = YamlTree::Kind;
 
-constexpr std::size_t kMaxNameBytes = 64;
 constexpr std::size_t kMaxSeeds = 64;
 constexpr std::size_t kMaxShownBytes = 60;
 
@@ -135,18 +135,12 @@
         SettingsProblem{this->file, line, key, std::move(found), std::move(expected)});
   }
 
-  // A name of at most 64 letters, digits, dots, hyphens and underscores.
   std::string Name(const std::string& key, bool required) {
     const YamlTree* node = this->Find(key, required);
     if (node == nullptr) return "";
-    const auto allowed = [](unsigned char c) {
-      return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') ||
-             c == '.' || c == '-' || c == '_';
-    };
     const std::string& text = node->scalar;
-    if (node->kind != Kind::kScalar || text.empty() || text.size() > kMaxNameBytes ||
-        !std::all_of(text.begin(), text.end(), allowed)) {
-      this->Report(*node, key, "1 to 64 letters, digits, dots, hyphens or underscores");
+    if (node->kind != Kind::kScalar || !IsName(text)) {
+      this->Report(*node, key, kNameRule);
       return "";
     }
     return text;
--- a/testing/decode_fuzz_test.cc
+++ b/testing/decode_fuzz_test.cc
@@ -114,6 +114,21 @@
   }
 }
 
+TEST_CASE("a name in the configuration cannot hold the separator of row keys", "[config]") {
+  const auto decode = [](const std::string& from, const std::string& to) {
+    std::string text = kDocument;
+    text.replace(text.find(from), from.size(), to);
+    return ConfigDocument::Decode(1, *ParseJson(text));
+  };
+  const auto refused = decode("\"s\":", "\"s/t\":");
+  REQUIRE_FALSE(refused);
+  CHECK(refused.error().code == ErrorCode::kInvalidPatch);
+  CHECK(refused.error().part == "deployments.d.services.s/t");
+  CHECK_FALSE(decode("\"d\":", "\"\":"));
+  CHECK_FALSE(decode("\"generate\"", "\"a b\""));
+  CHECK_FALSE(decode("[\"a\",\"b\"]", "[\"a\",\"b/\"]"));
+}
+
 TEST_CASE("damaged JSON text never ends the program", "[fuzz]") {
   std::mt19937_64 random(11);
   for (int round = 0; round < 4000; ++round) {
