--- a/anvilcroft/instance.h
+++ b/anvilcroft/instance.h
@@ -7,8 +7,8 @@
 
 namespace anvilcroft {
 
-// Runs an instance until its graceful shutdown is complete. Returns the exit code of the process.
-// The log is set up before the call.
+// Sets up the log and runs an instance until its graceful shutdown is complete. Returns the exit
+// code of the process.
 int RunInstance(const Settings& settings);
 
 }  // namespace anvilcroft
--- a/anvilcroft/list_command.cc
+++ b/anvilcroft/list_command.cc
@@ -19,10 +19,12 @@
 
 const std::vector<Listing>& Listings() {
   static const std::vector<Listing> listings = {
-      {"members", "/v1/members", {"id", "zone", "region", "state", "api_address", "peer_address"}},
+      {"members",
+       "/v1/members",
+       {"id", "zone", "region", "state", "in_contact", "api_address", "peer_address"}},
       {"deployments", "/v1/deployments", {"deployment", "zones", "service", "kind", "operations"}},
-      {"targets", "/v1/targets", {"id", "kind", "service", "zone", "state", "address"}},
-      {"samples", "/v1/samples", {"trainer", "step", "group", "index", "state"}},
+      {"targets", "/v1/targets", {"id", "kind", "service", "zone", "phase", "eligible", "address"}},
+      {"samples", "/v1/samples", {"sample", "state", "attempt", "take_id"}},
       {"config", "/v1/config", {}}};
   return listings;
 }
--- a/anvilcroft/run_command.cc
+++ b/anvilcroft/run_command.cc
@@ -4,7 +4,6 @@
 #include "anvilcroft/command_line.h"
 #include "anvilcroft/exit_code.h"
 #include "anvilcroft/instance.h"
-#include "anvilcroft/log.h"
 #include "anvilcroft/settings_loader.h"
 
 namespace anvilcroft {
@@ -24,7 +23,6 @@
       for (const auto& problem : settings.error()) error << problem.ToString() << "\n";
       return kExitBadSettings;
     }
-    InitLog(settings->MinimumLogLevel());
     return RunInstance(*settings);
   };
   return Command{"run", "Run an instance", run};
--- a/testing/command_test.cc
+++ b/testing/command_test.cc
@@ -276,6 +276,18 @@
   CHECK(status("/healthz") == 200);
 }
 
+TEST_CASE("the manual names every error code with its status", "[docs]") {
+  const std::string manual = ReadFile(ANVILCROFT_EXAMPLES "/../docs/api.md");
+  for (int i = 0; i <= static_cast<int>(ErrorCode::kInternal); ++i) {
+    const auto code = static_cast<ErrorCode>(i);
+    const std::string row =
+        std::string("\n| `") + ErrorCodeName(code) + "` | " + std::to_string(StatusOf(code)) + " |";
+    INFO(row);
+    CHECK(manual.find(row) != std::string::npos);
+    CHECK(ParseErrorCode(ErrorCodeName(code)) == code);
+  }
+}
+
 TEST_CASE("the example files pass the check", "[command]") {
   const Outcome outcome = RunWords({"check", "--settings", ANVILCROFT_EXAMPLES "/instance.yaml",
                                     "--document", ANVILCROFT_EXAMPLES "/deployment.json"});
