--- a/anvilcroft/engine_control.cc
+++ b/anvilcroft/engine_control.cc
@@ -107,7 +107,7 @@
                                       .SetEngines(owned.engines)
                                       .SetMaxSwapping(goal.max_swapping)
                                       .SetDownloadsPerSecond(goal.downloads_per_second)
-                                      .SetSwapTime(this->swap_time)
+                                      .SetSwapTime(goal.swap_time)
                                       .Build();
     const Duration earliest = goal.since_published + (start - now);
     start += schedule.NextStart(static_cast<int64_t>(owned.rank), earliest) - earliest;
@@ -222,11 +222,6 @@
   return *this;
 }
 
-EngineControl::Builder& EngineControl::Builder::SetSwapTime(Duration value) {
-  this->swap_time = value;
-  return *this;
-}
-
 EngineControl::Builder& EngineControl::Builder::SetSeed(uint64_t value) {
   this->seed = value;
   return *this;
@@ -241,7 +236,6 @@
   control->holds_lease = this->holds_lease;
   control->report = this->report;
   control->refused_token = this->refused_token;
-  control->swap_time = this->swap_time;
   control->random.seed(this->seed);
   return control;
 }
--- a/anvilcroft/engine_control.h
+++ b/anvilcroft/engine_control.h
@@ -52,6 +52,7 @@
     EngineGoal goal;
     double downloads_per_second = 1;
     double max_swapping = 0.25;
+    Duration swap_time = SwapSchedule::kSwapTime;  // of one engine
     // Time since the newest weights were published.
     Duration since_published = Duration::zero();
   };
@@ -92,7 +93,6 @@
   std::function<bool(TimePoint)> holds_lease;
   std::function<void(const EngineReport&)> report;
   std::function<void(const std::string&, RowVersion)> refused_token;
-  Duration swap_time = SwapSchedule::kSwapTime;
   std::mt19937_64 random;
   std::set<std::string> running;
   std::shared_ptr<Event> wake = std::make_shared<Event>();
@@ -114,7 +114,6 @@
   Builder& SetReport(std::function<void(const EngineReport&)> value);
   // Called when an engine refuses a token as old.
   Builder& SetRefusedToken(std::function<void(const std::string&, RowVersion)> value);
-  Builder& SetSwapTime(Duration value);
   Builder& SetSeed(uint64_t value);
   std::unique_ptr<EngineControl> Build() const;
 
@@ -127,7 +126,6 @@
   std::function<bool(TimePoint)> holds_lease;
   std::function<void(const EngineReport&)> report;
   std::function<void(const std::string&, RowVersion)> refused_token;
-  Duration swap_time = SwapSchedule::kSwapTime;
   uint64_t seed = 0;
 };
 
--- a/anvilcroft/http_client.cc
+++ b/anvilcroft/http_client.cc
@@ -22,11 +22,19 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
+// Bytes written and read by all connections of one client.
+struct Traffic {
+  uint64_t sent = 0;
+  uint64_t received = 0;
+};
+
 struct Connection {
-  explicit Connection(asio::io_context& io) : stream(io) {}
+  Connection(asio::io_context& io, std::shared_ptr<Traffic> traffic)
+      : stream(io), traffic(std::move(traffic)) {}
 
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
+  std::shared_ptr<Traffic> traffic;
   TimePoint idle_since;
   bool reused = false;
 };
@@ -87,10 +95,12 @@
 
   void Forget(const Endpoint& endpoint) { this->pool.erase(endpoint); }
 
+  const Traffic& Totals() const { return *this->traffic; }
+
  private:
   Result<std::shared_ptr<Connection>> Connect(Task& task, const Endpoint& endpoint,
                                               const CallOptions& options) {
-    auto connection = std::make_shared<Connection>(this->io);
+    auto connection = std::make_shared<Connection>(this->io, this->traffic);
     const auto cancel = CloseOnCancel(options, connection);
     error_code failed;
     const auto ip = asio::ip::make_address(endpoint.ip, failed);
@@ -124,6 +134,7 @@
 
   asio::io_context& io;
   std::map<Endpoint, std::vector<std::shared_ptr<Connection>>> pool;
+  std::shared_ptr<Traffic> traffic = std::make_shared<Traffic>();
 };
 
 namespace {
@@ -146,8 +157,8 @@
   Result<void> ReadHeader(Task& task) {
     error_code failed;
     this->SetTimeout();
-    http::async_read_header(this->connection->stream, this->connection->buffer, this->parser,
-                            task.yield[failed]);
+    this->connection->traffic->received += http::async_read_header(
+        this->connection->stream, this->connection->buffer, this->parser, task.yield[failed]);
     if (failed) return TransferError(failed, this->options);
     this->headers = FromWire(this->parser.get());
     return {};
@@ -161,8 +172,8 @@
     while (body.empty() && !this->parser.is_done()) {
       error_code failed;
       this->SetTimeout();
-      http::async_read_some(this->connection->stream, this->connection->buffer, this->parser,
-                            task.yield[failed]);
+      this->connection->traffic->received += http::async_read_some(
+          this->connection->stream, this->connection->buffer, this->parser, task.yield[failed]);
       if (failed) {
         this->connection->stream.close();
         return TransferError(failed, this->options);
@@ -197,6 +208,10 @@
 
 void HttpClient::Forget(const Endpoint& endpoint) { this->impl->Forget(endpoint); }
 
+uint64_t HttpClient::BytesSent() const { return this->impl->Totals().sent; }
+
+uint64_t HttpClient::BytesReceived() const { return this->impl->Totals().received; }
+
 Result<std::unique_ptr<HttpStream>> HttpClient::Open(Task& task, const Endpoint& endpoint,
                                                      const HttpRequest& request,
                                                      const CallOptions& options) {
@@ -218,7 +233,7 @@
   const auto message = ToWire(request, endpoint.ToString());
   connection->stream.expires_at(
       std::min(options.Deadline(), SteadyNow() + options.ProgressTimeout()));
-  http::async_write(connection->stream, message, task.yield[failed]);
+  connection->traffic->sent += http::async_write(connection->stream, message, task.yield[failed]);
   Result<void> header = failed ? TransferError(failed, options) : Result<void>();
   if (header) header = stream->ReadHeader(task);
   if (header) return std::unique_ptr<HttpStream>(std::move(stream));
--- a/anvilcroft/http_client.h
+++ b/anvilcroft/http_client.h
@@ -12,6 +12,7 @@
 // not an error. A connection on which a call failed in any way is closed, never used again.
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -65,6 +66,10 @@
   // Closes the idle connections to `endpoint`.
   void Forget(const Endpoint& endpoint);
 
+  // Bytes of HTTP messages written and read so far, without those of TCP and IP.
+  uint64_t BytesSent() const;
+  uint64_t BytesReceived() const;
+
  private:
   class Impl;
   std::shared_ptr<Impl> impl;
--- a/anvilcroft/rollout_node.cc
+++ b/anvilcroft/rollout_node.cc
@@ -46,7 +46,6 @@
                         .SetRefusedToken([this](const std::string& id, RowVersion token) {
                           this->owner.RefusedToken(id, token, SteadyNow());
                         })
-                        .SetSwapTime(builder.swap_time)
                         .SetSeed(builder.seed + 1)
                         .Build();
     Metrics& metrics = *builder.metrics;
@@ -111,6 +110,7 @@
       goal.goal.model = service->Model();
       goal.downloads_per_second = service->DownloadsPerSecond();
       goal.max_swapping = service->MaxSwapping();
+      goal.swap_time = milliseconds(static_cast<int64_t>(1000 * service->SwapSeconds()));
     }
     WallMillis published = 0;
     if (const auto newest = this->weights.Find(target.Service())) {
@@ -189,11 +189,6 @@
   return *this;
 }
 
-RolloutNode::Builder& RolloutNode::Builder::SetSwapTime(Duration value) {
-  this->swap_time = value;
-  return *this;
-}
-
 RolloutNode::Builder& RolloutNode::Builder::SetTracer(Tracer& value) {
   this->tracer = &value;
   return *this;
--- a/anvilcroft/rollout_node.h
+++ b/anvilcroft/rollout_node.h
@@ -89,8 +89,6 @@
   Builder& SetNotify(Notify value);
   // The role that an engine should have, "" for any. Default: any.
   Builder& SetRole(std::function<std::string(const Target&)> value);
-  // Time that one swap is assumed to take. Default SwapSchedule::kSwapTime.
-  Builder& SetSwapTime(Duration value);
   Builder& SetTracer(Tracer& value);
   Builder& SetMetrics(Metrics& value);
   Builder& SetSeed(uint64_t value);
@@ -110,7 +108,6 @@
   std::function<void(const EngineReport&)> report;
   Notify notify;
   std::function<std::string(const Target&)> role;
-  Duration swap_time = SwapSchedule::kSwapTime;
   Tracer* tracer = nullptr;
   Metrics* metrics = nullptr;
   uint64_t seed = 0;
--- a/anvilcroft/service_config.cc
+++ b/anvilcroft/service_config.cc
@@ -62,6 +62,7 @@
   service.short_reserve = fields.NumberOr("short_reserve", service.short_reserve, 0, 0.9);
   service.downloads_per_second =
       fields.NumberOr("downloads_per_second", service.downloads_per_second, 0.01, 100000);
+  service.swap_seconds = fields.NumberOr("swap_seconds", service.swap_seconds, 0.01, 600);
   service.max_swapping = fields.NumberOr("max_swapping", service.max_swapping, 0.01, 1);
   service.model = fields.StringOr("model", "");
   fields.RefuseUnknown();
--- a/anvilcroft/service_config.h
+++ b/anvilcroft/service_config.h
@@ -48,6 +48,8 @@
   double ShortReserve() const { return this->short_reserve; }
   // Weight downloads a second that the weight store allows for this service.
   double DownloadsPerSecond() const { return this->downloads_per_second; }
+  // Time that one engine takes to swap weights, seconds; swaps are scheduled by it.
+  double SwapSeconds() const { return this->swap_seconds; }
   // Largest part of the service's engines that may swap weights at once, 0 to 1.
   double MaxSwapping() const { return this->max_swapping; }
   // The model that every engine of the service should have loaded; empty: whatever it has.
@@ -55,10 +57,10 @@
 
   friend bool operator==(const ServiceConfig& a, const ServiceConfig& b) {
     return std::tie(a.name, a.deployment, a.kind, a.operations, a.max_in_flight, a.max_queued,
-                    a.short_max_tokens, a.short_reserve, a.downloads_per_second, a.max_swapping,
+                    a.short_max_tokens, a.short_reserve, a.downloads_per_second, a.swap_seconds, a.max_swapping,
                     a.model) == std::tie(b.name, b.deployment, b.kind, b.operations,
                                          b.max_in_flight, b.max_queued, b.short_max_tokens,
-                                         b.short_reserve, b.downloads_per_second, b.max_swapping,
+                                         b.short_reserve, b.downloads_per_second, b.swap_seconds, b.max_swapping,
                                          b.model);
   }
   friend bool operator!=(const ServiceConfig& a, const ServiceConfig& b) { return !(a == b); }
@@ -77,6 +79,7 @@
   int64_t short_max_tokens = 64;
   double short_reserve = 0.25;
   double downloads_per_second = 4;
+  double swap_seconds = 3;
   double max_swapping = 0.25;
   std::string model;
 };
--- a/anvilcroft/swap_schedule.cc
+++ b/anvilcroft/swap_schedule.cc
@@ -20,7 +20,7 @@
       paced ? elapsed / this->interval : (elapsed / this->spacing) * this->at_once;
   const int64_t first = std::max<int64_t>(rank, current - 2 * this->at_once);
   int64_t index = rank + (first - rank) / this->engines * this->engines;
-  while (this->SlotStart(index) + kStartGrace <= elapsed) index += this->engines;
+  while (this->SlotStart(index) + this->start_grace <= elapsed) index += this->engines;
   return std::max(this->SlotStart(index), elapsed);
 }
 
@@ -52,7 +52,8 @@
   schedule.at_once = std::max<int64_t>(1, static_cast<int64_t>(std::floor(part + 1e-9)));
   const double interval_us = std::ceil(1e6 / std::max(this->downloads_per_second, 0.001));
   schedule.interval = microseconds(static_cast<int64_t>(interval_us));
-  schedule.spacing = kStartGrace + this->swap_time;
+  schedule.start_grace = std::min(kLongestStartGrace, this->swap_time);
+  schedule.spacing = schedule.start_grace + this->swap_time;
   return schedule;
 }
 
--- a/anvilcroft/swap_schedule.h
+++ b/anvilcroft/swap_schedule.h
@@ -11,7 +11,7 @@
 // Slot i of an endless sequence belongs to the engine with rank i modulo the number of engines;
 // the later slots of an engine are for retries. Slots are at least 1 / downloads_per_second apart,
 // and slot i + k starts at least one spacing after slot i, where k engines may swap at once. So at
-// most k swaps run at any time as long as the start of each is at most kStartGrace late and the
+// most k swaps run at any time as long as the start of each is at most StartGrace() late and the
 // swap takes no longer than the swap time. A swap that takes longer can exceed the limit.
 
 #include <cstddef>
@@ -25,9 +25,10 @@
  public:
   class Builder;
 
-  // How late an engine may start in its slot: the time in which every owner learns of a
-  // publication (head is polled every 2 s).
-  static constexpr Duration kStartGrace = seconds(2);
+  // How late an engine may start in its slot, at most: the time in which every owner learns of a
+  // publication (head is polled every 2 s). It is no longer than the swap time, since waiting 2 s
+  // between swaps of 0.1 s kept a service of 8 engines on old weights for 8 s of 10 s.
+  static constexpr Duration kLongestStartGrace = seconds(2);
   // Time that one swap is assumed to take. With it, five waves (9 engines, 2 at once) end within
   // the 25 s that new weights may take to reach all engines.
   static constexpr Duration kSwapTime = seconds(3);
@@ -35,6 +36,9 @@
   // Engines that may swap at once, at least 1.
   int64_t MaxAtOnce() const { return this->at_once; }
 
+  // How late an engine may start in its slot.
+  Duration StartGrace() const { return this->start_grace; }
+
   // Time from one slot to the earliest slot that may not overlap it.
   Duration Spacing() const { return this->spacing; }
 
@@ -49,7 +53,8 @@
   int64_t engines = 1;
   int64_t at_once = 1;
   Duration interval = seconds(1);
-  Duration spacing = kStartGrace + kSwapTime;
+  Duration start_grace = kLongestStartGrace;
+  Duration spacing = kLongestStartGrace + kSwapTime;
 };
 
 class SwapSchedule::Builder {
--- a/fakes/site.cc
+++ b/fakes/site.cc
@@ -35,6 +35,7 @@
        {{"kind", "model_engine"},
         {"operations", {{"generate", {{"path", "/v1/generate"}, {"repeatable", true}}}}},
         {"downloads_per_second", 8},
+        {"swap_seconds", 0.2},
         {"model", site.model_service}}},
       {site.judge_service,
        {{"kind", "judge"},
--- a/testing/engine_control_test.cc
+++ b/testing/engine_control_test.cc
@@ -109,11 +109,11 @@
                         .SetRefusedToken([this](const std::string& id, RowVersion token) {
                           this->owner.RefusedToken(id, token, SteadyNow());
                         })
-                        .SetSwapTime(milliseconds(100))
                         .Build();
     this->goal.goal.service = "s";
     this->goal.downloads_per_second = 1000;
     this->goal.max_swapping = 1;
+    this->goal.swap_time = milliseconds(100);
     this->owner.Start();
   }
 
--- a/testing/rollout_node_test.cc
+++ b/testing/rollout_node_test.cc
@@ -291,7 +291,7 @@
   });
 }
 
-TEST_CASE("malformed requests are refused with the offending part", "[rollout]") {
+TEST_CASE("malformed requests of trainers are refused with the offending part", "[rollout]") {
   Runtime runtime;
   SmallPlatform platform(runtime);
   Instance a(runtime, platform, "a", 1);
--- a/testing/swap_schedule_test.cc
+++ b/testing/swap_schedule_test.cc
@@ -48,7 +48,7 @@
 // The direct search over all slots of the engine.
 Duration SlowNextStart(const SwapSchedule& schedule, int engines, int rank, Duration now) {
   int64_t index = rank;
-  while (schedule.SlotStart(index) + SwapSchedule::kStartGrace <= now) index += engines;
+  while (schedule.SlotStart(index) + schedule.StartGrace() <= now) index += engines;
   return std::max(schedule.SlotStart(index), now);
 }
 
