--- a/anvilcroft/event.cc
+++ b/anvilcroft/event.cc
@@ -1,5 +1,7 @@
 #include "anvilcroft/event.h"
 
+#include <utility>
+
 #include "anvilcroft/runtime_impl.h"
 
 namespace anvilcroft {
@@ -7,18 +9,19 @@
 
 class EventWaiter {
  public:
-  EventWaiter(std::list<EventWaiter*>& waiters, boost::asio::io_context& io, TimePoint deadline)
-      : timer(io, deadline), waiters(waiters) {
-    this->waiters.push_back(this);
+  EventWaiter(std::shared_ptr<std::list<EventWaiter*>> waiters, boost::asio::io_context& io,
+              TimePoint deadline)
+      : timer(io, deadline), waiters(std::move(waiters)) {
+    this->waiters->push_back(this);
   }
-  ~EventWaiter() { this->waiters.remove(this); }
+  ~EventWaiter() { this->waiters->remove(this); }
 
   boost::asio::steady_timer timer;
   // Tells a notification from an expiry: a timer that has already fired reports no cancellation.
   bool notified = false;
 
  private:
-  std::list<EventWaiter*>& waiters;
+  std::shared_ptr<std::list<EventWaiter*>> waiters;
 };
 
 }  // namespace detail
@@ -33,7 +36,7 @@
 void Event::Wait(Task& task) { this->WaitUntil(task, TimePoint::max()); }
 
 void Event::NotifyAll() {
-  for (detail::EventWaiter* waiter : this->waiters) {
+  for (detail::EventWaiter* waiter : *this->waiters) {
     waiter->notified = true;
     waiter->timer.cancel();
   }
--- a/anvilcroft/event.h
+++ b/anvilcroft/event.h
@@ -10,6 +10,7 @@
 // Like a condition variable, a waiter checks its predicate again after it wakes.
 
 #include <list>
+#include <memory>
 
 #include "anvilcroft/runtime.h"
 
@@ -35,7 +36,9 @@
   void NotifyAll();
 
  private:
-  std::list<detail::EventWaiter*> waiters;
+  // Shared with the waiters, so that a task may be unwound after its Event is gone.
+  std::shared_ptr<std::list<detail::EventWaiter*>> waiters =
+      std::make_shared<std::list<detail::EventWaiter*>>();
 };
 
 }  // namespace anvilcroft
--- a/anvilcroft/service_config.h
+++ b/anvilcroft/service_config.h
@@ -57,11 +57,11 @@
 
   friend bool operator==(const ServiceConfig& a, const ServiceConfig& b) {
     return std::tie(a.name, a.deployment, a.kind, a.operations, a.max_in_flight, a.max_queued,
-                    a.short_max_tokens, a.short_reserve, a.downloads_per_second, a.swap_seconds, a.max_swapping,
-                    a.model) == std::tie(b.name, b.deployment, b.kind, b.operations,
-                                         b.max_in_flight, b.max_queued, b.short_max_tokens,
-                                         b.short_reserve, b.downloads_per_second, b.swap_seconds, b.max_swapping,
-                                         b.model);
+                    a.short_max_tokens, a.short_reserve, a.downloads_per_second, a.swap_seconds,
+                    a.max_swapping, a.model) ==
+           std::tie(b.name, b.deployment, b.kind, b.operations, b.max_in_flight, b.max_queued,
+                    b.short_max_tokens, b.short_reserve, b.downloads_per_second, b.swap_seconds,
+                    b.max_swapping, b.model);
   }
   friend bool operator!=(const ServiceConfig& a, const ServiceConfig& b) { return !(a == b); }
 
