--- a/anvilcroft/dispatcher.h
+++ b/anvilcroft/dispatcher.h
@@ -44,10 +44,10 @@
  public:
   class Builder;
 
-  // Extra work allowed for each request, and how much of it can be saved up. The saved part
-  // covers the requests in flight at a target when its link fails.
+  // Extra work allowed for each request, and how much of it can be saved up. The saved retries
+  // cover a service's default window of requests in flight, should the links to a target fail.
   static constexpr double kRetryFraction = 0.1;
-  static constexpr double kRetryBurst = 20;
+  static constexpr double kRetryBurst = 64;
   static constexpr double kHedgeFraction = 0.05;
   static constexpr double kHedgeBurst = 5;
   // Most attempts of one piece of work.
--- a/anvilcroft/target_judge.cc
+++ b/anvilcroft/target_judge.cc
@@ -43,7 +43,10 @@
       LogWarning(kPart, "a target was silent; opening a new connection to it",
                  {{"target", target->Description().Id()}});
       this->targets.Probe(task, target);
-      if (target->Phase() == TargetPhase::kLost) return Verdict::kRetryFree;
+      // An engine that loads weights produces no tokens meanwhile; that is no sign of overload.
+      if (target->Phase() == TargetPhase::kLost || target->Phase() == TargetPhase::kSwapping) {
+        return Verdict::kRetryFree;
+      }
       target->Suspect(SteadyNow() + kSilentPause);
       return Verdict::kRetryCharged;
     }
--- a/anvilcroft/target_table.cc
+++ b/anvilcroft/target_table.cc
@@ -120,10 +120,8 @@
     this->revision = 0;
     return {};
   }
-  if (this->revision == 0) {
-    // A whole list: what it does not name is gone.
-    this->all.clear();
-  }
+  const bool whole = this->revision == 0;
+  if (whole) this->all.clear();  // what a whole list does not name is gone
   this->revision = answered;
   for (Target& target : changed) {
     if (target.ListState() == Target::Listed::kGone) {
@@ -132,7 +130,7 @@
       this->all.insert_or_assign(target.Id(), std::move(target));
     }
   }
-  this->Rebuild();
+  if (whole || !changed.empty()) this->Rebuild();
   return {};
 }
 
--- a/testing/admission_test.cc
+++ b/testing/admission_test.cc
@@ -183,7 +183,7 @@
 
 // Guards against events lost or merged at the borders of network packets.
 TEST_CASE("events are read alike however the input is cut", "[admission]") {
-  const std::string input =
+  const std::string_view input =
       ": comment\r\ndata: one\r\n\r\nevent: error\ndata: {\"a\":1}\ndata: two\n\n\n\ndata:three\n\n"
       "id: 7\n\ndata: open";
   const std::vector<SseEvent> expected = {{"", "one"}, {"error", "{\"a\":1}\ntwo"}, {"", "three"}};
@@ -193,7 +193,7 @@
     std::vector<SseEvent> events;
     for (std::size_t at = 0; at < input.size();) {
       const std::size_t length = 1 + random() % (round + 1);
-      const auto got = parser.Feed(std::string_view(input).substr(at, length));
+      const auto got = parser.Feed(input.substr(at, length));
       REQUIRE(got);
       events.insert(events.end(), got->begin(), got->end());
       at += length;
--- a/testing/claims_test.cc
+++ b/testing/claims_test.cc
@@ -225,6 +225,9 @@
     CHECK(one.Status() == 200);
     CHECK_FALSE(apps.first->node->Settled());
     CHECK(apps.RowState() == "claimed");
+    // Long enough for a failed try in the background; the next one loses its answer.
+    SleepUntil(task, SteadyNow() + milliseconds(250));
+    apps.table.faults = GENERATE("", "a", "n");
     apps.table.down = false;
     CHECK(WaitUntil(task, [&] { return apps.RowState() == "done"; }));
     CHECK(apps.Confirm(task, *apps.second).Body() == one.Body());
--- a/testing/dispatch_test.cc
+++ b/testing/dispatch_test.cc
@@ -248,6 +248,58 @@
   });
 }
 
+// Guards against engines that go on for callers who are gone.
+TEST_CASE("a caller that leaves in the middle of a stream ends the work", "[routing]") {
+  Engines engines(1);
+  engines.engine[0]->token_time = milliseconds(5);
+  engines.Run([&](Task& task) {
+    const json body = {{"prompt", "p"}, {"max_tokens", 2000}, {"stream", true}};
+    const auto request = HttpRequest::Builder()
+                             .SetMethod("POST")
+                             .SetTarget("/v1/services/model/generate")
+                             .SetJson(DumpJson(body))
+                             .Build();
+    auto stream = engines.instance->Http().Open(task, engines.instance->Address(), request,
+                                                CallOptions(SteadyNow() + seconds(20)));
+    REQUIRE(stream);
+    REQUIRE((*stream)->Read(task));
+    CHECK(engines.instance->node->InFlight() == 1);
+    stream->reset();
+    CHECK(WaitUntil(task, [&] { return engines.instance->node->InFlight() == 0; }));
+    CHECK(WaitUntil(task, [&] { return engines.engine[0]->cancelled.size() == 1; }));
+  });
+}
+
+// Guards samples: the second copy of a straggler must run elsewhere, and its loser must end.
+TEST_CASE("work from inside avoids excluded targets and ends when cancelled", "[routing]") {
+  Engines engines(2);
+  for (auto& engine : engines.engine) engine->token_time = milliseconds(5);
+  engines.Run([&](Task& task) {
+    const auto held = engines.PreferFirst();
+    const auto cancellation = std::make_shared<Cancellation>();
+    const auto request = WorkRequest::Builder()
+                             .SetService("model")
+                             .SetOperation("generate")
+                             .SetRequestId("s1")
+                             .SetDeadline(SteadyNow() + seconds(20))
+                             .SetPriority(Priority::kLow)
+                             .SetBody(R"({"prompt":"p","max_tokens":1000})")
+                             .SetExcluded({"e0"})
+                             .SetCancellation(cancellation)
+                             .Build();
+    engines.runtime.Spawn([&](Task& other) {
+      WaitUntil(other, [&] { return !engines.engine[1]->calls.empty(); });
+      cancellation->Cancel();
+    });
+    const auto result = engines.instance->node->Run(task, request, StreamSink());
+    REQUIRE_FALSE(result);
+    CHECK(result.error().code == ErrorCode::kCancelled);
+    CHECK(result.error().ran == Ran::kUnknown);
+    CHECK(engines.engine[0]->calls.empty());
+    CHECK(WaitUntil(task, [&] { return engines.engine[1]->cancelled.size() == 1; }));
+  });
+}
+
 // Guards against a flood of requests that wait in memory.
 TEST_CASE("a full queue refuses at once, and says that nothing ran", "[routing]") {
   Engines engines(1);
