Say "not run" for a key only behind a confirmed tombstone

Cause: a refusal before the claim (store down, no lease, overload, isolated) said "not run" although an earlier request with the key may have run at another instance, and a claim under way elsewhere could apply after a refusal. Change: a request reads the row first, claims at that version, and a refusal puts a tombstone at that version; unconfirmed, it says "unknown". Cost: one more read for each request that may not be repeated.

--- a/anvilcroft/at_most_once.cc
+++ b/anvilcroft/at_most_once.cc
@@ -24,6 +24,11 @@
   return Fail(ErrorCode::kOutcomeUnknown, message, "Idempotency-Key", Ran::kUnknown);
 }
 
+// Whether the row leaves a request that begins now free to claim the key.
+bool Free(RowVersion version, const ClaimRecord& record) {
+  return version == 0 || record.state == ClaimRecord::State::kReleased;
+}
+
 // What a settled row means to a later request with its key; nullopt for a claim that is open.
 std::optional<Result<WorkResult>> Replay(const ClaimRecord& record) {
   switch (record.state) {
@@ -31,6 +36,9 @@
       return std::nullopt;
     case ClaimRecord::State::kUnknown:
       return Result<WorkResult>(OutcomeUnknown("an earlier request with the key got no response"));
+    case ClaimRecord::State::kReleased:
+      // Refused after this request began, which therefore must not run any more.
+      return Result<WorkResult>(OutcomeUnknown("another request with the key was refused"));
     case ClaimRecord::State::kDone:
       break;
   }
@@ -60,90 +68,126 @@
 
 Result<WorkResult> AtMostOnce::Run(Task& task, const WorkItem& item, const Hooks& hooks) {
   const std::string row_key = RowKey(item.request.Service(), item.request.IdempotencyKey());
-  auto result = this->RunProtocol(task, item, row_key, hooks);
-  // A refusal says that nothing ran only if no earlier request with the key was dispatched. The
-  // row tells; while it cannot be read, this instance's own memory is what is left.
-  if (!result && result.error().ran == Ran::kNo && result.error().code != ErrorCode::kKeyReused &&
-      this->remembered.count(row_key) != 0) {
-    return tl::unexpected<Error>(result.error().WithRan(Ran::kUnknown));
+  const auto first = this->ReadFirst(task, row_key, item.request.Deadline());
+  if (!first) return tl::unexpected<Error>(first.error());
+  if (!Free(first->version, first->record)) return this->Await(task, item, row_key, *first);
+
+  if (const auto entered = hooks.enter(task); !entered) {
+    return tl::unexpected<Error>(
+        this->Release(task, row_key, first->version, this->NewRecord(item), entered.error()));
   }
-  return result;
+  const auto claim = this->TryClaim(task, item, row_key, first->version);
+  if (!claim) return tl::unexpected<Error>(claim.error());
+  if (claim->mine) return this->Dispatch(task, item, row_key, *claim, hooks);
+  hooks.leave();
+  return this->Await(task, item, row_key, *claim);
+}
+
+Result<WorkResult> AtMostOnce::Refuse(Task& task, const WorkItem& item, const Error& error) {
+  const std::string row_key = RowKey(item.request.Service(), item.request.IdempotencyKey());
+  const TimePoint deadline = std::min(item.request.Deadline(), SteadyNow() + kRefusalTime);
+  const auto found = this->ReadClaim(task, row_key, deadline);
+  if (!found) return tl::unexpected<Error>(error.WithRan(Ran::kUnknown));
+  if (!Free(found->version, found->record)) {
+    const bool same = found->record.fingerprint == item.fingerprint;
+    const auto settled = same ? Replay(found->record) : std::nullopt;
+    return settled ? *settled : tl::unexpected<Error>(error.WithRan(Ran::kUnknown));
+  }
+  return tl::unexpected<Error>(
+      this->Release(task, row_key, found->version, this->NewRecord(item), error));
+}
+
+ClaimRecord AtMostOnce::NewRecord(const WorkItem& item) {
+  ClaimRecord record;
+  record.instance = this->view.self;
+  // The instance and its epoch make the nonce unique whatever the generator's seed.
+  record.nonce = this->view.self + "." + std::to_string(this->view.epoch()) + "." +
+                 RandomHex(this->random, 16);
+  record.fingerprint = item.fingerprint;
+  record.request_id = item.request.RequestId();
+  record.at_ms = WallNow();
+  return record;
 }
 
-Result<WorkResult> AtMostOnce::RunProtocol(Task& task, const WorkItem& item,
-                                           const std::string& row_key, const Hooks& hooks) {
+// Puts the tombstone over the row at version `expected` and returns `error` with ran = no if that
+// is confirmed, and with ran = unknown otherwise.
+Error AtMostOnce::Release(Task& task, const std::string& row_key, RowVersion expected,
+                          ClaimRecord record, const Error& error) {
+  record.state = ClaimRecord::State::kReleased;
+  const TimePoint deadline = SteadyNow() + kRefusalTime;
+  const auto committed = this->commit(task,
+                                      Transaction::Builder()
+                                          .CheckVersion(kClaimsTable, row_key, expected)
+                                          .Put(kClaimsTable, row_key, EncodeClaim(record))
+                                          .Build(),
+                                      deadline);
+  if (committed) return error.WithRan(Ran::kNo);
+  if (committed.error().code != ErrorCode::kConflict) {
+    const auto found = this->ReadClaim(task, row_key, deadline);
+    if (found && found->version != 0 && found->record == record) return error.WithRan(Ran::kNo);
+  }
+  this->settler.Settle({row_key, record.nonce, 0, record});
+  return error.WithRan(Ran::kUnknown);
+}
+
+// Reads the row with which the request begins. Without it nothing can be said about the key.
+Result<AtMostOnce::Claim> AtMostOnce::ReadFirst(Task& task, const std::string& row_key,
+                                                TimePoint deadline) {
+  Duration pause = kFirstPause;
   while (true) {
-    if (const auto entered = hooks.enter(task); !entered) {
-      return tl::unexpected<Error>(entered.error());
+    auto found = this->ReadClaim(task, row_key, deadline);
+    if (found) return found;
+    if (SteadyNow() + pause >= deadline) {
+      return tl::unexpected<Error>(Error{
+          ErrorCode::kStoreUnavailable,
+          "the table service gives no answer; this request did not run, but an earlier one with "
+          "the key may have",
+          "Idempotency-Key", Ran::kUnknown});
     }
-    const auto claim = this->TryClaim(task, item, row_key);
-    if (!claim) return tl::unexpected<Error>(claim.error());
-    if (claim->mine) return this->Dispatch(task, item, row_key, *claim, hooks);
-    hooks.leave();
-    if (auto outcome = this->Await(task, item, row_key, *claim)) return *outcome;
-    // The earlier request was refused before its dispatch and its claim is gone.
+    SleepUntil(task, SteadyNow() + pause);
+    pause = std::min(2 * pause, kLongestPause);
   }
 }
 
 Result<AtMostOnce::Claim> AtMostOnce::TryClaim(Task& task, const WorkItem& item,
-                                               const std::string& row_key) {
+                                               const std::string& row_key, RowVersion expected) {
   const TimePoint deadline = item.request.Deadline();
   Claim own;
   own.mine = true;
-  own.record.instance = this->view.self;
-  // The instance and its epoch make the nonce unique whatever the generator's seed.
-  own.record.nonce = this->view.self + "." + std::to_string(this->view.epoch()) + "." +
-                     RandomHex(this->random, 16);
-  own.record.fingerprint = item.fingerprint;
-  own.record.request_id = item.request.RequestId();
-  own.record.at_ms = WallNow();
+  own.record = this->NewRecord(item);
   const Transaction transaction = Transaction::Builder()
-                                      .CheckAbsent(kClaimsTable, row_key)
+                                      .CheckVersion(kClaimsTable, row_key, expected)
                                       .Put(kClaimsTable, row_key, EncodeClaim(own.record))
                                       .Build();
-  bool may_apply = false;  // a transaction of ours may have applied, or still apply
-  bool occupied = false;   // the last answer says that a row exists
   Error error{ErrorCode::kDeadlineExceeded, "the deadline passed before the claim", "", Ran::kNo};
   Duration pause = kFirstPause;
   while (SteadyNow() < deadline) {
-    const bool allowed = this->view.holds_lease(SteadyNow());
-    if (allowed) {
-      const auto committed = this->commit(task, transaction, deadline);
-      if (committed) {
-        own.version = *committed;
-        return own;
-      }
-      error = committed.error();
-      occupied = error.code == ErrorCode::kConflict;
-      may_apply = may_apply || error.ran != Ran::kNo;
-    } else {
+    if (!this->view.holds_lease(SteadyNow())) {
       error = Error{ErrorCode::kNoLease, "this instance holds no lease", "", Ran::kNo};
+      break;
+    }
+    const auto committed = this->commit(task, transaction, deadline);
+    if (committed) {
+      own.version = *committed;
+      return own;
     }
-    if (!allowed || occupied || error.ran != Ran::kNo) {
+    error = committed.error();
+    // After a lost answer or a conflict, which may be with our own transaction, the row tells.
+    if (error.ran != Ran::kNo || error.code == ErrorCode::kConflict) {
       const auto found = this->ReadClaim(task, row_key, deadline);
-      if (found && *found) {
-        if ((*found)->record.nonce == own.record.nonce) {
-          own.version = (*found)->version;
-          return own;
-        }
-        if (may_apply) {
-          this->settler.Settle({row_key, own.record.nonce, 0, std::nullopt});
-        }
-        return **found;
+      if (found && found->version != expected) {
+        own.version = found->version;
+        if (found->record == own.record) return own;
+        return *found;
       }
-      if (found) occupied = false;
     }
-    if (!allowed) break;
     SleepUntil(task, std::min(deadline, SteadyNow() + pause));
     pause = std::min(2 * pause, kLongestPause);
   }
-  if (may_apply) this->settler.Settle({row_key, own.record.nonce, 0, std::nullopt});
   if (error.code != ErrorCode::kNoLease && error.code != ErrorCode::kDeadlineExceeded) {
     error.code = ErrorCode::kStoreUnavailable;
   }
-  // Our own claim was not dispatched; a row that could not be read may belong to one that was.
-  error.ran = occupied ? Ran::kUnknown : Ran::kNo;
-  return tl::unexpected<Error>(error);
+  return tl::unexpected<Error>(this->Release(task, row_key, expected, own.record, error));
 }
 
 Result<WorkResult> AtMostOnce::Dispatch(Task& task, const WorkItem& item,
@@ -158,17 +202,14 @@
   } else {
     result = hooks.dispatch(task);
   }
-  ClaimSettlement settlement{row_key, claim.record.nonce, claim.version, std::nullopt};
   if (!result && result.error().ran == Ran::kNo) {
-    this->settler.Settle(std::move(settlement));
-    return result;
+    return tl::unexpected<Error>(
+        this->Release(task, row_key, claim.version, claim.record, result.error()));
   }
-  this->Remember(row_key);
   ClaimRecord record = claim.record;
   if (!result) {
     record.state = ClaimRecord::State::kUnknown;
-    settlement.record = record;
-    this->settler.Settle(std::move(settlement));
+    this->settler.Settle({row_key, record.nonce, claim.version, record});
     return OutcomeUnknown("the target gave no response: " + result.error().message);
   }
   record.state = ClaimRecord::State::kDone;
@@ -187,24 +228,21 @@
                {{"key", row_key}, {"error", recorded.error().message}});
     const bool same_row =
         recorded.error().code != ErrorCode::kConflict && recorded.error().ran == Ran::kNo;
-    if (!same_row) settlement.version = 0;
-    settlement.record = record;
-    this->settler.Settle(std::move(settlement));
+    this->settler.Settle({row_key, record.nonce, same_row ? claim.version : 0, record});
   }
   return result;
 }
 
-std::optional<Result<WorkResult>> AtMostOnce::Await(Task& task, const WorkItem& item,
-                                                    const std::string& row_key, Claim claim) {
+Result<WorkResult> AtMostOnce::Await(Task& task, const WorkItem& item, const std::string& row_key,
+                                     Claim claim) {
   const TimePoint deadline = item.request.Deadline();
   TimePoint claimant_seen = SteadyNow();
   Duration pause = kFirstPause;
   while (true) {
     if (claim.record.fingerprint != item.fingerprint) {
-      return Result<WorkResult>(
-          Fail(ErrorCode::kKeyReused, "the key belongs to another request", "Idempotency-Key"));
+      return Fail(ErrorCode::kKeyReused, "the key belongs to another request", "Idempotency-Key");
     }
-    if (auto outcome = Replay(claim.record)) return outcome;
+    if (auto outcome = Replay(claim.record)) return *outcome;
     const TimePoint now = SteadyNow();
     if (this->view.roster()->Find(claim.record.instance) != nullptr) claimant_seen = now;
     if (now - claimant_seen >= kMissingClaimant) {
@@ -212,26 +250,23 @@
       ClaimRecord record = claim.record;
       record.state = ClaimRecord::State::kUnknown;
       this->settler.Settle({row_key, record.nonce, claim.version, record});
-      return Result<WorkResult>(OutcomeUnknown("the instance that ran the request is gone"));
+      return OutcomeUnknown("the instance that ran the request is gone");
     }
     if (now + pause >= deadline) {
-      return Result<WorkResult>(OutcomeUnknown("an earlier request with the key is under way"));
+      return OutcomeUnknown("an earlier request with the key is under way");
     }
     SleepUntil(task, now + pause);
     pause = std::min(2 * pause, kLongestPause);
     const auto found = this->ReadClaim(task, row_key, deadline);
-    if (!found) continue;
-    if (!*found) return std::nullopt;
-    claim = **found;
+    if (found && found->version != 0) claim = *found;
   }
 }
 
-Result<std::optional<AtMostOnce::Claim>> AtMostOnce::ReadClaim(Task& task,
-                                                               const std::string& row_key,
-                                                               TimePoint deadline) {
+Result<AtMostOnce::Claim> AtMostOnce::ReadClaim(Task& task, const std::string& row_key,
+                                                TimePoint deadline) {
   const auto row = this->read(task, kClaimsTable, row_key, deadline);
   if (!row) return tl::unexpected<Error>(row.error());
-  if (!*row) return std::optional<Claim>();
+  if (!*row) return Claim();
   auto record = DecodeClaim((*row)->value);
   if (!record) {
     LogError(kPart, "a claim row is malformed", {{"key", row_key}, {"part", record.error().part}});
@@ -240,23 +275,15 @@
   Claim claim;
   claim.version = (*row)->version;
   claim.record = std::move(*record);
-  return std::optional<Claim>(std::move(claim));
+  return claim;
 }
 
 Result<std::optional<ClaimRecord>> AtMostOnce::Find(Task& task, const std::string& service,
                                                     const std::string& key, TimePoint deadline) {
   const auto found = this->ReadClaim(task, RowKey(service, key), deadline);
   if (!found) return tl::unexpected<Error>(found.error());
-  if (!*found) return std::optional<ClaimRecord>();
-  return std::optional<ClaimRecord>((*found)->record);
-}
-
-void AtMostOnce::Remember(const std::string& row_key) {
-  if (!this->remembered.insert(row_key).second) return;
-  this->remembered_order.push_back(row_key);
-  if (this->remembered_order.size() <= kMaxRemembered) return;
-  this->remembered.erase(this->remembered_order.front());
-  this->remembered_order.pop_front();
+  if (found->version == 0) return std::optional<ClaimRecord>();
+  return std::optional<ClaimRecord>(found->record);
 }
 
 }  // namespace anvilcroft
--- a/anvilcroft/at_most_once.h
+++ b/anvilcroft/at_most_once.h
@@ -8,11 +8,9 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <optional>
 #include <random>
-#include <set>
 #include <string>
 
 #include "anvilcroft/claim_record.h"
@@ -40,15 +38,21 @@
 
   // Longest time that a response waits for its record.
   static constexpr Duration kRecordTime = seconds(1);
-  // Most keys remembered as dispatched by this instance.
-  static constexpr std::size_t kMaxRemembered = 8192;
-
   AtMostOnce(Runtime& runtime, ClusterView view, CommitHook commit, ReadHook read, uint64_t seed);
 
+  // Longest time to confirm that a refusal is true.
+  static constexpr Duration kRefusalTime = seconds(1);
+
   // Runs `item`, or returns what an earlier request with its key led to. Errors besides those of
-  // the hooks: kKeyReused, kNoLease and kStoreUnavailable with ran = no; kOutcomeUnknown.
+  // the hooks: kKeyReused, kNoLease, kStoreUnavailable and kOutcomeUnknown. An error has ran = no
+  // only if a tombstone in the key's row is confirmed: then nothing has run under the key, and no
+  // request that was under way with it will run.
   Result<WorkResult> Run(Task& task, const WorkItem& item, const Hooks& hooks);
 
+  // The result of a request that is refused with `error` before Run: what an earlier request with
+  // its key led to, or `error` with its `ran` made true in the same way as by Run.
+  Result<WorkResult> Refuse(Task& task, const WorkItem& item, const Error& error);
+
   // The record of a key, or nullopt. Fails with kStoreUnavailable.
   Result<std::optional<ClaimRecord>> Find(Task& task, const std::string& service,
                                           const std::string& key, TimePoint deadline);
@@ -57,7 +61,7 @@
   bool Settled() const { return this->settler.Unsettled() == 0; }
 
  private:
-  // The row of the key after a try to claim.
+  // The row of the key as it was read, or after a try to claim. Version 0: there is no row.
   struct Claim {
     bool mine = false;
     RowVersion version = 0;
@@ -66,22 +70,23 @@
 
   Result<WorkResult> RunProtocol(Task& task, const WorkItem& item, const std::string& row_key,
                                  const Hooks& hooks);
-  Result<Claim> TryClaim(Task& task, const WorkItem& item, const std::string& row_key);
+  Result<Claim> ReadFirst(Task& task, const std::string& row_key, TimePoint deadline);
+  Result<Claim> TryClaim(Task& task, const WorkItem& item, const std::string& row_key,
+                         RowVersion expected);
+  ClaimRecord NewRecord(const WorkItem& item);
+  Error Release(Task& task, const std::string& row_key, RowVersion expected, ClaimRecord record,
+                const Error& error);
   Result<WorkResult> Dispatch(Task& task, const WorkItem& item, const std::string& row_key,
                               const Claim& claim, const Hooks& hooks);
-  std::optional<Result<WorkResult>> Await(Task& task, const WorkItem& item,
-                                          const std::string& row_key, Claim claim);
-  Result<std::optional<Claim>> ReadClaim(Task& task, const std::string& row_key,
-                                         TimePoint deadline);
-  void Remember(const std::string& row_key);
+  Result<WorkResult> Await(Task& task, const WorkItem& item, const std::string& row_key,
+                           Claim claim);
+  Result<Claim> ReadClaim(Task& task, const std::string& row_key, TimePoint deadline);
 
   ClusterView view;
   CommitHook commit;
   ReadHook read;
   std::mt19937_64 random;
   ClaimSettler settler;
-  std::set<std::string> remembered;
-  std::deque<std::string> remembered_order;
 };
 
 }  // namespace anvilcroft
--- a/anvilcroft/claim_record.cc
+++ b/anvilcroft/claim_record.cc
@@ -12,6 +12,8 @@
       return "done";
     case ClaimRecord::State::kUnknown:
       return "unknown";
+    case ClaimRecord::State::kReleased:
+      return "released";
   }
   return "unknown";
 }
@@ -43,8 +45,10 @@
     record.state = ClaimRecord::State::kDone;
   } else if (state == "unknown") {
     record.state = ClaimRecord::State::kUnknown;
+  } else if (state == "released") {
+    record.state = ClaimRecord::State::kReleased;
   } else if (state != "claimed") {
-    fields.Refuse("state", "must be claimed, done or unknown");
+    fields.Refuse("state", "must be claimed, done, unknown or released");
   }
   record.instance = fields.String("instance");
   record.nonce = fields.String("nonce");
--- a/anvilcroft/claim_record.h
+++ b/anvilcroft/claim_record.h
@@ -15,7 +15,9 @@
 namespace anvilcroft {
 
 struct ClaimRecord {
-  enum class State { kClaimed, kDone, kUnknown };
+  // kReleased is a tombstone: the request was refused before its dispatch. The row stays, at a new
+  // version, so that a claim which was under way elsewhere cannot apply afterwards.
+  enum class State { kClaimed, kDone, kUnknown, kReleased };
 
   State state = State::kClaimed;
   std::string instance;     // that made the claim
--- a/anvilcroft/claim_settler.cc
+++ b/anvilcroft/claim_settler.cc
@@ -51,16 +51,16 @@
     const auto found = DecodeClaim((*row)->value);
     if (!found || found->nonce != settlement.nonce) return true;
     if (found->state == ClaimRecord::State::kDone) return true;
+    if (found->state == settlement.record.state) return true;
     settlement.version = (*row)->version;
   }
-  Transaction::Builder transaction;
-  transaction.CheckVersion(kClaimsTable, settlement.key, settlement.version);
-  if (settlement.record) {
-    transaction.Put(kClaimsTable, settlement.key, EncodeClaim(*settlement.record));
-  } else {
-    transaction.Delete(kClaimsTable, settlement.key);
-  }
-  const auto committed = this->commit(task, transaction.Build(), SteadyNow() + kAttempt);
+  const auto committed =
+      this->commit(task,
+                   Transaction::Builder()
+                       .CheckVersion(kClaimsTable, settlement.key, settlement.version)
+                       .Put(kClaimsTable, settlement.key, EncodeClaim(settlement.record))
+                       .Build(),
+                   SteadyNow() + kAttempt);
   if (committed) return true;
   // Applied with a lost answer, or the row has another version: the next try reads it first.
   const Error& error = committed.error();
--- a/anvilcroft/claim_settler.h
+++ b/anvilcroft/claim_settler.h
@@ -2,11 +2,10 @@
 #define ANVILCROFT_CLAIM_SETTLER_H_
 
 // Brings claim rows of this instance into their final state in the background: a record that the
-// store did not take in time, an unknown outcome, or the removal of a claim that was not used.
+// store did not take in time, an unknown outcome, or the release of a claim that was not used.
 
 #include <cstddef>
 #include <memory>
-#include <optional>
 #include <string>
 
 #include "anvilcroft/claim_record.h"
@@ -20,8 +19,8 @@
 struct ClaimSettlement {
   std::string key;
   std::string nonce;
-  RowVersion version = 0;             // of the claim; 0 if it is not known whether it was made
-  std::optional<ClaimRecord> record;  // nullopt: the row is removed
+  RowVersion version = 0;  // of the claim; 0 if it is not known whether it was made
+  ClaimRecord record;
 };
 
 class ClaimSettler {
--- a/anvilcroft/routing_node.cc
+++ b/anvilcroft/routing_node.cc
@@ -72,12 +72,12 @@
   if (!made) return tl::unexpected<Error>(made.error());
   const auto item = std::make_shared<const WorkItem>(std::move(*made));
   const TimePoint now = SteadyNow();
-  if (const auto allowed = this->view.may_serve(now); !allowed) {
-    return tl::unexpected<Error>(allowed.error());
-  }
-  if (const auto allowed = this->crashes.Check(item->fingerprint, now); !allowed) {
-    return tl::unexpected<Error>(allowed.error());
+  Result<void> allowed = this->view.may_serve(now);
+  if (allowed) allowed = this->crashes.Check(item->fingerprint, now);
+  if (!allowed && !item->operation.repeatable) {
+    return this->at_most_once.Refuse(task, *item, allowed.error());
   }
+  if (!allowed) return tl::unexpected<Error>(allowed.error());
   AdmissionPermit permit;
   const auto enter = [&](Task& inner) -> Result<void> {
     auto entered = this->Enter(inner, *item);
