Settle renewals with lost answers; send pings without field names; test misbehaving peers

A holder whose renewals applied but whose answers were lost saw only conflicts and lost its lease; it now reads the row back and counts the lease from the first renewal with an unknown outcome. A retried patch is no longer refused as not run while the log cannot be read.

--- a/anvilcroft/configuration.h
+++ b/anvilcroft/configuration.h
@@ -108,6 +108,8 @@
   Result<uint64_t> Stale() const;
   Result<uint64_t> Commit(Task& task, const ConfigEntry& entry, const ConfigDocument& next,
                           TimePoint deadline);
+  // The entry of `version` from memory or else from the table service.
+  Result<ConfigEntry> FindEntry(Task& task, uint64_t version, TimePoint deadline);
   bool WaitForVersion(Task& task, uint64_t version, TimePoint deadline);
 
   Runtime& runtime;
--- a/anvilcroft/configuration_accept.cc
+++ b/anvilcroft/configuration_accept.cc
@@ -27,6 +27,12 @@
   return this->document->Version() >= version;
 }
 
+Result<ConfigEntry> Configuration::FindEntry(Task& task, uint64_t version, TimePoint deadline) {
+  const auto found = this->kept.find(version);
+  if (found != this->kept.end()) return found->second;
+  return this->ReadEntry(task, version, deadline);
+}
+
 Result<uint64_t> Configuration::Accept(Task& task, ConfigEntry patch, TimePoint deadline) {
   constexpr Duration kMaxBaseWait = seconds(2);
   if (!this->loaded) return Fail(ErrorCode::kNotReady, "the configuration is not known yet");
@@ -45,7 +51,11 @@
   }
   if (patch.base < this->document->Version()) {
     // An author that lost the answer sends the patch again: it is accepted if it was before.
-    const auto entry = this->ReadEntry(task, patch.version, deadline);
+    const auto entry = this->FindEntry(task, patch.version, deadline);
+    if (!entry && entry.error().code != ErrorCode::kNotFound) {
+      // An earlier attempt may have been accepted, so this is no certain refusal.
+      return tl::unexpected<Error>(entry.error().WithRan(Ran::kUnknown));
+    }
     if (entry && entry->patch_id == patch.patch_id) return patch.version;
     return this->Stale();
   }
--- a/anvilcroft/membership.cc
+++ b/anvilcroft/membership.cc
@@ -128,6 +128,7 @@
         LogWarning(kPart, "removed from the roster; joining again");
         this->epoch = 0;
         this->lease_from.reset();
+        this->unsettled_from.reset();
         this->hooks.on_removed();
       } else if (outcome == Renewal::kReplaced) {
         LogError(kPart, "another process has joined under this instance id");
@@ -231,10 +232,13 @@
   if (renewed) {
     this->lease_version = *renewed;
     this->lease_from = sent_at;
+    this->unsettled_from.reset();
     return Renewal::kDone;
   }
-  if (renewed.error().code == ErrorCode::kConflict) return this->SettleRenewal(task);
-  return Renewal::kRetryLater;
+  const bool conflict = renewed.error().code == ErrorCode::kConflict;
+  if (!conflict && renewed.error().ran != Ran::kUnknown) return Renewal::kRetryLater;
+  if (!conflict && !this->unsettled_from) this->unsettled_from = sent_at;
+  return this->SettleRenewal(task);
 }
 
 Membership::Renewal Membership::SettleRenewal(Task& task) {
@@ -244,9 +248,13 @@
   if (!lease) return Renewal::kRetryLater;
   if (!*lease) return Renewal::kRemoved;
   if (!this->Owns(**lease)) return Renewal::kReplaced;
-  // An earlier renewal applied although its answer was lost.
+  if ((*lease)->version == this->lease_version) return Renewal::kRetryLater;
+  // A renewal applied although its answer was lost: one of those sent since unsettled_from.
   this->lease_version = (*lease)->version;
-  return Renewal::kRetryNow;
+  if (!this->unsettled_from) return Renewal::kRetryNow;
+  this->lease_from = this->unsettled_from;
+  this->unsettled_from.reset();
+  return Renewal::kDone;
 }
 
 Result<void> Membership::MarkLeaving(Task& task, TimePoint deadline) {
--- a/anvilcroft/membership.h
+++ b/anvilcroft/membership.h
@@ -95,6 +95,8 @@
   RowVersion epoch = 0;
   RowVersion lease_version = 0;
   std::optional<TimePoint> lease_from;
+  // When the first of the renewals was sent whose outcome is not known.
+  std::optional<TimePoint> unsettled_from;
   std::shared_ptr<Event> renew_wake = std::make_shared<Event>();
   std::shared_ptr<Event> roster_wake = std::make_shared<Event>();
   bool renew_now = false;
--- a/anvilcroft/peer_message.cc
+++ b/anvilcroft/peer_message.cc
@@ -1,5 +1,6 @@
 #include "anvilcroft/peer_message.h"
 
+#include <array>
 #include <utility>
 
 #include "anvilcroft/json.h"
@@ -20,13 +21,14 @@
           {"epoch", message.epoch}};
 }
 
+// The digest is an array without field names: pings are most of the control traffic, and its budget
+// is 2 KB/s for an instance with 8 peers.
 json Encode(const PingMessage& message) {
+  const PeerDigest& digest = message.digest;
   return {{"type", message.answer ? "pong" : "ping"},
           {"seq", message.seq},
-          {"config_version", message.digest.config_version},
-          {"roster_version", message.digest.roster_version},
-          {"weights_version", message.digest.weights_version},
-          {"confirmed_age_ms", message.digest.confirmed_age_ms}};
+          {"digest", json::array({digest.config_version, digest.roster_version,
+                                  digest.weights_version, digest.confirmed_age_ms})}};
 }
 
 json Encode(const ConfigEntriesMessage& message) {
@@ -62,13 +64,29 @@
 }
 
 PingMessage DecodePing(JsonFields& fields, bool answer) {
+  constexpr std::size_t kDigestFields = 4;
+  constexpr int64_t kMaxAgeMs = INT64_MAX / 1'000'000;  // fits into nanoseconds
   PingMessage message;
   message.answer = answer;
   message.seq = Version(fields, "seq");
-  message.digest.config_version = Version(fields, "config_version");
-  message.digest.roster_version = Version(fields, "roster_version");
-  message.digest.weights_version = Version(fields, "weights_version");
-  message.digest.confirmed_age_ms = fields.Integer("confirmed_age_ms", -1, INT64_MAX / 1000000);
+  const json& digest = fields.Array("digest", kDigestFields);
+  std::array<int64_t, kDigestFields> values{};
+  for (std::size_t i = 0; i < kDigestFields; ++i) {
+    const bool integer = i < digest.size() && digest[i].is_number_integer();
+    if (integer) values[i] = digest[i].get<int64_t>();
+    // An unsigned number beyond the range of int64_t reads as a negative one.
+    const bool in_range = values[i] >= 0 || (i == 3 && digest[i].is_number_integer() &&
+                                             !digest[i].is_number_unsigned() && values[i] == -1);
+    if (!integer || !in_range) {
+      fields.Refuse("digest", "must hold four numbers in their ranges");
+      return message;
+    }
+  }
+  if (values[3] > kMaxAgeMs) fields.Refuse("digest", "holds an age out of range");
+  message.digest.config_version = static_cast<uint64_t>(values[0]);
+  message.digest.roster_version = static_cast<uint64_t>(values[1]);
+  message.digest.weights_version = static_cast<uint64_t>(values[2]);
+  message.digest.confirmed_age_ms = values[3];
   return message;
 }
 
--- a/anvilcroft/peer_transport.cc
+++ b/anvilcroft/peer_transport.cc
@@ -139,6 +139,8 @@
             open->get_raw_socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
           }
           link->Opened();
+          // The link may have been closed while the connection was being made.
+          if (link->CurrentState() == PeerLink::State::kClosed) link->transport_close();
         });
     this->client.connect(connection);
     return link;
--- a/testing/cluster_node_test.cc
+++ b/testing/cluster_node_test.cc
@@ -216,6 +216,43 @@
   });
 }
 
+// Guards against the loss of a lease whose renewals apply although their answers are lost.
+TEST_CASE("renewals whose answers are lost are settled", "[cluster]") {
+  ClusterHarness cluster;
+  cluster.Run([&](Task& task) {
+    cluster.Form(task, 2);
+    const RowVersion epoch = cluster.At(1).node->View().epoch();
+    cluster.table.FaultsOf(1).lose_commit_answers = 1000;
+    for (int i = 0; i < 50; ++i) {
+      SleepUntil(task, SteadyNow() + milliseconds(100));
+      CHECK(cluster.At(1).node->View().holds_lease(SteadyNow()));
+    }
+    CHECK(cluster.At(0).RosterSize() == 2);
+    CHECK(cluster.At(1).node->View().epoch() == epoch);
+  });
+}
+
+// Guards against a holder that believes in its lease after its removal, because its renewals
+// applied and their answers came too late.
+TEST_CASE("a lease whose answers come too late ends before the others remove it", "[cluster]") {
+  ClusterHarness cluster;
+  cluster.Run([&](Task& task) {
+    cluster.Form(task, 2, seconds(4));
+    const RowVersion epoch = cluster.At(1).node->View().epoch();
+    cluster.table.FaultsOf(1).delay = TableClient::kAttemptTimeout + milliseconds(300);
+    cluster.Await(task, "the lease ends",
+                  [&] { return !cluster.At(1).node->View().holds_lease(SteadyNow()); });
+    CHECK(cluster.table.Get("leases", "b").version != 0);
+    CHECK(cluster.At(1).MayServe());
+    cluster.Await(task, "removal", [&] { return cluster.At(0).RosterSize() == 1; });
+    CHECK_FALSE(cluster.At(1).node->View().holds_lease(SteadyNow()));
+    cluster.table.FaultsOf(1).delay = Duration::zero();
+    cluster.Await(task, "b joins again", [&] {
+      return cluster.At(1).node->View().epoch() > epoch && cluster.At(1).node->Ready();
+    });
+  });
+}
+
 // Guards against a new instance that serves without a configuration, or with that of one seed.
 TEST_CASE("a new instance starts in an outage with the document of most seeds", "[cluster]") {
   ClusterHarness cluster;
--- a/testing/peer_message_test.cc
+++ b/testing/peer_message_test.cc
@@ -52,6 +52,18 @@
   CHECK(refused({{"type", "hello"}, {"v", 1}, {"instance", ""}, {"zone", "z"}, {"epoch", 1}}));
   CHECK(refused({{"type", "hello"}, {"v", 1}, {"instance", "i"}, {"zone", "z"}, {"epoch", -1}}));
   CHECK(refused({{"type", "config_fetch"}, {"v", 1}, {"after", UINT64_MAX}}));
+  const auto ping = [](const nlohmann::json& digest) {
+    return nlohmann::json{{"type", "ping"}, {"v", 1}, {"seq", 1}, {"digest", digest}};
+  };
+  CHECK_FALSE(refused(ping({1, 2, 3, -1})));
+  CHECK(refused(ping({1, 2, 3})));
+  CHECK(refused(ping({1, 2, 3, -2})));
+  CHECK(refused(ping({1, -1, 3, 4})));
+  CHECK(refused(ping({UINT64_MAX, 2, 3, 4})));
+  CHECK(refused(ping({1, 2, 3, UINT64_MAX})));
+  CHECK(refused(ping({1, 2, 3, INT64_MAX})));
+  CHECK(refused(ping({1, 2, 3, 4, 5})));
+  CHECK(refused(ping({1, 2, 3, "4"})));
   CHECK(refused({{"type", "config_entries"}, {"v", 1}, {"entries", {{{"version", 1}}}}}));
   CHECK(refused({{"type", "suspect"}, {"v", 1}, {"fingerprint", "f"}, {"deaths", 1e9}}));
   CHECK(refused({{"type", std::string(65, 'x')}, {"v", 1}}));
