--- a/anvilcroft/cluster_node.cc
+++ b/anvilcroft/cluster_node.cc
@@ -171,11 +171,10 @@
                         this->membership.CurrentRoster()->Version(), this->weights_version,
                         this->ConfirmedAgeMs(now)};
     };
-    hooks.on_digest = [this](const std::string&, const PeerDigest& digest,
-                             std::optional<TimePoint> asked_at) {
+    hooks.on_digest = [this](const std::string&, const PeerDigest& digest, TimePoint asked_at) {
       std::optional<TimePoint> confirmed_at;
-      if (asked_at && digest.confirmed_age_ms >= 0) {
-        confirmed_at = *asked_at - milliseconds(digest.confirmed_age_ms);
+      if (digest.confirmed_age_ms >= 0) {
+        confirmed_at = asked_at - milliseconds(digest.confirmed_age_ms);
       }
       this->config.NotePeer(digest.config_version, confirmed_at);
       const bool newer = digest.roster_version > this->membership.CurrentRoster()->Version() ||
--- a/anvilcroft/lease_watch.cc
+++ b/anvilcroft/lease_watch.cc
@@ -53,8 +53,8 @@
   const std::shared_ptr<Event> event = this->wake;  // outlives the waits of this task
   while (!this->halted) {
     const double jitter = std::uniform_real_distribution<double>(0.8, 1.2)(this->random);
-    const TimePoint next =
-        SteadyNow() + std::chrono::duration_cast<Duration>(this->settings.LeaseRenewal() * jitter);
+    const TimePoint next = SteadyNow() + std::chrono::duration_cast<Duration>(
+                                             this->settings.LeaseRenewal() / 2 * jitter);
     while (!this->halted && event->WaitUntil(task, next)) {
     }
     if (this->halted) return;
--- a/anvilcroft/peer_message.cc
+++ b/anvilcroft/peer_message.cc
@@ -21,11 +21,12 @@
           {"epoch", message.epoch}};
 }
 
-// The digest is an array without field names: pings are most of the control traffic, and its budget
-// is 2 KB/s for an instance with 8 peers.
+// Pings are most of the control traffic, whose budget is 2 KB/s for an instance with 8 peers: only
+// the answer carries a digest, as an array without field names.
 json Encode(const PingMessage& message) {
+  if (!message.answer) return {{"type", "ping"}, {"seq", message.seq}};
   const PeerDigest& digest = message.digest;
-  return {{"type", message.answer ? "pong" : "ping"},
+  return {{"type", "pong"},
           {"seq", message.seq},
           {"digest", json::array({digest.config_version, digest.roster_version,
                                   digest.weights_version, digest.confirmed_age_ms})}};
@@ -69,6 +70,7 @@
   PingMessage message;
   message.answer = answer;
   message.seq = Version(fields, "seq");
+  if (!answer) return message;
   const json& digest = fields.Array("digest", kDigestFields);
   std::array<int64_t, kDigestFields> values{};
   for (std::size_t i = 0; i < kDigestFields; ++i) {
--- a/anvilcroft/peer_message.h
+++ b/anvilcroft/peer_message.h
@@ -3,7 +3,7 @@
 
 // The messages between instances and their encoding: one CBOR map each, with `type` and `v`.
 //
-//   std::string bytes = EncodePeerMessage(PingMessage{seq, false, digest});
+//   std::string bytes = EncodePeerMessage(PingMessage{seq, true, digest});
 //   Result<PeerMessage> message = DecodePeerMessage(bytes);
 //
 // DecodePeerMessage fails with kInvalidArgument or kTooLarge and the offending part; it accepts any
@@ -52,11 +52,11 @@
   }
 };
 
-// Heartbeat; the answer ("pong") repeats `seq`.
+// Heartbeat. The answer ("pong") repeats `seq` and carries the sender's digest.
 struct PingMessage {
   uint64_t seq = 0;
   bool answer = false;
-  PeerDigest digest;
+  PeerDigest digest;  // of an answer only
 
   friend bool operator==(const PingMessage& a, const PingMessage& b) {
     return std::tie(a.seq, a.answer, a.digest) == std::tie(b.seq, b.answer, b.digest);
--- a/anvilcroft/peer_network.cc
+++ b/anvilcroft/peer_network.cc
@@ -161,7 +161,7 @@
     if (now >= next_ping) {
       peer.unanswered.push_back({peer.next_seq, now});
       if (peer.unanswered.size() > kMaxUnanswered) peer.unanswered.pop_front();
-      const PingMessage ping{peer.next_seq++, false, this->hooks.digest(now)};
+      const PingMessage ping{peer.next_seq++, false, {}};
       peer.link->Send(EncodePeerMessage(ping));
       next_ping = now + kPingPeriod;
     }
@@ -194,7 +194,6 @@
   if (!ping->answer) {
     const PingMessage pong{ping->seq, true, this->hooks.digest(SteadyNow())};
     peer.link->Send(EncodePeerMessage(pong));
-    this->hooks.on_digest(peer.id, ping->digest, std::nullopt);
     return;
   }
   const auto sent =
--- a/anvilcroft/peer_network.h
+++ b/anvilcroft/peer_network.h
@@ -40,10 +40,8 @@
   struct Hooks {
     std::function<HelloMessage()> hello;
     std::function<PeerDigest(TimePoint now)> digest;
-    // A peer's digest. `asked_at`: when the ping that it answers was sent; nullopt if it is no
-    // answer, so that its age on arrival is not bounded.
-    std::function<void(const std::string& peer, const PeerDigest& digest,
-                       std::optional<TimePoint> asked_at)>
+    // A peer's digest, which is not older than `asked_at`: when the ping that it answers was sent.
+    std::function<void(const std::string& peer, const PeerDigest& digest, TimePoint asked_at)>
         on_digest;
     // Any message but hello, ping and pong.
     std::function<void(const std::string& peer, const PeerMessage& message)> on_message;
--- a/testing/cluster_node_test.cc
+++ b/testing/cluster_node_test.cc
@@ -40,6 +40,39 @@
   });
 }
 
+// Guards against joins that starve each other, and against patches that do not travel over the
+// sparse graph of more members than a full mesh allows.
+TEST_CASE("twenty instances join together, and a patch reaches all", "[cluster]") {
+  ClusterHarness cluster;
+  cluster.Run([&](Task& task) {
+    constexpr std::size_t kCount = 20;
+    for (std::size_t i = 0; i < kCount; ++i) {
+      cluster.Add(std::string(1, static_cast<char>('a' + i)), {}, seconds(30));
+    }
+    cluster.Await(task, "all have joined and have their peers", [&] {
+      for (const auto& instance : cluster.instances) {
+        if (instance->RosterSize() != kCount || !instance->node->Ready()) return false;
+        const std::size_t peers = cluster.PeersOf(*instance);
+        if (peers < 5 || peers > 8) return false;
+      }
+      return true;
+    });
+    for (const auto& instance : cluster.instances) {
+      REQUIRE(instance->node->View().roster()->Find("a")->Epoch() ==
+              cluster.At(0).node->View().epoch());
+    }
+    // Only the peers can carry it.
+    for (std::size_t i = 1; i < kCount; ++i) cluster.table.FaultsOf(i).down = true;
+    REQUIRE(cluster.Patch(task, cluster.At(0), 0, "p1", "t1").Status() == 200);
+    cluster.Await(task, "the patch is in force everywhere", [&] {
+      for (const auto& instance : cluster.instances) {
+        if (instance->ConfigVersion() != 1) return false;
+      }
+      return true;
+    });
+  });
+}
+
 // Guards against a push that does not travel: with the head read rarely, only peers can carry it.
 TEST_CASE("a patch reaches an instance whose table service is down", "[cluster]") {
   ClusterHarness cluster;
@@ -197,7 +230,7 @@
 TEST_CASE("nobody is removed after an outage that all survived", "[cluster]") {
   ClusterHarness cluster;
   cluster.Run([&](Task& task) {
-    cluster.Form(task, 4);
+    cluster.Form(task, 4, seconds(3));
     std::vector<RowVersion> epochs;
     for (const auto& instance : cluster.instances) epochs.push_back(instance->node->View().epoch());
     for (int round = 0; round < 2; ++round) {
@@ -211,7 +244,7 @@
         return true;
       });
     }
-    SleepUntil(task, SteadyNow() + seconds(2));
+    SleepUntil(task, SteadyNow() + seconds(4));
     for (std::size_t i = 0; i < 4; ++i) CHECK(cluster.At(i).node->View().epoch() == epochs[i]);
   });
 }
@@ -220,10 +253,10 @@
 TEST_CASE("renewals whose answers are lost are settled", "[cluster]") {
   ClusterHarness cluster;
   cluster.Run([&](Task& task) {
-    cluster.Form(task, 2);
+    cluster.Form(task, 2, seconds(4));
     const RowVersion epoch = cluster.At(1).node->View().epoch();
     cluster.table.FaultsOf(1).lose_commit_answers = 1000;
-    for (int i = 0; i < 50; ++i) {
+    for (int i = 0; i < 80; ++i) {
       SleepUntil(task, SteadyNow() + milliseconds(100));
       CHECK(cluster.At(1).node->View().holds_lease(SteadyNow()));
     }
--- a/testing/peer_message_test.cc
+++ b/testing/peer_message_test.cc
@@ -18,7 +18,8 @@
   entry.patch = {{"drained_targets", {{"t1", true}}}};
   entry.at_ms = 1234567890123;
   return {HelloMessage{"i-1", "ahmedabad", 17},
-          PingMessage{3, false, {8, 5, 2, 120}},
+          PingMessage{3, false, {}},
+          PingMessage{3, true, {8, 5, 2, 120}},
           PingMessage{4, true, {8, 5, 2, -1}},
           ConfigEntriesMessage{{entry, entry}},
           ConfigFetchMessage{7, true},
@@ -42,6 +43,15 @@
   }
 }
 
+// Guards the budget of control traffic, 2 KB/s for an instance: with 8 peers it sends and receives
+// 8 pings and 8 pongs a second.
+TEST_CASE("pings fit the budget of control traffic", "[peer_message]") {
+  const PingMessage ping{10'000'000, false, {}};
+  const PingMessage pong{10'000'000, true, {100'000, 100'000, 1'000'000, 100'000}};
+  const std::size_t bytes = EncodePeerMessage(ping).size() + EncodePeerMessage(pong).size();
+  CHECK(bytes * 8 * 2 <= 1280);
+}
+
 // Guards against fields out of their bounds, and against a newer peer's type closing connections.
 TEST_CASE("wrong fields are errors and unknown types are not", "[peer_message]") {
   const auto refused = [](const nlohmann::json& value) {
@@ -53,7 +63,7 @@
   CHECK(refused({{"type", "hello"}, {"v", 1}, {"instance", "i"}, {"zone", "z"}, {"epoch", -1}}));
   CHECK(refused({{"type", "config_fetch"}, {"v", 1}, {"after", UINT64_MAX}}));
   const auto ping = [](const nlohmann::json& digest) {
-    return nlohmann::json{{"type", "ping"}, {"v", 1}, {"seq", 1}, {"digest", digest}};
+    return nlohmann::json{{"type", "pong"}, {"v", 1}, {"seq", 1}, {"digest", digest}};
   };
   CHECK_FALSE(refused(ping({1, 2, 3, -1})));
   CHECK(refused(ping({1, 2, 3})));
