--- a/anvilcroft/app_call.h
+++ b/anvilcroft/app_call.h
@@ -16,6 +16,7 @@
 struct AppCall {
   std::string path;
   std::string request_id;
+  std::string idempotency_key;  // passed on for targets that deduplicate; may be empty
   std::string body;
   TraceContext trace;
   // App engines echo X-Request-Id; judges need not.
@@ -24,7 +25,8 @@
 
 // Returns the whole response, of any status but the refusals below. Errors:
 //   kConnectFailed, ran = no     no connection could be made
-//   kLeaving, ran = no           the target answered 503 with the error code "leaving"
+//   kLeaving, ran = no           the target answered 503 with the error code "leaving"; such a
+//                                refusal need not carry the request's id
 //   kConnectionLost, kDeadlineExceeded, kCancelled, ran = unknown
 //   kBadResponse, ran = unknown  also: the response does not carry the request's own id
 Result<HttpResponse> CallApp(Task& task, HttpClient& http, const Endpoint& endpoint,
--- a/anvilcroft/dispatcher.cc
+++ b/anvilcroft/dispatcher.cc
@@ -309,6 +309,7 @@
   AppCall call;
   call.path = item.operation.path;
   call.request_id = request.RequestId();
+  call.idempotency_key = request.IdempotencyKey();
   call.body = request.Body();
   call.trace = span.Context();
   call.id_required = item.kind == TargetKind::kAppEngine;
--- a/anvilcroft/target_judge.cc
+++ b/anvilcroft/target_judge.cc
@@ -52,6 +52,7 @@
     }
     case ErrorCode::kBadResponse:
       this->http.Forget(address);
+      target->Suspect(now + kRefusalPause);
       return Verdict::kRetryCharged;
     default:
       return Verdict::kGiveUp;
--- a/testing/claims_test.cc
+++ b/testing/claims_test.cc
@@ -187,6 +187,21 @@
   });
 }
 
+// Guards a planned stop: the refusal of a leaving target is "not run", and the key stays usable.
+TEST_CASE("a leaving target's refusal releases the claim", "[claims]") {
+  Apps apps;
+  apps.Run([&](Task& task) {
+    for (auto& app : apps.app) app->refuse_code = "leaving";
+    const HttpResponse refused = apps.Confirm(task, *apps.first);
+    CHECK(ErrorCodeOf(refused) == "leaving");
+    CHECK(RanOf(refused) == "no");
+    CHECK(WaitUntil(task, [&] { return apps.RowState() == "absent"; }));
+    for (auto& app : apps.app) app->refuse_code = "";
+    CHECK(apps.Confirm(task, *apps.second).Status() == 200);
+    CHECK(apps.Calls() == 1);
+  });
+}
+
 // Guards against a claim or a "not run" that an instance without lease or store cannot know.
 TEST_CASE("no work runs without the store or the lease", "[claims]") {
   Apps apps;
