--- a/anvilcroft/target_state.cc
+++ b/anvilcroft/target_state.cc
@@ -162,20 +162,18 @@
   this->ApplyLeaving();
 }
 
-void TargetState::OnAnswer(TimePoint now) {
+void TargetState::OnAnswer() {
   this->failed_probes = 0;
-  if (this->said_leaving && now - this->leaving_since >= kLeavingRecheck) {
-    this->said_leaving = false;
-    this->ApplyLeaving();
-  }
   this->Process(Signal::kAnswered);
 }
 
 void TargetState::OnReport(const EngineReport& report, TimePoint now) {
   if (report.leaving) {
     this->OnLeaving(now);
-  } else if (this->said_leaving && report.instance_start != this->leaving_start) {
-    // The engine restarted, so what the earlier run said no longer holds.
+  } else if (this->said_leaving && (report.instance_start != this->leaving_start ||
+                                    now - this->leaving_since >= kLeavingRecheck)) {
+    // The engine restarted or stays after all. A report that is only a moment younger than the
+    // refusal may be older than it in truth.
     this->said_leaving = false;
     this->ApplyLeaving();
   }
@@ -186,7 +184,7 @@
     this->failed_probes = 0;
     this->Process(Signal::kSwapping);
   } else {
-    this->OnAnswer(now);
+    this->OnAnswer();
   }
 }
 
@@ -211,6 +209,9 @@
 
 void TargetState::OnLost(TimePoint now) {
   ++this->failed_probes;
+  // The run that was leaving has ended; what answers here later is another one.
+  this->said_leaving = false;
+  this->ApplyLeaving();
   this->next_probe = now + (this->failed_probes > kFastProbes ? kSlowProbe : kFastProbe);
   this->Process(Signal::kRefused);
 }
--- a/anvilcroft/target_state.h
+++ b/anvilcroft/target_state.h
@@ -38,8 +38,8 @@
   // Called after each change of the phase.
   using PhaseHook = std::function<void(const TargetState&, TargetPhase from, TargetPhase to)>;
 
-  // A leaving target without a newer report is probed again after this time: it may have been
-  // replaced under its id.
+  // A target that said it is leaving is probed at this interval, because it may be replaced under
+  // its id.
   static constexpr Duration kLeavingRecheck = seconds(10);
   // Reported load loses half its weight in this time, because reports lag behind.
   static constexpr Duration kLoadHalfLife = seconds(2);
@@ -62,7 +62,7 @@
   void Update(const Target& newer, bool drained);
 
   // A probe or a response showed that the target is up and takes work.
-  void OnAnswer(TimePoint now);
+  void OnAnswer();
   void OnReport(const EngineReport& report, TimePoint now);
   // The load in a response of the target.
   void OnLoad(int64_t running, int64_t waiting, TimePoint now);
--- a/anvilcroft/target_table.cc
+++ b/anvilcroft/target_table.cc
@@ -179,7 +179,7 @@
   if (target.Kind() != TargetKind::kModelEngine) {
     const auto reached = ProbeConnection(task, target.Address(), deadline);
     if (reached) {
-      state->OnAnswer(SteadyNow());
+      state->OnAnswer();
     } else {
       state->OnLost(SteadyNow());
     }
