--- a/testing/samples_test.cc
+++ b/testing/samples_test.cc
@@ -289,8 +289,9 @@
       change();
     };
   };
-  const auto put = [&](const std::string& name, const std::string& key, nlohmann::json value) {
-    REQUIRE(table.Apply(Transaction::Builder().Put(name, key, std::move(value)).Build()));
+  const auto put = [&](const std::string& name, const std::string& key,
+                       const nlohmann::json& value) {
+    REQUIRE(table.Apply(Transaction::Builder().Put(name, key, value).Build()));
   };
   RunInTask(runtime, [&](Task& task) {
     Submit(task, a, step, 1);
