--- /dev/null
+++ b/anvilcroft/engine_versions.cc
@@ -0,0 +1,24 @@
+#include "anvilcroft/engine_versions.h"
+
+#include <iterator>
+
+namespace anvilcroft {
+
+void EngineVersions::Observe(const std::string& target_id, int64_t version, TimePoint now) {
+  this->engines[target_id] = Seen{version, now};
+}
+
+std::set<std::string> EngineVersions::OlderThan(int64_t version, TimePoint now) {
+  std::set<std::string> older;
+  for (auto at = this->engines.begin(); at != this->engines.end();) {
+    if (now - at->second.at > kTrustTime) {
+      at = this->engines.erase(at);
+      continue;
+    }
+    if (at->second.version < version) older.insert(at->first);
+    ++at;
+  }
+  return older;
+}
+
+}  // namespace anvilcroft
--- a/anvilcroft/group_runner.cc
+++ b/anvilcroft/group_runner.cc
@@ -90,6 +90,7 @@
     }
     if (record) {
       this->group = std::move(*record);
+      this->ReadOldestAllowed(task);
       const auto missing =
           this->context.store.ScanMissing(task, this->group, SteadyNow() + kStoreTimeout);
       if (missing && missing->empty()) {
@@ -159,7 +160,8 @@
   while (!sample->done && this->may_start()) {
     Copy copy;
     copy.first = first;
-    copy.excluded = excluded;
+    copy.excluded = this->context.versions.OlderThan(this->oldest_allowed, SteadyNow());
+    copy.excluded.insert(excluded.begin(), excluded.end());
     copy.cancellation = std::make_shared<Cancellation>();
     copy.started = SteadyNow();
     sample->cancellations.push_back(copy.cancellation);
@@ -188,14 +190,14 @@
   auto ready = this->Generate(task, sample, copy);
   if (sample->done) return Outcome::kDone;
   if (!ready) return this->Rerun(*sample, ready.error());
+  const Error stale{ErrorCode::kStaleVersion, "the sample is too stale already", "", Ran::kYes};
+  if (ready->MinVersion() < this->oldest_allowed) return this->Rerun(*sample, stale);
   const auto reward = this->Judge(task, sample, copy, ready->output);
   if (sample->done) return Outcome::kDone;
   if (!reward) return this->Rerun(*sample, reward.error());
   ready->reward = *reward;
-  if (this->TooStale(task, *ready)) {
-    return this->Rerun(
-        *sample, Error{ErrorCode::kStaleVersion, "the sample is too stale already", "", Ran::kYes});
-  }
+  this->ReadOldestAllowed(task);
+  if (ready->MinVersion() < this->oldest_allowed) return this->Rerun(*sample, stale);
   this->Complete(task, sample, copy, std::move(*ready));
   return Outcome::kDone;
 }
@@ -249,6 +251,10 @@
   }
   const auto result = this->Call(task, sample, copy, std::move(builder), kGenerateTimeout);
   if (!result) return tl::unexpected<Error>(result.error());
+  if (!result->Spans().empty()) {
+    const int64_t version = result->Spans().back().version;
+    this->context.versions.Observe(result->TargetId(), version, SteadyNow());
+  }
   return ReadOutput(*result);
 }
 
@@ -278,11 +284,11 @@
   }
 }
 
-bool GroupRunner::TooStale(Task& task, const ReadyRecord& ready) {
+void GroupRunner::ReadOldestAllowed(Task& task) {
   const auto trainer =
       this->context.store.ReadTrainer(task, this->group.id.trainer, SteadyNow() + kStoreTimeout);
-  // Without an answer the sample goes on: the take checks its staleness again.
-  return trainer && *trainer && ready.MinVersion() < (*trainer)->OldestAllowed();
+  // Without an answer a sample goes on: the take checks its staleness again.
+  if (trainer && *trainer) this->oldest_allowed = (*trainer)->OldestAllowed();
 }
 
 void GroupRunner::Complete(Task& task, const std::shared_ptr<Sample>& sample, const Copy& copy,
--- a/anvilcroft/group_runner.h
+++ b/anvilcroft/group_runner.h
@@ -10,7 +10,8 @@
 // Samples run at once, one task each. A straggler is issued once more, on another target; the
 // first completion wins and the other copy is cancelled. Output without weight versions, or whose
 // versions do not account for all of its tokens, is not completed but generated again. So is a
-// sample that the trainer would find too stale.
+// sample that the trainer would find too stale; engines that are known to give such output get no
+// samples of the group.
 //
 // Which samples are missing comes from the rows, and completion is conditional on the row found,
 // so two runners of one group cost redundant work but never a duplicate.
@@ -23,6 +24,7 @@
 #include <string>
 #include <vector>
 
+#include "anvilcroft/engine_versions.h"
 #include "anvilcroft/error.h"
 #include "anvilcroft/event.h"
 #include "anvilcroft/metrics.h"
@@ -66,6 +68,7 @@
     std::string self;  // id of this instance
     std::mt19937_64 random;
     StragglerBudget budget;
+    EngineVersions versions;
   };
 
   // `may_start` says whether new attempts may start: the instance is not stopping and still owns
@@ -98,7 +101,8 @@
   Result<ReadyRecord> Generate(Task& task, const std::shared_ptr<Sample>& sample, Copy& copy);
   Result<double> Judge(Task& task, const std::shared_ptr<Sample>& sample, Copy& copy,
                        const std::string& output);
-  bool TooStale(Task& task, const ReadyRecord& ready);
+  // Reads the trainer's row again; keeps the last answer if there is none.
+  void ReadOldestAllowed(Task& task);
   void Complete(Task& task, const std::shared_ptr<Sample>& sample, const Copy& copy,
                 ReadyRecord ready);
   void ReissueStragglers(TimePoint now);
@@ -108,6 +112,8 @@
   SampleStore::Marker marker;
   std::function<bool()> may_start;
   GroupRecord group;
+  // The lowest weight version that the trainer accepted when its row was read last.
+  int64_t oldest_allowed = 0;
   std::vector<std::shared_ptr<Sample>> samples;
   std::vector<Duration> durations;  // of completed samples
   int64_t tasks = 0;
--- a/anvilcroft/rollout_node.cc
+++ b/anvilcroft/rollout_node.cc
@@ -28,27 +28,32 @@
         owner(builder.runtime, builder.view, this->store, builder.targets,
               [this](const std::string& target_id) { this->control->Watch(target_id); }),
         samples(this->store),
-        context{builder.runtime,  this->samples, this->objects,     *builder.tracer,
-                *builder.metrics, builder.run,   builder.view.self, std::mt19937_64(builder.seed),
-                StragglerBudget()},
+        context{
+            builder.runtime,   this->samples,   this->objects,     *builder.tracer,
+            *builder.metrics,  builder.run,     builder.view.self, std::mt19937_64(builder.seed),
+            StragglerBudget(), EngineVersions()},
         worker(this->context, builder.view),
         take(
             this->store, this->objects, builder.view.holds_lease,
             [this](int shard) { this->NotifyShard(shard); }, *builder.metrics),
         api(builder.view, this->store, this->samples, this->take, this->weights, this->ApiHooks()) {
-    this->control = EngineControl::Builder(builder.runtime)
-                        .SetHttpClient(*builder.http)
-                        .SetMetrics(*builder.metrics)
-                        .SetOwned([this](const std::string& id) { return this->owner.Find(id); })
-                        .SetGoal([this](const Target& target) { return this->GoalOf(target); })
-                        .SetHoldsLease(builder.view.holds_lease)
-                        .SetReport(builder.report)
-                        .SetRefusedToken([this](const std::string& id, RowVersion token) {
-                          this->owner.RefusedToken(id, token, SteadyNow());
-                        })
-                        .SetSwapTime(builder.swap_time)
-                        .SetSeed(builder.seed + 1)
-                        .Build();
+    this->control =
+        EngineControl::Builder(builder.runtime)
+            .SetHttpClient(*builder.http)
+            .SetMetrics(*builder.metrics)
+            .SetOwned([this](const std::string& id) { return this->owner.Find(id); })
+            .SetGoal([this](const Target& target) { return this->GoalOf(target); })
+            .SetHoldsLease(builder.view.holds_lease)
+            .SetReport([this, report = builder.report](const EngineReport& state) {
+              this->context.versions.Observe(state.id, state.weight_version, SteadyNow());
+              report(state);
+            })
+            .SetRefusedToken([this](const std::string& id, RowVersion token) {
+              this->owner.RefusedToken(id, token, SteadyNow());
+            })
+            .SetSwapTime(builder.swap_time)
+            .SetSeed(builder.seed + 1)
+            .Build();
     Metrics& metrics = *builder.metrics;
     metrics.Gauge("anvilcroft_owned_engines", {},
                   [this] { return static_cast<double>(this->owner.Count()); });
