--- a/anvilcroft/app_call.cc
+++ b/anvilcroft/app_call.cc
@@ -10,7 +10,6 @@
   request.SetMethod("POST").SetTarget(call.path).SetHeader("X-Request-Id", call.request_id);
   if (!call.idempotency_key.empty()) request.SetHeader("Idempotency-Key", call.idempotency_key);
   if (call.trace.Valid()) request.SetHeader("traceparent", call.trace.ToHeader());
-  if (!call.idempotency_key.empty()) request.SetHeader("Idempotency-Key", call.idempotency_key);
   request.SetJson(call.body);
   auto response = http.Call(task, endpoint, request.Build(), options);
   if (!response) return response;
--- a/anvilcroft/app_call.h
+++ b/anvilcroft/app_call.h
@@ -19,8 +19,6 @@
   std::string idempotency_key;  // passed on for targets that deduplicate; may be empty
   std::string body;
   TraceContext trace;
-  // Passed on to the target, which may use it to tell repeated calls; empty: none.
-  std::string idempotency_key;
   // App engines echo X-Request-Id; judges need not.
   bool id_required = true;
 };
--- a/anvilcroft/dispatcher.cc
+++ b/anvilcroft/dispatcher.cc
@@ -311,7 +311,6 @@
   call.request_id = request.RequestId();
   call.idempotency_key = request.IdempotencyKey();
   call.body = request.Body();
-  call.idempotency_key = request.IdempotencyKey();
   call.trace = span.Context();
   call.id_required = item.kind == TargetKind::kAppEngine;
   const TimePoint started = SteadyNow();
--- a/anvilcroft/rollout_node.cc
+++ b/anvilcroft/rollout_node.cc
@@ -51,7 +51,6 @@
             .SetRefusedToken([this](const std::string& id, RowVersion token) {
               this->owner.RefusedToken(id, token, SteadyNow());
             })
-            .SetSwapTime(builder.swap_time)
             .SetSeed(builder.seed + 1)
             .Build();
     Metrics& metrics = *builder.metrics;
--- /dev/null
+++ b/bench/process_sample.cc
@@ -0,0 +1,46 @@
+#include "bench/process_sample.h"
+
+#include <cstdlib>
+
+namespace anvilcroft::bench {
+
+ProcessSample Difference(const ProcessSample& earlier, const ProcessSample& later) {
+  ProcessSample used = later;
+  used.cpu_seconds -= earlier.cpu_seconds;
+  used.peer_bytes_out -= earlier.peer_bytes_out;
+  used.peer_bytes_in -= earlier.peer_bytes_in;
+  used.http_bytes_out -= earlier.http_bytes_out;
+  used.http_bytes_in -= earlier.http_bytes_in;
+  used.store_reads -= earlier.store_reads;
+  used.store_transactions -= earlier.store_transactions;
+  return used;
+}
+
+double MetricValue(const std::string& page, const std::string& series) {
+  const std::string line = "\n" + series + " ";
+  const std::size_t at = ("\n" + page).find(line);
+  if (at == std::string::npos) return 0;
+  return std::strtod(page.c_str() + at + line.size() - 1, nullptr);
+}
+
+Result<ProcessSample> TakeSample(Task& task, HttpClient& http, const std::string& address) {
+  const auto endpoint = ParseEndpoint(address);
+  if (!endpoint) return tl::unexpected<Error>(endpoint.error());
+  const auto page = http.Call(task, *endpoint, HttpRequest::Builder().SetTarget("/metrics").Build(),
+                              CallOptions(SteadyNow() + seconds(10)).WithResend());
+  if (!page) return tl::unexpected<Error>(page.error());
+  const auto value = [&](const std::string& series) { return MetricValue(page->Body(), series); };
+  ProcessSample sample;
+  sample.cpu_seconds = value("process_cpu_seconds_total");
+  sample.resident_bytes = value("process_resident_memory_bytes");
+  sample.peer_bytes_out = value("anvilcroft_peer_bytes_total{direction=\"out\"}");
+  sample.peer_bytes_in = value("anvilcroft_peer_bytes_total{direction=\"in\"}");
+  sample.http_bytes_out = value("anvilcroft_http_client_bytes_total{direction=\"out\"}");
+  sample.http_bytes_in = value("anvilcroft_http_client_bytes_total{direction=\"in\"}");
+  sample.store_reads = value("anvilcroft_store_reads_total");
+  sample.store_transactions = value("anvilcroft_store_transactions_total");
+  sample.config_version = value("anvilcroft_config_version");
+  return sample;
+}
+
+}  // namespace anvilcroft::bench
--- a/fakes/local_cluster.cc
+++ b/fakes/local_cluster.cc
@@ -51,7 +51,13 @@
 
 Result<void> LocalCluster::StartPlatform() {
   for (const char* name : {"table", "objects", "instances", "weights", "judge"}) {
-    auto node = this->StartFake(name, this->options.site.zones[0], {name});
+    std::vector<std::string> arguments = {name};
+    if (arguments[0] == "weights") {
+      arguments.insert(
+          arguments.end(),
+          {"--downloads-per-second", std::to_string(this->options.weight_downloads_per_second)});
+    }
+    auto node = this->StartFake(name, this->options.site.zones[0], arguments);
     if (!node) return tl::unexpected<Error>(node.error());
     this->platform.emplace(name, std::move(*node));
   }
--- a/fakes/local_cluster.h
+++ b/fakes/local_cluster.h
@@ -35,6 +35,7 @@
     double lease_s = 6;
     double lease_renewal_s = 1.5;
     double address_ttl_s = 1;
+    double weight_downloads_per_second = 8;
     std::vector<std::string> engine_arguments;  // more arguments of every fake engine
     bool keep_files = false;
   };
