Run test cases side by side; report readiness only as a listed member

Cause: one process ran all cases one after the other, mostly waiting: 132 s. /readyz said ready up to 2 s before the instance could accept a patch.

--- a/anvilcroft/cluster_node.cc
+++ b/anvilcroft/cluster_node.cc
@@ -93,7 +93,11 @@
     const auto state = this->lifecycle.Current();
     const bool accepting =
         state == Lifecycle::State::kJoining || state == Lifecycle::State::kServing;
-    return accepting && this->MayServe(SteadyNow()).has_value();
+    // A member that has not read its own entry yet cannot tell a majority, and refuses patches.
+    const bool listed =
+        this->membership.CurrentRoster()->Find(this->settings.InstanceId()) != nullptr;
+    return accepting && (listed || this->config.StoreFailed()) &&
+           this->MayServe(SteadyNow()).has_value();
   }
 
   void OnRosterChange(ChangeHook hook) override { this->roster_hooks.push_back(std::move(hook)); }
--- a/anvilcroft/instance.cc
+++ b/anvilcroft/instance.cc
@@ -13,6 +13,7 @@
 #include "anvilcroft/http_client.h"
 #include "anvilcroft/http_router.h"
 #include "anvilcroft/http_server.h"
+#include "anvilcroft/lifecycle.h"
 #include "anvilcroft/log.h"
 #include "anvilcroft/metrics.h"
 #include "anvilcroft/operator_api.h"
@@ -68,7 +69,7 @@
     std::cout << "listening api=" << *api << " peer=" << this->cluster->PeerAddress() << std::endl;
     this->runtime.Run();
     this->runtime.EndTasks();
-    return kExitOk;
+    return this->exit_code;
   }
 
  private:
@@ -147,6 +148,14 @@
         [this](const std::string& fingerprint, int64_t deaths, int64_t ttl_ms) {
           this->routing->OnSuspect(fingerprint, deaths, ttl_ms);
         });
+    this->cluster->State().OnChange([this](Lifecycle::State, Lifecycle::State to) {
+      // Another process took over this instance's id.
+      if (to == Lifecycle::State::kStopped && !this->stopping) {
+        LogError(kPart, "another process uses this instance id; stopping");
+        this->exit_code = kExitFailed;
+        this->runtime.Stop();
+      }
+    });
     this->cluster->RegisterRoutes(this->router);
     this->routing->RegisterRoutes(this->router);
     this->rollout->RegisterRoutes(this->router);
@@ -188,6 +197,7 @@
     this->server->CloseAfterResponse();
     SleepUntil(task, SteadyNow() + this->settings.AddressTtl() + kStaleAnswerMargin);
     this->server->StopAccepting();
+    this->cluster->State().Handle(Lifecycle::Event::kCloseListener);
     const TimePoint begin = SteadyNow();
     while (!this->Drained() && !this->StopLimitReached(begin, SteadyNow())) {
       SleepUntil(task, SteadyNow() + kDrainCheck);
@@ -220,6 +230,7 @@
   std::unique_ptr<RolloutNode> rollout;
   std::unique_ptr<HttpServer> server;
   bool stopping = false;
+  int exit_code = kExitOk;
 };
 
 }  // namespace
--- a/anvilcroft/instance.h
+++ b/anvilcroft/instance.h
@@ -13,8 +13,8 @@
 
 namespace anvilcroft {
 
-// Runs an instance. Returns the process's exit code: 0 after a graceful shutdown, 3 if an address
-// of the settings cannot be used.
+// Runs an instance. Returns the process's exit code: 0 after a graceful shutdown, 1 if another
+// process took over the instance id, 3 if an address of the settings cannot be used.
 int RunInstance(const Settings& settings);
 
 }  // namespace anvilcroft
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -5,4 +5,4 @@
 scripts/setup.sh
 scripts/build.sh
 scripts/lint.sh
-ctest --test-dir build --output-on-failure
+ctest --test-dir build --output-on-failure --parallel 8
