--- a/anvilcroft/dispatcher.cc
+++ b/anvilcroft/dispatcher.cc
@@ -33,6 +33,7 @@
   std::set<std::string> tried;    // targets on which an attempt failed
   std::set<std::string> avoided;  // targets of the other copy
   std::string current;            // the target of the attempt under way
+  bool popular = false;           // whether the prompt's prefix is popular
   bool sent = false;              // whether a target may have run any part
   std::shared_ptr<void> suspect;  // held while the work is a suspect without progress
   EngineOutput output;
@@ -74,11 +75,13 @@
   const std::optional<Duration> delay =
       hedgeable ? this->latencies[latency_key].Quantile(0.95) : std::nullopt;
   const TimePoint started = SteadyNow();
+  const bool popular = this->prefixes.Note(item->prefix, started);
   Result<WorkResult> result;
   if (delay) {
-    result = this->RunHedged(task, item, std::max(*delay, kMinHedgeDelay));
+    result = this->RunHedged(task, item, std::max(*delay, kMinHedgeDelay), popular);
   } else {
     Leg leg;
+    leg.popular = popular;
     std::shared_ptr<void> link;
     if (request.CancelledBy()) {
       link = request.CancelledBy()->OnCancel([cancel = leg.cancel] { cancel->Cancel(); });
@@ -90,8 +93,9 @@
 }
 
 Result<WorkResult> Dispatcher::RunHedged(Task& task, const std::shared_ptr<const WorkItem>& item,
-                                         Duration delay) {
+                                         Duration delay, bool popular) {
   const auto race = std::make_shared<Race>();
+  for (Leg& leg : race->legs) leg.popular = popular;
   std::shared_ptr<void> link;
   if (item->request.CancelledBy()) {
     link = item->request.CancelledBy()->OnCancel([race] {
@@ -225,7 +229,8 @@
     eligible.push_back(std::move(state));
   }
   if (eligible.empty()) return nullptr;
-  const PickContext context{this->zone, TypicalLatency(eligible)};
+  PickContext context{this->zone, TypicalLatency(eligible)};
+  if (leg.popular) context.home = HomeOf(item.prefix, eligible);
   return this->pick(eligible, context, this->random, now);
 }
 
--- a/anvilcroft/dispatcher.h
+++ b/anvilcroft/dispatcher.h
@@ -29,6 +29,7 @@
 #include "anvilcroft/http_client.h"
 #include "anvilcroft/latency_window.h"
 #include "anvilcroft/metrics.h"
+#include "anvilcroft/prefix_homes.h"
 #include "anvilcroft/retry_budget.h"
 #include "anvilcroft/stream_sink.h"
 #include "anvilcroft/target_judge.h"
@@ -73,7 +74,7 @@
   explicit Dispatcher(const Builder& builder);
 
   Result<WorkResult> RunHedged(Task& task, const std::shared_ptr<const WorkItem>& item,
-                               Duration delay);
+                               Duration delay, bool popular);
   void StartLeg(const std::shared_ptr<const WorkItem>& item, const std::shared_ptr<Race>& race,
                 std::size_t index);
   Result<WorkResult> RunLeg(Task& task, const WorkItem& item, const StreamSink& sink, Leg& leg);
@@ -99,6 +100,7 @@
   PickHook pick;
   std::mt19937_64 random;
   TargetJudge judge;
+  PrefixHomes prefixes;
   RetryBudget retries{kRetryFraction, kRetryBurst};
   RetryBudget hedges{kHedgeFraction, kHedgeBurst};
   // Latencies of short work by service and operation; bounded by the configured operations.
--- a/anvilcroft/target_picker.cc
+++ b/anvilcroft/target_picker.cc
@@ -11,6 +11,9 @@
 // Pieces of work that each multiple of the typical latency counts for.
 constexpr double kSlownessCost = 4;
 constexpr double kMaxSlownessCost = 64;
+// Work in flight that the home of a popular prefix may have more than the other candidates. In
+// trials with 8 fake engines, 4 gave lower mean latencies than 2, and both lower ones than no home.
+constexpr double kHomeGain = 4;
 
 std::size_t RandomIndex(std::size_t size, std::mt19937_64& random) {
   return std::uniform_int_distribution<std::size_t>(0, size - 1)(random);
@@ -47,6 +50,10 @@
     if (second >= first) ++second;
     const double first_score = TargetScore(*eligible[first], context, now);
     const double second_score = TargetScore(*eligible[second], context, now);
+    if (context.home && TargetScore(*context.home, context, now) - kHomeGain <=
+                            std::min(first_score, second_score)) {
+      return context.home;
+    }
     return first_score <= second_score ? eligible[first] : eligible[second];
   };
 }
--- a/anvilcroft/target_picker.h
+++ b/anvilcroft/target_picker.h
@@ -7,8 +7,9 @@
 //   const auto target = pick(eligible, PickContext{zone, typical}, random, now);
 //
 // TwoChoicesPick is used in production: it compares the scores of two random candidates, which
-// avoids that all instances run to the one target whose (old) report looks best. The others are
-// baselines for benchmarks, and BestPick, which scores every candidate, is the oracle of tests.
+// avoids that all instances run to the one target whose (old) report looks best, and of the home of
+// a popular prompt prefix. The others are baselines for benchmarks, and BestPick, which scores
+// every candidate, is the oracle of tests.
 
 #include <functional>
 #include <memory>
@@ -26,6 +27,8 @@
 struct PickContext {
   std::string zone;    // of this instance
   double typical = 0;  // typical seconds per unit among the candidates; see TypicalLatency
+  // Home of the work's popular prompt prefix, one of the eligible targets; null if it has none.
+  std::shared_ptr<TargetState> home = nullptr;
 };
 
 // Chooses one of `eligible`, which holds only targets that may get new work. Returns null if it
--- a/anvilcroft/work_item.cc
+++ b/anvilcroft/work_item.cc
@@ -4,6 +4,7 @@
 
 #include "anvilcroft/crash_guard.h"
 #include "anvilcroft/json.h"
+#include "anvilcroft/prefix_homes.h"
 
 namespace anvilcroft {
 namespace {
@@ -53,6 +54,8 @@
   item.max_tokens = fields.IntegerOr("max_tokens", kDefaultMaxTokens, 1, kMaxTokensLimit);
   if (const auto read = fields.Finish(); !read) return tl::unexpected<Error>(read.error());
   item.short_work = item.max_tokens <= service->ShortMaxTokens();
+  const nlohmann::json& prompt = fields.Optional("prompt");
+  if (prompt.is_string()) item.prefix = PrefixHomes::KeyOf(prompt.get_ref<const std::string&>());
   item.engine_body = std::move(*body);
   item.engine_body["max_tokens"] = item.max_tokens;
   item.engine_body["priority"] = PriorityName(request.Importance());
--- a/anvilcroft/work_item.h
+++ b/anvilcroft/work_item.h
@@ -23,6 +23,7 @@
   // For model engines: the body for the engine, and the most tokens of the output.
   nlohmann::json engine_body;
   int64_t max_tokens = 0;
+  std::string prefix;  // PrefixHomes::KeyOf its prompt, if that is a string
 };
 
 // Finds the service and operation of `request` and checks its body. Fails with kNotFound,
--- a/testing/target_test.cc
+++ b/testing/target_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <map>
 
+#include "anvilcroft/prefix_homes.h"
 #include "anvilcroft/target_picker.h"
 #include "anvilcroft/target_subset.h"
 #include "testing/routing_fixture.h"
@@ -212,6 +213,50 @@
   CHECK(TargetScore(*all[0], context, At(60000)) - TargetScore(*all[1], context, At(60000)) < 0.1);
 }
 
+// Guards against a home that draws work however loaded it is, and against homes that differ
+// between instances or outlive their weights.
+TEST_CASE("popular prefixes go home while the home is not overloaded", "[target]") {
+  PrefixHomes homes;
+  const std::string prompt(PrefixHomes::kPrefixBytes, 'p');
+  const std::string key = PrefixHomes::KeyOf(prompt + "tail");
+  CHECK(key == PrefixHomes::KeyOf(prompt));
+  CHECK_FALSE(homes.Note(PrefixHomes::KeyOf("short"), At(0)));
+  for (int i = 1; i < PrefixHomes::kPopular; ++i) CHECK_FALSE(homes.Note(key, At(i)));
+  CHECK(homes.Note(key, At(10)));
+  for (int i = 0; i < 10000; ++i) homes.Note(std::to_string(i), At(20));
+  CHECK(homes.Size() == PrefixHomes::kMaxPrefixes);
+  homes.Note(key, At(10020));
+  CHECK(homes.Size() == 1);
+  CHECK_FALSE(homes.Note(key, At(60000)));
+
+  std::mt19937_64 random(4);
+  Candidates all;
+  std::set<std::string> moved;
+  for (int i = 0; i < 6; ++i) {
+    all.push_back(std::make_shared<TargetState>(MakeTarget("t" + std::to_string(i))));
+  }
+  PickContext context{"z0", 0};
+  context.home = HomeOf(key, all);
+  Candidates reversed(all.rbegin(), all.rend());
+  CHECK(HomeOf(key, reversed) == context.home);
+  CHECK(HomeOf(key, {}) == nullptr);
+  for (int version = 1; version < 20; ++version) {
+    EngineReport report;
+    report.weight_version = version;
+    all[0]->OnReport(report, At(0));
+    moved.insert(HomeOf(key, all)->Description().Id());
+  }
+  CHECK(moved.size() > 2);
+  std::vector<std::shared_ptr<void>> held;
+  int home = 0;
+  for (; home < 100; ++home) {
+    if (TwoChoicesPick()(all, context, random, At(0)) != context.home) break;
+    held.push_back(context.home->BeginWork());
+  }
+  CHECK(home >= 2);
+  CHECK(home < 10);
+}
+
 TEST_CASE("every policy picks an eligible target and nothing from nothing", "[target]") {
   std::mt19937_64 random(3);
   std::vector<std::shared_ptr<void>> held;
