--- a/anvilcroft/engine_owner.cc
+++ b/anvilcroft/engine_owner.cc
@@ -29,7 +29,7 @@
 void EngineOwner::Start() {
   this->runtime.Spawn([this](Task& task) {
     const std::shared_ptr<Event> event = this->wake;  // outlives the waits of this task
-    while (!this->stopped) {
+    while (true) {
       this->look_due = false;
       this->Look();
       const TimePoint next = SteadyNow() + kInterval;
@@ -44,12 +44,6 @@
   this->wake->NotifyAll();
 }
 
-void EngineOwner::Stop() {
-  this->stopped = true;
-  this->owned.clear();
-  this->Wake();
-}
-
 std::optional<EngineOwner::Owned> EngineOwner::Find(const std::string& target_id) const {
   const auto found = this->owned.find(target_id);
   if (found == this->owned.end()) return std::nullopt;
@@ -126,7 +120,7 @@
                  {{"target", id}, {"error", token.error().message}});
       return;
     }
-    if (this->stopped || !this->StillWanted(id)) return;
+    if (!this->StillWanted(id)) return;
     wanted.token = *token;
     this->owned[id] = std::move(wanted);
     this->acquired(id);
@@ -152,7 +146,7 @@
         if (!this->view.holds_lease(SteadyNow())) {
           return Fail(ErrorCode::kNoLease, "the instance holds no valid lease");
         }
-        if (this->stopped || !this->StillWanted(target_id)) {
+        if (!this->StillWanted(target_id)) {
           return Fail(ErrorCode::kConflict, "another member owns the target");
         }
         return Plan::Write(Transaction::Builder()
--- a/anvilcroft/engine_owner.h
+++ b/anvilcroft/engine_owner.h
@@ -56,9 +56,6 @@
   // Looks at the roster and the targets again soon.
   void Wake();
 
-  // Gives up all targets for good.
-  void Stop();
-
   // The target if this instance owns it and has its token.
   std::optional<Owned> Find(const std::string& target_id) const;
 
@@ -89,7 +86,6 @@
   std::map<std::string, TimePoint> not_before;
   std::shared_ptr<Event> wake = std::make_shared<Event>();
   bool look_due = false;
-  bool stopped = false;
 };
 
 }  // namespace anvilcroft
--- a/testing/rollout_node_test.cc
+++ b/testing/rollout_node_test.cc
@@ -291,6 +291,29 @@
   });
 }
 
+TEST_CASE("groups of an owner that is gone are run by the next one", "[rollout]") {
+  Runtime runtime;
+  SmallPlatform platform(runtime);
+  Instance a(runtime, platform, "a", 1);
+  Instance b(runtime, platform, "b", 2);
+  for (Instance* instance : {&a, &b}) {
+    instance->node->Start();
+    instance->SetMembers({"a"});
+  }
+  RunInTask(runtime, [&](Task& task) {
+    REQUIRE(a.Call(task, "PUT", "/v1/trainers/t", kTrainer).first == 200);
+    a.held = true;  // its samples never end
+    REQUIRE(b.Call(task, "POST", "/v1/trainers/t/steps", Step(1, 10, 2)).first == 200);
+    a.node->OnRosterChange();
+    REQUIRE(Eventually(task, [&] { return a.runs == 20; }));
+    CHECK(b.runs == 0);
+    b.SetMembers({"b"});
+    REQUIRE(Eventually(task, [&] { return platform.table.Rows("ready").size() == 20; }));
+    CHECK(b.runs == 40);
+    REQUIRE(Eventually(task, [&] { return platform.table.Rows("groups").empty(); }));
+  });
+}
+
 TEST_CASE("malformed requests are refused with the offending part", "[rollout]") {
   Runtime runtime;
   SmallPlatform platform(runtime);
--- a/testing/samples_test.cc
+++ b/testing/samples_test.cc
@@ -120,16 +120,20 @@
   return delivered;
 }
 
-// Takes until nothing remains, each time_id several times, and checks that they agree.
+// Takes until nothing remains, each take_id at both instances, and checks that they agree and that
+// the samples are within the bound of 2.
 void TakeAll(Task& task, Instance& a, Instance& b, const std::string& name) {
   for (int i = 0; i < 500; ++i) {
     const std::string take_id = name + std::to_string(i);
-    const auto first = a.Take(task, take_id, 10, 3);
-    const auto again = b.Take(task, take_id, 10, 3);
-    if (first && again) {
-      REQUIRE(first->at("samples") == again->at("samples"));
-      if (again->at("remaining") == 0) return;
+    const int64_t version = a.version;
+    const auto first = a.Take(task, take_id, version, 3);
+    const auto again = b.Take(task, take_id, version, 3);
+    if (!first || !again) continue;
+    REQUIRE(first->at("samples") == again->at("samples"));
+    for (const auto& sample : first->at("samples")) {
+      REQUIRE(sample["weight_versions"][0]["version"] >= version - 2);
     }
+    if (again->at("remaining") == 0) return;
   }
   FAIL("the step was not delivered");
 }
@@ -146,20 +150,38 @@
       table.faults = 0.3;
       Submit(task, a, step);
       int working = 0;
+      bool delivered_all = false;
+      const auto start = [&](std::function<void(Task&)> body) {
+        ++working;
+        runtime.Spawn([&working, body = std::move(body)](Task& inner) {
+          body(inner);
+          --working;
+        });
+      };
       for (Instance* instance : {&a, &b}) {
         for (const GroupRecord& group : step.groups) {
-          ++working;
-          runtime.Spawn([&, instance, id = group.id](Task& inner) {
-            CHECK(instance->RunGroup(inner, id));
-            --working;
+          start([&, instance, id = group.id](Task& inner) {
+            while (!delivered_all) {
+              CHECK(instance->RunGroup(inner, id));
+              SleepUntil(inner, SteadyNow() + milliseconds(5));
+            }
           });
         }
       }
+      // Each new version makes all samples that are ready too stale.
+      start([&](Task& inner) {
+        for (int i = 0; i < 3; ++i) {
+          SleepUntil(inner, SteadyNow() + milliseconds(40));
+          a.version += 4;
+          b.version += 4;
+          const TrainerRecord record{"t", "s", a.version, 2};
+          CHECK(a.store.PutTrainer(inner, record, SteadyNow() + kLimit));
+        }
+      });
       for (const char* name : {"x", "y"}) {
-        ++working;
-        runtime.Spawn([&, name](Task& inner) {
+        start([&, name](Task& inner) {
           TakeAll(inner, a, b, name);
-          --working;
+          delivered_all = true;
         });
       }
       REQUIRE(Eventually(
@@ -411,31 +433,44 @@
   });
 }
 
-TEST_CASE("engines with weights that are too old get no more samples for a while", "[samples]") {
+TEST_CASE("engines with weights that are too old get no samples for a while", "[samples]") {
   Runtime runtime;
   MemoryTable table(runtime, 1);
   Instance a(runtime, table, 1);
   const auto step = Step(1, 4);
+  const TimePoint start = SteadyNow();
   RunInTask(runtime, [&](Task& task) {
     Submit(task, a, step, 1);
     REQUIRE(a.store.PutTrainer(task, {"t", "s", 20, 1}, SteadyNow() + kLimit));
-    int judged = 0;
-    int stale_runs = 0;
+    // An observation that does not expire during the test, however slow the machine is.
+    a.context.versions.Observe("old", 18, start + std::chrono::hours(1));
     a.generate = [&](Task&, const WorkRequest& request) -> Result<WorkResult> {
-      const bool excluded = request.Excluded().count("t") != 0;
-      stale_runs += excluded ? 0 : 1;
-      return Instance::Output(excluded ? 20 : 10);
+      CHECK(request.Excluded() == std::set<std::string>{"old"});
+      return Instance::Output(20);
     };
     REQUIRE(a.RunGroup(task, step.groups[0].id));
-    // The first run of each sample at most; the trainer is known, so none of them was judged.
-    CHECK(stale_runs <= 4);
-    for (const WorkRequest& request : a.requests) judged += request.Operation() == "judge" ? 1 : 0;
-    CHECK(judged == 4);
-    const TimePoint now = SteadyNow();
-    a.context.versions.Observe("u", 3, now);
-    CHECK(a.context.versions.OlderThan(4, now + seconds(3)).count("u") == 1);
-    CHECK(a.context.versions.OlderThan(3, now).empty());
-    CHECK(a.context.versions.OlderThan(4, now + seconds(4)).empty());
+    CHECK(a.requests.size() == 8);
+    // The spans of an output tell the version of its engine too.
+    CHECK(a.context.versions.OlderThan(21, start) == std::set<std::string>{"old", "t"});
+    CHECK(a.context.versions.OlderThan(20, start) == std::set<std::string>{"old"});
+    a.context.versions.Observe("u", 3, start);
+    CHECK(a.context.versions.OlderThan(4, start + seconds(3)).count("u") == 1);
+    CHECK(a.context.versions.OlderThan(4, start + seconds(4)).count("u") == 0);
+  });
+}
+
+TEST_CASE("output that is too stale at once is not judged", "[samples]") {
+  Runtime runtime;
+  MemoryTable table(runtime, 1);
+  Instance a(runtime, table, 1);
+  const auto step = Step(1, 1);
+  RunInTask(runtime, [&](Task& task) {
+    Submit(task, a, step, 1);
+    int runs = 0;
+    a.generate = [&](Task&, const WorkRequest&) { return Instance::Output(++runs == 1 ? 9 : 10); };
+    REQUIRE(a.RunGroup(task, step.groups[0].id));
+    CHECK(runs == 2);
+    CHECK(a.requests.size() == 3);
   });
 }
 
