--- a/testing/rollout_node_test.cc
+++ b/testing/rollout_node_test.cc
@@ -268,29 +268,6 @@
   });
 }
 
-TEST_CASE("a stopping instance completes its samples and leaves the rest", "[rollout]") {
-  Runtime runtime;
-  SmallPlatform platform(runtime);
-  Instance a(runtime, platform, "a", 1);
-  a.node->Start();
-  a.SetMembers({"a"});
-  RunInTask(runtime, [&](Task& task) {
-    CHECK(a.node->Idle());
-    REQUIRE(a.Call(task, "PUT", "/v1/trainers/t", kTrainer).first == 200);
-    a.held = true;
-    REQUIRE(a.Call(task, "POST", "/v1/trainers/t/steps", Step(1, 1, 3)).first == 200);
-    REQUIRE(Eventually(task, [&] { return a.runs == 3; }));
-    a.node->StopTakingWork();
-    CHECK_FALSE(a.node->Idle());
-    REQUIRE(a.Call(task, "POST", "/v1/trainers/t/steps", Step(2, 1, 3)).first == 200);
-    a.held = false;
-    REQUIRE(Eventually(task, [&] { return a.node->Idle(); }));
-    CHECK(platform.table.Rows("ready").size() == 3);
-    CHECK(a.runs == 6);
-    CHECK_FALSE(platform.table.Rows("groups").empty());
-  });
-}
-
 TEST_CASE("groups of an owner that is gone are run by the next one", "[rollout]") {
   Runtime runtime;
   SmallPlatform platform(runtime);
@@ -314,6 +291,29 @@
   });
 }
 
+TEST_CASE("a stopping instance completes its samples and leaves the rest", "[rollout]") {
+  Runtime runtime;
+  SmallPlatform platform(runtime);
+  Instance a(runtime, platform, "a", 1);
+  a.node->Start();
+  a.SetMembers({"a"});
+  RunInTask(runtime, [&](Task& task) {
+    CHECK(a.node->Idle());
+    REQUIRE(a.Call(task, "PUT", "/v1/trainers/t", kTrainer).first == 200);
+    a.held = true;
+    REQUIRE(a.Call(task, "POST", "/v1/trainers/t/steps", Step(1, 1, 3)).first == 200);
+    REQUIRE(Eventually(task, [&] { return a.runs == 3; }));
+    a.node->StopTakingWork();
+    CHECK_FALSE(a.node->Idle());
+    REQUIRE(a.Call(task, "POST", "/v1/trainers/t/steps", Step(2, 1, 3)).first == 200);
+    a.held = false;
+    REQUIRE(Eventually(task, [&] { return a.node->Idle(); }));
+    CHECK(platform.table.Rows("ready").size() == 3);
+    CHECK(a.runs == 6);
+    CHECK_FALSE(platform.table.Rows("groups").empty());
+  });
+}
+
 TEST_CASE("malformed requests are refused with the offending part", "[rollout]") {
   Runtime runtime;
   SmallPlatform platform(runtime);
