--- a/anvilcroft/ready_record.cc
+++ b/anvilcroft/ready_record.cc
@@ -36,7 +36,7 @@
   ReadyRecord record;
   record.output_key = fields.StringOr("output_key", "");
   record.output = fields.StringOr("output", "", kMaxInlineBytes);
-  record.output_bytes = fields.Integer("output_bytes", 0, kMaxOutputBytes);
+  record.output_bytes = fields.Integer("output_bytes", 0, kMaxEncodedBytes);
   for (const nlohmann::json& item : fields.Array("weight_versions", kMaxSpans)) {
     JsonFields inner(item, "ready.weight_versions");
     WeightSpan span;
--- a/anvilcroft/ready_record.h
+++ b/anvilcroft/ready_record.h
@@ -20,12 +20,14 @@
   static constexpr std::size_t kMaxInlineBytes = 16 << 10;
   // Largest output of a sample.
   static constexpr std::size_t kMaxOutputBytes = 768 << 10;
+  // Most bytes that JSON needs for it: one byte can become an escape of six.
+  static constexpr int64_t kMaxEncodedBytes = 6 * (768 << 10) + 2;
   // Most runs of tokens by one weight version in a sample.
   static constexpr std::size_t kMaxSpans = 256;
 
-  std::string output;      // empty if output_key is set
-  std::string output_key;  // key in the object store, or empty
-  int64_t output_bytes = 0;
+  std::string output;                       // empty if output_key is set
+  std::string output_key;                   // key in the object store, or empty
+  int64_t output_bytes = 0;                 // of the output as JSON
   std::vector<WeightSpan> weight_versions;  // in order, never empty
   double reward = 0;
   int64_t attempt = 1;
