--- a/anvilcroft/dispatcher.cc
+++ b/anvilcroft/dispatcher.cc
@@ -236,6 +236,7 @@
 
 Result<WorkResult> Dispatcher::CallTarget(Task& task, const WorkItem& item, const StreamSink& sink,
                                           Leg& leg, const std::shared_ptr<TargetState>& target) {
+  if (item.request.OnDispatch()) item.request.OnDispatch()(target->Description().Id());
   const auto in_flight = target->BeginWork();
   if (this->crashes.Deaths(item.fingerprint, SteadyNow()) > 0) leg.suspect = target->BeginSuspect();
   Span span = this->tracer.Start("target", item.request.Trace());
