--- a/anvilcroft/caller_api.cc
+++ b/anvilcroft/caller_api.cc
@@ -156,7 +156,11 @@
   if (!work) {
     this->tracer.End(span, ErrorCodeName(work.error().code));
     this->metrics.Count("anvilcroft_malformed_requests_total", {});
-    reply.Send(task, ErrorResponse(work.error()));
+    // An earlier request with the key may have been well formed, and have run.
+    const std::string key(request.Headers().Find("Idempotency-Key"));
+    const bool may_have_run = !key.empty() && ValidId(key);
+    reply.Send(task,
+               ErrorResponse(may_have_run ? work.error().WithRan(Ran::kUnknown) : work.error()));
     return;
   }
   const std::string& id = work->RequestId();
--- a/anvilcroft/routing_node.cc
+++ b/anvilcroft/routing_node.cc
@@ -69,6 +69,14 @@
 Result<WorkResult> RoutingNode::RunChecked(Task& task, const WorkRequest& request,
                                            const StreamSink& sink) {
   auto made = MakeWorkItem(request, *this->view.config());
+  if (!made && !request.IdempotencyKey().empty()) {
+    // The operation may have been configured when an earlier request with the key ran.
+    WorkItem refused;
+    refused.request = request;
+    refused.fingerprint =
+        CrashGuard::Fingerprint(request.Service(), request.Operation(), request.Body());
+    return this->at_most_once.Refuse(task, refused, made.error());
+  }
   if (!made) return tl::unexpected<Error>(made.error());
   const auto item = std::make_shared<const WorkItem>(std::move(*made));
   const TimePoint now = SteadyNow();
--- a/testing/claims_test.cc
+++ b/testing/claims_test.cc
@@ -257,6 +257,24 @@
   });
 }
 
+// Guards against "not run" for a key that ran, in a refusal that comes before the claim is read.
+TEST_CASE("a refusal of the request itself is true for the key", "[claims]") {
+  Apps apps;
+  apps.Run([&](Task& task) {
+    CHECK(apps.Confirm(task, *apps.first).Status() == 200);
+    const auto refuse = [&](const std::string& path, const HttpHeaders::Field& extra) {
+      const auto response =
+          apps.second->Call(task, path, "{\"a\":1}", {{"Idempotency-Key", "k1"}, extra});
+      REQUIRE(response);
+      CHECK(response->Status() >= 400);
+      return RanOf(*response);
+    };
+    CHECK(refuse("/v1/services/app/gone", {"X-Deadline-Ms", "1000"}) == "unknown");
+    CHECK(refuse(kConfirm, {"X-Deadline-Ms", "soon"}) == "unknown");
+    CHECK(apps.Calls() == 1);
+  });
+}
+
 // Guards against holding a response back, or losing its record, while the store is down.
 TEST_CASE("a response is returned though its record is late", "[claims]") {
   Apps apps;
