--- a/anvilcroft/instance.cc
+++ b/anvilcroft/instance.cc
@@ -55,7 +55,7 @@
         tracer(seed, settings.InstanceId(), settings.Tracing()) {
     this->BuildRoles(seed);
     this->ConnectRoles();
-    this->RegisterGauges();
+    this->RegisterCounters();
   }
 
   int Run() {
@@ -166,15 +166,15 @@
         .AddRoutes(this->router);
   }
 
-  void RegisterGauges() {
-    const auto gauge = [this](const char* name, const MetricLabels& labels, auto read) {
-      this->metrics.Gauge(name, labels, [read] { return static_cast<double>(read()); });
+  void RegisterCounters() {
+    const auto count = [this](const char* name, const MetricLabels& labels, auto read) {
+      this->metrics.CountFrom(name, labels, [read] { return static_cast<double>(read()); });
     };
-    gauge("anvilcroft_store_transactions_total", {}, [this] { return this->table.Writes(); });
-    gauge("anvilcroft_store_reads_total", {}, [this] { return this->table.Reads(); });
-    gauge("anvilcroft_http_client_bytes_total", {{"direction", "out"}},
+    count("anvilcroft_store_transactions_total", {}, [this] { return this->table.Writes(); });
+    count("anvilcroft_store_reads_total", {}, [this] { return this->table.Reads(); });
+    count("anvilcroft_http_client_bytes_total", {{"direction", "out"}},
           [this] { return this->http.BytesSent(); });
-    gauge("anvilcroft_http_client_bytes_total", {{"direction", "in"}},
+    count("anvilcroft_http_client_bytes_total", {{"direction", "in"}},
           [this] { return this->http.BytesReceived(); });
   }
 
--- a/anvilcroft/metrics.cc
+++ b/anvilcroft/metrics.cc
@@ -91,6 +91,13 @@
   if (this->Admit(family.count(key) != 0)) family[key] = std::move(read);
 }
 
+void Metrics::CountFrom(const std::string& name, const MetricLabels& labels,
+                        std::function<double()> read) {
+  auto& family = this->read_counters[name];
+  const std::string key = RenderLabels(labels);
+  if (this->Admit(family.count(key) != 0)) family[key] = std::move(read);
+}
+
 double Metrics::CounterValue(const std::string& name, const MetricLabels& labels) const {
   const auto family = this->counters.find(name);
   if (family == this->counters.end()) return 0;
@@ -107,11 +114,17 @@
     for (const auto& [labels, value] : family)
       out << name << Braced(labels) << " " << value << "\n";
   }
-  for (const auto& [name, family] : this->gauges) {
-    out << "# TYPE " << name << " gauge\n";
-    for (const auto& [labels, read] : family)
-      out << name << Braced(labels) << " " << read() << "\n";
-  }
+  const auto render_read = [&out](const Family<std::function<double()>>& families,
+                                  const char* type) {
+    for (const auto& [name, family] : families) {
+      out << "# TYPE " << name << " " << type << "\n";
+      for (const auto& [labels, read] : family) {
+        out << name << Braced(labels) << " " << read() << "\n";
+      }
+    }
+  };
+  render_read(this->gauges, "gauge");
+  render_read(this->read_counters, "counter");
   for (const auto& [name, family] : this->summaries) {
     out << "# TYPE " << name << " summary\n";
     for (const auto& [labels, series] : family) {
--- a/anvilcroft/metrics.h
+++ b/anvilcroft/metrics.h
@@ -45,6 +45,9 @@
   // Registers a gauge that is read when the metrics are written.
   void Gauge(const std::string& name, const MetricLabels& labels, std::function<double()> read);
 
+  // Registers a counter that is kept elsewhere and read when the metrics are written.
+  void CountFrom(const std::string& name, const MetricLabels& labels, std::function<double()> read);
+
   // Value of a counter; 0 if it was never counted. For tests and reports.
   double CounterValue(const std::string& name, const MetricLabels& labels) const;
 
@@ -60,6 +63,7 @@
 
   Family<double> counters;
   Family<std::function<double()>> gauges;
+  Family<std::function<double()>> read_counters;
   Family<std::unique_ptr<detail::SummarySeries>> summaries;
   std::size_t series = 0;
   double dropped = 0;
