--- a/anvilcroft/configuration_accept.cc
+++ b/anvilcroft/configuration_accept.cc
@@ -46,11 +46,11 @@
   patch.at_ms = WallNow();
   if (patch.base > this->document->Version()) {
     // The author has read a version that is still on its way to this instance.
-    const TimePoint limit = std::min(deadline, SteadyNow() + kMaxBaseWait);
-    if (!this->WaitForVersion(task, patch.base, limit)) return this->Stale();
+    this->WaitForVersion(task, patch.base, std::min(deadline, SteadyNow() + kMaxBaseWait));
   }
-  if (patch.base < this->document->Version()) {
-    // An author that lost the answer sends the patch again: it is accepted if it was before.
+  if (patch.base != this->document->Version()) {
+    // An author that lost the answer sends the patch again: it is accepted if it was before, also
+    // when this instance lags behind.
     const auto entry = this->FindEntry(task, patch.version, deadline);
     if (!entry && entry.error().code != ErrorCode::kNotFound) {
       // An earlier attempt may have been accepted, so this is no certain refusal.
