Count no death of a target while the network is cut

Change: when a target refuses a new connection, up to two other targets that answered a moment ago are asked; if they refuse as well, no death is counted.

--- a/anvilcroft/target_judge.cc
+++ b/anvilcroft/target_judge.cc
@@ -68,10 +68,26 @@
   // An engine that was restarted at once accepts connections again, but as another run.
   const bool restarted = !start_before.empty() && target->InstanceStart() != start_before;
   if (!refused && !restarted) return Verdict::kRetryCharged;
+  if (!restarted && this->NetworkIsCut(task, target->Description().Id())) {
+    LogWarning(kPart, "several targets refuse connections at once; the network may be cut",
+               {{"target", target->Description().Id()}});
+    return Verdict::kRetryCharged;
+  }
   LogWarning(kPart, "a target died while it ran a request",
              {{"target", target->Description().Id()}, {"fingerprint", fingerprint}});
   this->crashes.AddDeath(fingerprint, SteadyNow());
   return Verdict::kRetryFree;
 }
 
+// Whether targets that have nothing to do with the request refuse connections as well. Without any
+// other target to ask, the target itself is taken for dead: an undetected crash costs more targets.
+bool TargetJudge::NetworkIsCut(Task& task, const std::string& target_id) {
+  const auto witnesses = this->targets.Answering(target_id, kWitnesses);
+  for (const auto& witness : witnesses) {
+    this->targets.Probe(task, witness);
+    if (witness->Phase() != TargetPhase::kLost) return false;
+  }
+  return !witnesses.empty();
+}
+
 }  // namespace anvilcroft
--- a/anvilcroft/target_judge.h
+++ b/anvilcroft/target_judge.h
@@ -6,7 +6,8 @@
 //
 // A target counts as dead only after a new connection to it failed: a silent or reset connection
 // may be the link's fault. A target that died while it ran the request counts against the
-// request's fingerprint.
+// request's fingerprint. When other targets that answered a moment ago refuse connections too, the
+// network is cut and no death is counted.
 
 #include <memory>
 #include <string>
@@ -32,6 +33,9 @@
   static constexpr Duration kSilentPause = seconds(2);
   static constexpr Duration kRefusalPause = seconds(1);
 
+  // Other targets that are asked whether the network is cut.
+  static constexpr std::size_t kWitnesses = 2;
+
   TargetJudge(HttpClient& http, TargetTable& targets, CrashGuard& crashes);
 
   // Judges `error` of a call of `target` for the work with `fingerprint`, which has until
@@ -45,6 +49,8 @@
   Verdict JudgeLostConnection(Task& task, const std::shared_ptr<TargetState>& target,
                               const std::string& fingerprint, const std::string& start_before);
 
+  bool NetworkIsCut(Task& task, const std::string& target_id);
+
   HttpClient& http;
   TargetTable& targets;
   CrashGuard& crashes;
--- a/anvilcroft/target_table.cc
+++ b/anvilcroft/target_table.cc
@@ -71,6 +71,18 @@
   return found == this->working.end() ? nullptr : found->second;
 }
 
+std::vector<std::shared_ptr<TargetState>> TargetTable::Answering(const std::string& target_id,
+                                                                 std::size_t count) const {
+  std::vector<std::shared_ptr<TargetState>> answering;
+  for (const auto& [id, state] : this->working) {
+    if (answering.size() == count) break;
+    const TargetPhase phase = state->Phase();
+    const bool answers = phase != TargetPhase::kLost && phase != TargetPhase::kUnknown;
+    if (id != target_id && answers) answering.push_back(state);
+  }
+  return answering;
+}
+
 void TargetTable::Report(const EngineReport& report) {
   if (const auto state = this->Find(report.id)) state->OnReport(report, SteadyNow());
 }
--- a/anvilcroft/target_table.h
+++ b/anvilcroft/target_table.h
@@ -59,6 +59,10 @@
   // GET /v1/targets.
   void RegisterRoutes(HttpRouter& router);
 
+  // Up to `count` targets of any service, other than `target_id`, that answered when last asked.
+  std::vector<std::shared_ptr<TargetState>> Answering(const std::string& target_id,
+                                                      std::size_t count) const;
+
   // Probes one target now and records the outcome in its state.
   void Probe(Task& task, const std::shared_ptr<TargetState>& state);
 
--- a/testing/dispatch_test.cc
+++ b/testing/dispatch_test.cc
@@ -233,6 +233,23 @@
   });
 }
 
+// Guards against refusing an innocent request because a network cut looks like deaths of targets.
+TEST_CASE("a cut of the network counts no death against a request", "[routing]") {
+  Engines engines(5);
+  for (auto& engine : engines.engine) engine->token_time = milliseconds(10);
+  engines.Run([&](Task& task) {
+    bool ended = false;
+    engines.runtime.Spawn([&](Task& other) {
+      engines.Generate(other, 40, false, "innocent");
+      ended = true;
+    });
+    SleepUntil(task, SteadyNow() + milliseconds(50));
+    for (auto& engine : engines.engine) engine->Die();
+    REQUIRE(WaitUntil(task, [&] { return ended; }));
+    CHECK(engines.instance->suspects.empty());
+  });
+}
+
 // Guards tail latency: one slow target must not hold short work back, and the loser is cancelled.
 TEST_CASE("short work on a slow target is hedged within the budget", "[routing]") {
   Engines engines(2);
