--- a/bench/control_cost.cc
+++ b/bench/control_cost.cc
@@ -1,7 +1,9 @@
 #include "bench/control_cost.h"
 
 #include <algorithm>
+#include <fstream>
 #include <optional>
+#include <sstream>
 
 #include "anvilcroft/event.h"
 #include "fakes/sync_call.h"
@@ -35,6 +37,22 @@
   return {{"deployments", deployments}};
 }
 
+// Bytes that the loopback interface has sent, with the headers of TCP and IP.
+double LoopbackBytes() {
+  std::ifstream in("/proc/net/dev");
+  std::string line;
+  while (std::getline(in, line)) {
+    const std::size_t colon = line.find("lo:");
+    if (colon == std::string::npos) continue;
+    std::istringstream fields(line.substr(colon + 3));
+    double value = 0;
+    constexpr int kSentBytesField = 9;
+    for (int i = 0; i < kSentBytesField; ++i) fields >> value;
+    return value;
+  }
+  return 0;
+}
+
 }  // namespace
 
 ControlCost::ControlCost(std::string anvilcroft_binary, std::string fakes_binary)
@@ -89,7 +107,9 @@
     if (!sample) return tl::unexpected<Error>(sample.error());
     before.push_back(*sample);
   }
+  const double wire_before = LoopbackBytes();
   SleepUntil(task, SteadyNow() + scenario.window);
+  const double wire = LoopbackBytes() - wire_before;
   std::vector<double> cpu, memory, peer, web, reads, writes;
   const double window = static_cast<double>(ToMillis(scenario.window)) / 1000;
   for (std::size_t i = 0; i < before.size(); ++i) {
@@ -119,6 +139,7 @@
               {"memory_mb_max", *std::max_element(memory.begin(), memory.end())},
               {"peer_bytes_s", Median(peer)},
               {"http_bytes_s", Median(web)},
+              {"wire_bytes_s", wire / window / scenario.members},
               {"store_reads_s", Median(reads)},
               {"store_transactions_s", Median(writes)},
               {"patch_ms", Median(spread)},
--- a/bench/control_cost.h
+++ b/bench/control_cost.h
@@ -29,6 +29,9 @@
   ControlCost(std::string anvilcroft_binary, std::string fakes_binary);
 
   // Runs one scenario and returns its figures for one member: medians over the members.
+  // `wire_bytes_s` is all traffic of the loopback interface, headers included, divided by the
+  // members; it means something only while nothing else runs, and counts each byte between two
+  // members once, where `peer_bytes_s` counts it at both.
   Result<nlohmann::json> Run(const ControlScenario& scenario);
 
  private:
