--- /dev/null
+++ b/matrix/main.cc
@@ -0,0 +1,142 @@
+// The fault matrix: every path of the system under every fault, on real processes.
+//
+//   fault_matrix ANVILCROFT FAKES [--only SUBSTRING] [--quick] [--seed N] [--pairs N]
+//                [--report FILE] [--sites N]
+//
+// Each cell is a process of this program (option --cell) with a site of its own. Exits with 0 only
+// if every cell that ran passed.
+
+#include <tclap/CmdLine.h>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <map>
+
+#include "anvilcroft/json.h"
+#include "anvilcroft/log.h"
+#include "matrix/cell.h"
+#include "matrix/report.h"
+
+namespace anvilcroft::matrix {
+namespace {
+
+// A cell bounds each of its waits; this limit only ends one whose process hangs.
+constexpr Duration kCellLimit = seconds(150);
+
+struct Running {
+  std::string name;
+  std::unique_ptr<fakes::ChildProcess> process;
+  TimePoint since;
+};
+
+Outcome ReadOutcome(Running& running) {
+  Outcome outcome;
+  outcome.seconds = static_cast<double>(ToMillis(SteadyNow() - running.since)) / 1000;
+  while (const auto line = running.process->ReadLine(100)) {
+    const json parsed = json::parse(*line, nullptr, false);
+    if (!parsed.is_object()) continue;
+    outcome.passed = parsed.value("passed", false);
+    outcome.failures = parsed.value("failures", std::vector<std::string>());
+    outcome.summary = parsed.value("summary", "");
+    return outcome;
+  }
+  outcome.failures = {"harness: the cell gave no result"};
+  return outcome;
+}
+
+std::map<std::string, Outcome> RunAll(const std::vector<std::string>& cells,
+                                      const std::vector<std::string>& command, std::size_t sites) {
+  std::map<std::string, Outcome> outcomes;
+  std::vector<Running> running;
+  std::size_t next = 0;
+  while (next < cells.size() || !running.empty()) {
+    while (next < cells.size() && running.size() < sites) {
+      std::vector<std::string> arguments = command;
+      arguments.insert(arguments.end(), {"--cell", cells[next]});
+      auto process = fakes::ChildProcess::Start(arguments, "/dev/null");
+      if (process) running.push_back({cells[next], std::move(*process), SteadyNow()});
+      ++next;
+    }
+    for (std::size_t i = 0; i < running.size();) {
+      // SIGTERM lets the cell end its site.
+      if (SteadyNow() - running[i].since > kCellLimit) running[i].process->Signal(SIGTERM);
+      if (running[i].process->Running()) {
+        ++i;
+        continue;
+      }
+      const Outcome outcome = ReadOutcome(running[i]);
+      std::cout << (outcome.passed ? "passed  " : "FAILED  ") << running[i].name << " ("
+                << outcome.seconds << " s; " << outcome.summary << ")\n";
+      for (const std::string& failure : outcome.failures)
+        std::cout << "        " << failure << "\n";
+      std::cout.flush();
+      outcomes[running[i].name] = outcome;
+      running.erase(running.begin() + static_cast<std::ptrdiff_t>(i));
+    }
+    const auto waited = fakes::ChildProcess::Start({"/bin/sleep", "0.1"}, "/dev/null");
+    if (waited) (void)(*waited)->Wait(1000);
+  }
+  return outcomes;
+}
+
+int Main(int argc, char** argv) {
+  TCLAP::CmdLine line("fault matrix on real processes", ' ', ANVILCROFT_VERSION);
+  TCLAP::UnlabeledValueArg<std::string> anvilcroft("anvilcroft", "binary", true, "", "path", line);
+  TCLAP::UnlabeledValueArg<std::string> fakes("fakes", "binary", true, "", "path", line);
+  TCLAP::ValueArg<std::string> only("", "only", "cells with this in their name", false, "", "text",
+                                    line);
+  TCLAP::SwitchArg quick("", "quick", "a fixed part of the cells", line);
+  TCLAP::ValueArg<uint64_t> seed("", "seed", "seed of the choices", false, 1, "integer", line);
+  TCLAP::ValueArg<std::size_t> pairs("", "pairs", "cells of two faults", false, 24, "integer",
+                                     line);
+  TCLAP::ValueArg<std::string> report("", "report", "file to write", false, "", "path", line);
+  TCLAP::ValueArg<std::size_t> sites("", "sites", "sites at the same time", false, 6, "integer",
+                                     line);
+  TCLAP::ValueArg<std::string> cell("", "cell", "runs this cell only", false, "", "name", line);
+  line.parse(argc, argv);
+  InitLog(LogLevel::kError);
+
+  if (!cell.getValue().empty()) {
+    const auto parsed = ParseCell(cell.getValue());
+    if (!parsed) {
+      std::cerr << parsed.error().message << ": " << parsed.error().part << "\n";
+      return 2;
+    }
+    fakes::LocalCluster::Options options;
+    options.anvilcroft_binary = anvilcroft.getValue();
+    options.fakes_binary = fakes.getValue();
+    options.site = fakes::KaanchPhera();
+    options.site.model_engines = 4;
+    options.site.app_engines = 3;
+    return RunCell(*parsed, options, seed.getValue());
+  }
+  std::mt19937_64 random(seed.getValue());
+  std::vector<std::string> cells = quick.getValue() ? QuickCells() : SingleCells();
+  if (!quick.getValue()) {
+    const auto chosen = PairCells(pairs.getValue(), random);
+    cells.insert(cells.end(), chosen.begin(), chosen.end());
+  }
+  const auto unwanted = [&](const std::string& name) {
+    return name.find(only.getValue()) == std::string::npos;
+  };
+  cells.erase(std::remove_if(cells.begin(), cells.end(), unwanted), cells.end());
+  const std::vector<std::string> command = {argv[0], anvilcroft.getValue(), fakes.getValue(),
+                                            "--seed", std::to_string(seed.getValue())};
+  const TimePoint begin = SteadyNow();
+  const auto outcomes = RunAll(cells, command, sites.getValue());
+  std::size_t passed = 0;
+  for (const auto& [name, outcome] : outcomes) passed += outcome.passed ? 1 : 0;
+  const int64_t total_s = ToMillis(SteadyNow() - begin) / 1000;
+  std::cout << passed << " of " << outcomes.size() << " cells passed in " << total_s << " s\n";
+  if (!report.getValue().empty()) {
+    std::ofstream(report.getValue())
+        << ReportText(outcomes, seed.getValue(), pairs.getValue(), total_s);
+  }
+  return passed == cells.size() ? 0 : 1;
+}
+
+}  // namespace
+}  // namespace anvilcroft::matrix
+
+int main(int argc, char** argv) { return anvilcroft::matrix::Main(argc, argv); }
--- /dev/null
+++ b/matrix/report.cc
@@ -0,0 +1,64 @@
+#include "matrix/report.h"
+
+#include <sstream>
+
+#include "matrix/cell.h"
+
+namespace anvilcroft::matrix {
+namespace {
+
+const char* Word(const std::map<std::string, Outcome>& outcomes, const std::string& name) {
+  const auto found = outcomes.find(name);
+  if (found == outcomes.end()) return "not run";
+  return found->second.passed ? "passed" : "**failed**";
+}
+
+}  // namespace
+
+std::string ReportText(const std::map<std::string, Outcome>& outcomes, uint64_t seed,
+                       std::size_t pairs, int64_t total_s) {
+  std::ostringstream text;
+  std::size_t passed = 0;
+  for (const auto& [name, outcome] : outcomes) passed += outcome.passed ? 1 : 0;
+  text << "# Fault matrix\n\nWritten by `fault_matrix build/anvilcroft build/fakes --seed " << seed
+       << " --pairs " << pairs << " --report docs/fault-matrix.md`.\n"
+       << passed << " of " << outcomes.size() << " cells passed in " << total_s
+       << " s. Each cell is a site of real processes on loopback; the verdicts come from the logs "
+          "of the fakes\nand from what callers and the trainer received.\n\n## Single faults\n\n";
+  std::map<std::string, char> notes;
+  text << "| step |";
+  for (const Fault& fault : Faults()) text << " " << fault.name << " |";
+  text << "\n|---|";
+  for (std::size_t i = 0; i < Faults().size(); ++i) text << "---|";
+  text << "\n";
+  for (const Step& step : Steps()) {
+    text << "| " << step.name << " |";
+    for (const Fault& fault : Faults()) {
+      const std::string reason = ReasonNotApplicable(step, fault);
+      if (reason.empty()) {
+        text << " " << Word(outcomes, step.name + "/" + fault.name) << " |";
+      } else {
+        const char next = static_cast<char>('a' + notes.size());
+        text << " (" << notes.emplace(reason, next).first->second << ") |";
+      }
+    }
+    text << "\n";
+  }
+  text << "\nNot applicable:\n";
+  for (const auto& [reason, letter] : notes) text << "- (" << letter << ") " << reason << "\n";
+  text << "\n## Two faults\n\n`a+b`: at the same moment; `a,b`: b when a ends.\n\n"
+       << "| cell | outcome |\n|---|---|\n";
+  for (const auto& [name, outcome] : outcomes) {
+    if (name.find_first_of("+,") == std::string::npos) continue;
+    text << "| " << name << " | " << Word(outcomes, name) << " |\n";
+  }
+  text << "\n## Failures\n\n";
+  for (const auto& [name, outcome] : outcomes) {
+    if (outcome.passed) continue;
+    text << "- `" << name << "` (" << outcome.summary << ")\n";
+    for (const std::string& failure : outcome.failures) text << "  - " << failure << "\n";
+  }
+  return text.str();
+}
+
+}  // namespace anvilcroft::matrix
