--- a/matrix/cell_run.h
+++ b/matrix/cell_run.h
@@ -31,6 +31,7 @@
   int confirmations = 0;         // repeated by their caller until the deadline
   int single_confirmations = 0;  // sent once, so that "ran": "no" is the last word on the key
   int64_t tokens = 150;          // of a model request
+  int rounds = 4;                // requests of one caller of a model, one after the other
   int trainer_tokens = 0;        // of a sample; 0: no trainer
 };
 
@@ -106,7 +107,7 @@
     TimePoint at;
   };
 
-  void RunModel(Task& task, int number, bool stream, int64_t tokens);
+  void RunModel(Task& task, int number, bool stream, const Work& work);
   void RunApp(Task& task, int number, bool confirmation);
   void RunSingle(Task& task, int number);
   void Watch(Task& task, std::string id, std::string address);
--- a/matrix/cell_work.cc
+++ b/matrix/cell_work.cc
@@ -35,9 +35,8 @@
       });
     }
   };
-  const int64_t tokens = work.tokens;
-  start(work.whole, [=](Task& task, int n) { this->RunModel(task, n, false, tokens); });
-  start(work.streams, [=](Task& task, int n) { this->RunModel(task, n, true, tokens); });
+  start(work.whole, [=](Task& task, int n) { this->RunModel(task, n, false, work); });
+  start(work.streams, [=](Task& task, int n) { this->RunModel(task, n, true, work); });
   start(work.lookups, [this](Task& task, int n) { this->RunApp(task, n, false); });
   start(work.confirmations, [this](Task& task, int n) { this->RunApp(task, n, true); });
   start(work.single_confirmations, [this](Task& task, int n) { this->RunSingle(task, n); });
@@ -50,19 +49,19 @@
   if (started) this->trainer = std::move(*started);
 }
 
-void CellRun::RunModel(Task& task, int number, bool stream, int64_t tokens) {
+void CellRun::RunModel(Task& task, int number, bool stream, const Work& work) {
   fakes::TestCaller& caller = this->NewCaller(number);
   // Several requests one after the other, so that work arrives before, during and after the fault.
-  for (int i = 0; i < 3; ++i) {
+  for (int i = 0; i < work.rounds; ++i) {
     const std::string prompt = "request " + std::to_string(number) + "-" + std::to_string(i);
     ++this->sent;
-    const auto text = caller.Generate(task, this->Site().model_service, prompt, tokens, stream,
+    const auto text = caller.Generate(task, this->Site().model_service, prompt, work.tokens, stream,
                                       SteadyNow() + kRepeatableLimit);
     if (!text) {
       this->Expect(false, "no answer to " + prompt + ": " + text.error().message);
       continue;
     }
-    const bool same = *text == fakes::ExpectedText(prompt, tokens);
+    const bool same = *text == fakes::ExpectedText(prompt, work.tokens);
     this->Expect(same, "the answer to " + prompt + " is not the expected text");
     if (same) ++this->whole;
   }
--- a/matrix/steps.cc
+++ b/matrix/steps.cc
@@ -62,6 +62,13 @@
   return work;
 }
 
+// Lasts well beyond the 5 s after which a leaving target may get no more work.
+Work LongModel() {
+  Work work = Model(8, 8);
+  work.rounds = 8;
+  return work;
+}
+
 Work Confirmations() {
   Work work;
   work.confirmations = 6;
@@ -182,7 +189,7 @@
          });
        },
        kCore + kEngine + kLost + kApp},
-      {"target-listed-leaving", Model(8, 8), "", nullptr,
+      {"target-listed-leaving", LongModel(), "", nullptr,
        [](CellRun& run, Task& task) {
          if (!EngineStarted(run, task)) return false;
          const auto& engine = run.PickEngine(task);
@@ -191,7 +198,7 @@
          return true;
        },
        kCore + Names{"kill-engine", "engine-silent", "engine-slow", "crashing-request"}},
-      {"target-drained", Model(8, 8), "", nullptr,
+      {"target-drained", LongModel(), "", nullptr,
        [](CellRun& run, Task& task) {
          if (!EngineStarted(run, task)) return false;
          const auto& engine = run.PickEngine(task);
