--- a/matrix/cell.cc
+++ b/matrix/cell.cc
@@ -93,10 +93,20 @@
   chosen.tokens_per_second = cell.step->tokens_per_second;
   // A swap that lasts half a second is seen while it runs.
   chosen.engine_arguments = {"--swap-seconds", "0.5"};
+  const bool behind_links = std::any_of(cell.faults.begin(), cell.faults.end(),
+                                        [](const Fault* fault) { return fault->needs_links; });
+  if (behind_links) chosen.instances = 0;
   fakes::LocalCluster cluster(chosen);
-  const auto started = cluster.Start();
+  auto started = cluster.Start();
+  Links links;
+  if (started && behind_links) {
+    auto made = StartInstancesBehindLinks(cluster, options.instances);
+    if (made) links = std::move(*made);
+    if (!made) started = tl::unexpected<Error>(made.error());
+  }
   Runtime runtime;
   CellRun run(runtime, cluster, seed);
+  run.SetLinks(std::move(links));
   run.Expect(started.has_value(), "harness: the site starts");
   if (started) {
     runtime.OnTerminate([&] {
--- a/matrix/cell.h
+++ b/matrix/cell.h
@@ -34,6 +34,7 @@
   // Injects the fault and returns what ends it (may be empty).
   std::function<Action(CellRun&, Task&)> inject;
   Duration lasts{0};
+  bool needs_links = false;  // whether the site must have links (links.h)
 };
 
 struct Cell {
--- a/matrix/cell_run.cc
+++ b/matrix/cell_run.cc
@@ -55,6 +55,14 @@
   }
 }
 
+void CellRun::SetLinkFaults(Task& task, const std::string& id, const json& faults) {
+  for (const auto& [name, link] : this->links) {
+    if (id.empty() ? name == "table" : name != id) continue;
+    const auto set = this->Call(task, link.control, "POST", "/control/faults", faults, seconds(5));
+    this->Expect(set && set->Status() == 200, "harness: the faults of link " + name + " are set");
+  }
+}
+
 bool CellRun::WaitFor(Task& task, Duration limit, const std::function<bool()>& holds) {
   const TimePoint deadline = SteadyNow() + limit;
   while (!holds()) {
@@ -88,7 +96,7 @@
     const bool known = this->WaitFor(task, kPrepareLimit, [&] {
       const json targets = this->Get(task, address, "/v1/targets");
       return targets.is_object() && targets.value("targets", json::array()).size() == expected &&
-             this->Get(task, address, "/readyz") != json();
+             !this->Get(task, address, "/readyz").is_null();
     });
     this->Expect(known, "harness: the site is ready before the fault");
   }
@@ -149,12 +157,13 @@
 
 void CellRun::ListTarget(Task& task, const Node& node, const std::string& state) {
   const bool app = node.id.rfind("app", 0) == 0;
+  const auto link = this->links.find(node.id);
   const auto put =
       this->Call(task, this->cluster.Platform("instances").address, "POST", "/control/put",
                  {{"id", node.id},
                   {"kind", app ? "app_engine" : "model_engine"},
                   {"service", app ? this->Site().app_service : this->Site().model_service},
-                  {"address", node.address},
+                  {"address", link == this->links.end() ? node.address : link->second.address},
                   {"zone", node.zone},
                   {"state", state}},
                  seconds(5));
@@ -187,10 +196,12 @@
 CellRun::Node& CellRun::PickInstance(Task& task) {
   auto& nodes = this->cluster.Instances();
   std::string holder;
-  this->TableShows(task, "claims", [&](const json& value) {
-    holder = value.value("instance", "");
-    return false;
-  });
+  for (const char* table : {"owners", "claims"}) {
+    this->TableShows(task, table, [&](const json& value) {
+      holder = value.value("instance", "");
+      return false;
+    });
+  }
   std::size_t start = this->seed % nodes.size();
   for (std::size_t i = 0; i < nodes.size(); ++i) {
     if (nodes[i].id == holder) start = i;
@@ -204,7 +215,7 @@
   Node* busiest = nullptr;
   int64_t most = -1;
   for (Node& node : this->cluster.ModelEngines()) {
-    if (this->hit.count(node.id) != 0) continue;
+    if (this->hit.count(node.id) != 0 || !node.process->Running()) continue;
     int64_t running = 0;
     const json log = this->LogOf(task, node);
     for (const json& entry : log.value("requests", json::array())) {
--- a/matrix/cell_run.h
+++ b/matrix/cell_run.h
@@ -18,6 +18,7 @@
 #include "anvilcroft/runtime.h"
 #include "fakes/local_cluster.h"
 #include "fakes/test_caller.h"
+#include "matrix/links.h"
 
 namespace anvilcroft::matrix {
 
@@ -55,6 +56,8 @@
   // Sets faults of a fake; a refused fault is a failure of the cell.
   void SetFaults(Task& task, const Node& node, const json& faults);
   void SetAppFaults(Task& task, const json& faults);
+  // Sets faults of the link in front of `id` or, with an empty id, of those of all targets.
+  void SetLinkFaults(Task& task, const std::string& id, const json& faults);
   bool WaitFor(Task& task, Duration limit, const std::function<bool()>& holds);
   // Whether the table's log has a write to `table` for which `wanted` holds (null: any).
   bool TableShows(Task& task, const std::string& table,
@@ -71,8 +74,8 @@
   void ListTarget(Task& task, const Node& node, const std::string& state);
   void WatchLeaving(const Node& node);
 
-  // An instance (the one that claimed last, if any), engine (the busiest) or app engine that no
-  // earlier fault has hit. Marks it as hit.
+  // An instance (the last one named in a row of claims or owners, if any), engine (the busiest) or
+  // app engine that no earlier fault has hit. Marks it as hit.
   Node& PickInstance(Task& task);
   Node& PickEngine(Task& task);
   Node& PickApp();
@@ -80,6 +83,8 @@
   // Starts an instance; it must be ready by the end of the cell.
   void AddInstance();
 
+  void SetLinks(Links started) { this->links = std::move(started); }
+
   fakes::LocalCluster& Cluster() { return this->cluster; }
   const fakes::Site& Site() const { return this->cluster.Settings().site; }
   Runtime& Loop() { return this->runtime; }
@@ -128,6 +133,7 @@
   uint64_t seed;
   std::vector<std::unique_ptr<fakes::TestCaller>> callers;
   std::vector<std::string> addresses;
+  Links links;
   std::unique_ptr<fakes::ChildProcess> trainer;
   int outstanding = 0;
   bool ended = false;
--- a/matrix/cell_work.cc
+++ b/matrix/cell_work.cc
@@ -42,7 +42,7 @@
   start(work.single_confirmations, [this](Task& task, int n) { this->RunSingle(task, n); });
   if (work.trainer_tokens == 0) return;
   auto started =
-      this->cluster.StartTrainer({"--steps", "2", "--groups", "4", "--samples", "4", "--max-tokens",
+      this->cluster.StartTrainer({"--steps", "4", "--groups", "4", "--samples", "4", "--max-tokens",
                                   std::to_string(work.trainer_tokens), "--step-ms", "300",
                                   "--staleness-bound", "1", "--stall-seconds", "40"});
   this->Expect(started.has_value(), "harness: the trainer starts");
--- a/matrix/faults.cc
+++ b/matrix/faults.cc
@@ -59,6 +59,18 @@
   return {name, begin, seconds(1)};
 }
 
+// Faults of the link of the table service (`id` "table") or of all targets (`id` empty).
+Fault LinkFault(const std::string& name, const std::string& id, const std::string& mode,
+                Duration lasts) {
+  const auto begin = [id, mode](CellRun& run, Task& task) -> Action {
+    run.SetLinkFaults(task, id, {{"mode", mode}});
+    return [id](CellRun& ending, Task& inner) {
+      ending.SetLinkFaults(inner, id, {{"mode", "up"}});
+    };
+  };
+  return {name, begin, lasts, true};
+}
+
 Action KillInstance(CellRun& run, Task& task) {
   run.AllowBrokenAnswers();
   run.PickInstance(task).process->Signal(SIGKILL);
@@ -153,6 +165,10 @@
       AllTargets("app-silent", true, {{"silent_after_run", 1}}),
       {"app-killed", KillApp, seconds(1)},
       {"start-in-outage", StartInOutage, kOutage},
+      LinkFault("table-connections-silent", "table", "silent", kOutage),
+      LinkFault("table-partition", "table", "silent_all", kOutage),
+      LinkFault("target-connections-silent", "", "silent", kOutage),
+      LinkFault("target-connections-cut", "", "cut", seconds(1)),
   };
 }
 
--- a/matrix/main.cc
+++ b/matrix/main.cc
@@ -91,7 +91,7 @@
   TCLAP::ValueArg<std::size_t> pairs("", "pairs", "cells of two faults", false, 24, "integer",
                                      line);
   TCLAP::ValueArg<std::string> report("", "report", "file to write", false, "", "path", line);
-  TCLAP::ValueArg<std::size_t> sites("", "sites", "sites at the same time", false, 6, "integer",
+  TCLAP::ValueArg<std::size_t> sites("", "sites", "sites at the same time", false, 5, "integer",
                                      line);
   TCLAP::ValueArg<std::string> cell("", "cell", "runs this cell only", false, "", "name", line);
   line.parse(argc, argv);
@@ -107,7 +107,7 @@
     options.anvilcroft_binary = anvilcroft.getValue();
     options.fakes_binary = fakes.getValue();
     options.site = fakes::KaanchPhera();
-    options.site.model_engines = 4;
+    options.site.model_engines = 5;
     options.site.app_engines = 3;
     return RunCell(*parsed, options, seed.getValue());
   }
--- a/matrix/steps.cc
+++ b/matrix/steps.cc
@@ -13,12 +13,15 @@
   return a;
 }
 
-const Names kCore = {"kill-instance", "pause-instance", "table-down", "table-slow",
-                     "start-in-outage"};
-const Names kEngine = {"kill-engine",     "engine-silent",    "engine-slow", "engine-leaving",
-                       "engine-wrong-id", "crashing-request", "stale-list"};
+const Names kCore = {"kill-instance",   "pause-instance",           "table-down",     "table-slow",
+                     "start-in-outage", "table-connections-silent", "table-partition"};
+const Names kEngine = {
+    "kill-engine",           "engine-silent",    "engine-slow", "engine-leaving",
+    "engine-wrong-id",       "crashing-request", "stale-list",  "target-connections-silent",
+    "target-connections-cut"};
 const Names kLost = {"table-lost", "table-lost-late"};
-const Names kApp = {"app-loses-answer", "app-silent", "app-killed"};
+const Names kApp = {"app-loses-answer", "app-silent", "app-killed", "target-connections-silent",
+                    "target-connections-cut"};
 
 bool EngineStarted(CellRun& run, Task& task) {
   for (const auto& engine : run.Cluster().ModelEngines()) {
@@ -130,9 +133,9 @@
        },
        confirm},
       {"confirmation-recorded", Confirmations(), "claims", SlowApps, ClaimIs("done"), confirm},
-      {"trainer-submitted", Samples(60), "groups", nullptr, TableWrites("groups"), samples},
-      {"trainer-producing", Samples(60), "samples", nullptr, EngineStarted, samples},
-      {"trainer-judging", Samples(60), "samples",
+      {"trainer-submitted", Samples(120), "groups", nullptr, TableWrites("groups"), samples},
+      {"trainer-producing", Samples(120), "samples", nullptr, EngineStarted, samples},
+      {"trainer-judging", Samples(120), "samples",
        [](CellRun& run, Task& task) {
          run.SetFaults(task, run.Cluster().Platform("judge"), {{"late_answers_ms", 300}});
        },
@@ -142,8 +145,8 @@
                      .empty();
        },
        samples},
-      {"trainer-completed", Samples(60), "ready", nullptr, TableWrites("ready"), samples},
-      {"trainer-taken", Samples(60), "takes", nullptr, TableWrites("takes"), samples},
+      {"trainer-completed", Samples(120), "ready", nullptr, TableWrites("ready"), samples},
+      {"trainer-taken", Samples(120), "takes", nullptr, TableWrites("takes"), samples},
       {"trainer-large-output",
        Samples(5000),
        "samples",
