--- a/matrix/main.cc
+++ b/matrix/main.cc
@@ -1,13 +1,14 @@
 // The fault matrix: every path of the system under every fault, on real processes.
 //
 //   fault_matrix ANVILCROFT FAKES [--only SUBSTRING] [--quick] [--seed N] [--pairs N]
-//                [--report FILE] [--sites N]
+//                [--report FILE] [--limit-s N]
 //
 // Each cell is a process of this program (option --cell) with a site of its own. Exits with 0 only
 // if every cell that ran passed.
 
 #include <tclap/CmdLine.h>
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 #include <iostream>
@@ -23,11 +24,24 @@
 
 // A cell bounds each of its waits; this limit only ends one whose process hangs.
 constexpr Duration kCellLimit = seconds(150);
+// Most processes at the same time, and what one cell needs: itself, the platform, the targets, the
+// instances and a trainer, and the links of the targets and the table service.
+constexpr std::size_t kMaxProcesses = 148;
+constexpr std::size_t kCellProcesses = 19;
+constexpr std::size_t kLinkProcesses = 9;
+
+std::size_t ProcessesOf(const std::string& name) {
+  const auto cell = ParseCell(name);
+  const bool links = cell && std::any_of(cell->faults.begin(), cell->faults.end(),
+                                         [](const Fault* fault) { return fault->needs_links; });
+  return kCellProcesses + (links ? kLinkProcesses : 0);
+}
 
 struct Running {
   std::string name;
   std::unique_ptr<fakes::ChildProcess> process;
   TimePoint since;
+  std::size_t processes;
 };
 
 Outcome ReadOutcome(Running& running) {
@@ -46,16 +60,23 @@
 }
 
 std::map<std::string, Outcome> RunAll(const std::vector<std::string>& cells,
-                                      const std::vector<std::string>& command, std::size_t sites) {
+                                      const std::vector<std::string>& command,
+                                      TimePoint last_start) {
   std::map<std::string, Outcome> outcomes;
   std::vector<Running> running;
   std::size_t next = 0;
-  while (next < cells.size() || !running.empty()) {
-    while (next < cells.size() && running.size() < sites) {
+  std::size_t processes = 0;
+  const auto may_start = [&] { return next < cells.size() && SteadyNow() < last_start; };
+  while (may_start() || !running.empty()) {
+    while (may_start() && processes + ProcessesOf(cells[next]) <= kMaxProcesses) {
       std::vector<std::string> arguments = command;
       arguments.insert(arguments.end(), {"--cell", cells[next]});
       auto process = fakes::ChildProcess::Start(arguments, "/dev/null");
-      if (process) running.push_back({cells[next], std::move(*process), SteadyNow()});
+      if (process) {
+        const std::size_t needed = ProcessesOf(cells[next]);
+        running.push_back({cells[next], std::move(*process), SteadyNow(), needed});
+        processes += needed;
+      }
       ++next;
     }
     for (std::size_t i = 0; i < running.size();) {
@@ -72,6 +93,7 @@
         std::cout << "        " << failure << "\n";
       std::cout.flush();
       outcomes[running[i].name] = outcome;
+      processes -= running[i].processes;
       running.erase(running.begin() + static_cast<std::ptrdiff_t>(i));
     }
     const auto waited = fakes::ChildProcess::Start({"/bin/sleep", "0.1"}, "/dev/null");
@@ -91,8 +113,8 @@
   TCLAP::ValueArg<std::size_t> pairs("", "pairs", "cells of two faults", false, 24, "integer",
                                      line);
   TCLAP::ValueArg<std::string> report("", "report", "file to write", false, "", "path", line);
-  TCLAP::ValueArg<std::size_t> sites("", "sites", "sites at the same time", false, 5, "integer",
-                                     line);
+  TCLAP::ValueArg<int64_t> limit("", "limit-s", "starts no cell after this many seconds", false,
+                                 1050, "integer", line);
   TCLAP::ValueArg<std::string> cell("", "cell", "runs this cell only", false, "", "name", line);
   line.parse(argc, argv);
   InitLog(LogLevel::kError);
@@ -117,6 +139,8 @@
     const auto chosen = PairCells(pairs.getValue(), random);
     cells.insert(cells.end(), chosen.begin(), chosen.end());
   }
+  // Mixes short and long cells, and those with and without links.
+  std::shuffle(cells.begin(), cells.end(), random);
   const auto unwanted = [&](const std::string& name) {
     return name.find(only.getValue()) == std::string::npos;
   };
@@ -124,11 +148,12 @@
   const std::vector<std::string> command = {argv[0], anvilcroft.getValue(), fakes.getValue(),
                                             "--seed", std::to_string(seed.getValue())};
   const TimePoint begin = SteadyNow();
-  const auto outcomes = RunAll(cells, command, sites.getValue());
+  const auto outcomes = RunAll(cells, command, begin + seconds(limit.getValue()));
   std::size_t passed = 0;
   for (const auto& [name, outcome] : outcomes) passed += outcome.passed ? 1 : 0;
   const int64_t total_s = ToMillis(SteadyNow() - begin) / 1000;
-  std::cout << passed << " of " << outcomes.size() << " cells passed in " << total_s << " s\n";
+  std::cout << passed << " of " << outcomes.size() << " cells passed in " << total_s << " s; "
+            << cells.size() - outcomes.size() << " not run\n";
   if (!report.getValue().empty()) {
     std::ofstream(report.getValue())
         << ReportText(outcomes, seed.getValue(), pairs.getValue(), total_s);
