--- a/matrix/main.cc
+++ b/matrix/main.cc
@@ -116,6 +116,7 @@
   TCLAP::ValueArg<int64_t> limit("", "limit-s", "starts no cell after this many seconds", false,
                                  1050, "integer", line);
   TCLAP::ValueArg<std::string> cell("", "cell", "runs this cell only", false, "", "name", line);
+  TCLAP::SwitchArg keep("", "keep-files", "keeps the logs of the site of --cell", line);
   line.parse(argc, argv);
   InitLog(LogLevel::kError);
 
@@ -129,6 +130,7 @@
     options.anvilcroft_binary = anvilcroft.getValue();
     options.fakes_binary = fakes.getValue();
     options.site = fakes::KaanchPhera();
+    options.keep_files = keep.getValue();
     options.site.model_engines = 5;
     options.site.app_engines = 3;
     return RunCell(*parsed, options, seed.getValue());
