--- a/anvilcroft/shard_worker.cc
+++ b/anvilcroft/shard_worker.cc
@@ -27,7 +27,8 @@
         this->all_due = false;
         for (int shard = 0; shard < GroupId::kShards; ++shard) this->due.insert(shard);
         // Jitter of a fifth keeps the scans of many instances apart.
-        const double factor = std::uniform_real_distribution<double>(0.8, 1.2)(this->context.random);
+        const double factor =
+            std::uniform_real_distribution<double>(0.8, 1.2)(this->context.random);
         next_scan =
             SteadyNow() + std::chrono::duration_cast<Duration>(Duration(kScanInterval) * factor);
       }
--- a/demo/main.cc
+++ b/demo/main.cc
@@ -28,7 +28,7 @@
 class MainJob {
  public:
   MainJob(Runtime& runtime, LocalCluster& cluster)
-      : runtime(runtime), cluster(cluster), http(runtime), load(runtime, cluster) {}
+      : cluster(cluster), http(runtime), load(runtime, cluster) {}
 
   void Run(Task& task) {
     this->Patch(task, 0, fakes::DeploymentPatch(this->cluster.Settings().site));
@@ -181,7 +181,6 @@
     this->Expect(code && *code == 0, "the stopped instance drained and exited with 0");
   }
 
-  Runtime& runtime;
   LocalCluster& cluster;
   HttpClient http;
   CallerLoad load;
