Ask engines, after a pause, whether the network is cut

Cause: the witnesses of the earlier change included app engines, which a cut link still accepts connections for, and were asked before the cut had reached them. Change: only model engines are asked, 200 ms later, also those lost within 3 s, and two must refuse; targets that ran the request are left out.

--- a/anvilcroft/dispatcher.cc
+++ b/anvilcroft/dispatcher.cc
@@ -176,8 +176,8 @@
       error.code = ErrorCode::kCancelled;
       break;
     }
-    const Verdict verdict =
-        this->judge.Judge(task, *target, error, item.fingerprint, start_before, request.Deadline());
+    const Verdict verdict = this->judge.Judge(task, *target, error, item.fingerprint, start_before,
+                                              leg.tried, request.Deadline());
     leg.tried.insert(leg.current);
     // Work that may not be repeated goes elsewhere only if no byte of it was sent.
     if (!repeatable && error.code != ErrorCode::kConnectFailed) break;
--- a/anvilcroft/target_judge.cc
+++ b/anvilcroft/target_judge.cc
@@ -1,5 +1,7 @@
 #include "anvilcroft/target_judge.h"
 
+#include <utility>
+
 #include "anvilcroft/log.h"
 
 namespace anvilcroft {
@@ -14,7 +16,8 @@
 
 Verdict TargetJudge::Judge(Task& task, const std::shared_ptr<TargetState>& target,
                            const Error& error, const std::string& fingerprint,
-                           const std::string& start_before, TimePoint deadline) {
+                           const std::string& start_before, const std::set<std::string>& tried,
+                           TimePoint deadline) {
   const TimePoint now = SteadyNow();
   const Endpoint address = target->Description().Address();
   switch (error.code) {
@@ -35,7 +38,7 @@
       target->Suspect(now + kRefusalPause);
       return Verdict::kRetryCharged;
     case ErrorCode::kConnectionLost:
-      return this->JudgeLostConnection(task, target, fingerprint, start_before);
+      return this->JudgeLostConnection(task, target, fingerprint, start_before, tried);
     case ErrorCode::kDeadlineExceeded: {
       // Idle connections over the same silent path are of no use either.
       this->http.Forget(address);
@@ -61,14 +64,17 @@
 
 Verdict TargetJudge::JudgeLostConnection(Task& task, const std::shared_ptr<TargetState>& target,
                                          const std::string& fingerprint,
-                                         const std::string& start_before) {
+                                         const std::string& start_before,
+                                         const std::set<std::string>& tried) {
   this->http.Forget(target->Description().Address());
   this->targets.Probe(task, target);
   const bool refused = target->Phase() == TargetPhase::kLost;
   // An engine that was restarted at once accepts connections again, but as another run.
   const bool restarted = !start_before.empty() && target->InstanceStart() != start_before;
   if (!refused && !restarted) return Verdict::kRetryCharged;
-  if (!restarted && this->NetworkIsCut(task, target->Description().Id())) {
+  std::set<std::string> ran = tried;
+  ran.insert(target->Description().Id());
+  if (!restarted && this->NetworkIsCut(task, std::move(ran))) {
     LogWarning(kPart, "several targets refuse connections at once; the network may be cut",
                {{"target", target->Description().Id()}});
     return Verdict::kRetryCharged;
@@ -79,15 +85,17 @@
   return Verdict::kRetryFree;
 }
 
-// Whether targets that have nothing to do with the request refuse connections as well. Without any
-// other target to ask, the target itself is taken for dead: an undetected crash costs more targets.
-bool TargetJudge::NetworkIsCut(Task& task, const std::string& target_id) {
-  const auto witnesses = this->targets.Answering(target_id, kWitnesses);
+// Whether targets on which the request did not run refuse connections as well. With too few of them
+// to ask, the target is taken for dead: an undetected crash costs more targets.
+bool TargetJudge::NetworkIsCut(Task& task, std::set<std::string> ran) {
+  SleepUntil(task, SteadyNow() + kCutSettles);
+  const auto witnesses = this->targets.Witnesses(ran, SteadyNow() - kRecentLoss, kWitnesses);
+  if (witnesses.size() < kMinWitnesses) return false;
   for (const auto& witness : witnesses) {
     this->targets.Probe(task, witness);
     if (witness->Phase() != TargetPhase::kLost) return false;
   }
-  return !witnesses.empty();
+  return true;
 }
 
 }  // namespace anvilcroft
--- a/anvilcroft/target_judge.h
+++ b/anvilcroft/target_judge.h
@@ -10,6 +10,7 @@
 // network is cut and no death is counted.
 
 #include <memory>
+#include <set>
 #include <string>
 
 #include "anvilcroft/crash_guard.h"
@@ -33,23 +34,31 @@
   static constexpr Duration kSilentPause = seconds(2);
   static constexpr Duration kRefusalPause = seconds(1);
 
-  // Other targets that are asked whether the network is cut.
-  static constexpr std::size_t kWitnesses = 2;
+  // Other targets that are asked whether the network is cut, and how many must refuse. Two,
+  // because a request that crashes its targets is refused after two deaths and so cannot account
+  // for three lost targets.
+  static constexpr std::size_t kWitnesses = 3;
+  static constexpr std::size_t kMinWitnesses = 2;
+  // Targets that were lost this recently are asked too: in a cut all are lost within moments.
+  static constexpr Duration kRecentLoss = seconds(3);
+  // Wait before they are asked: a cut does not reach all connections in the same instant.
+  static constexpr Duration kCutSettles = milliseconds(200);
 
   TargetJudge(HttpClient& http, TargetTable& targets, CrashGuard& crashes);
 
   // Judges `error` of a call of `target` for the work with `fingerprint`, which has until
   // `deadline`. May open a new connection to the target. `start_before` is the identity of the
-  // engine's run when the call began.
+  // engine's run when the call began; `tried` are the targets that ran the work before.
   Verdict Judge(Task& task, const std::shared_ptr<TargetState>& target, const Error& error,
                 const std::string& fingerprint, const std::string& start_before,
-                TimePoint deadline);
+                const std::set<std::string>& tried, TimePoint deadline);
 
  private:
   Verdict JudgeLostConnection(Task& task, const std::shared_ptr<TargetState>& target,
-                              const std::string& fingerprint, const std::string& start_before);
+                              const std::string& fingerprint, const std::string& start_before,
+                              const std::set<std::string>& tried);
 
-  bool NetworkIsCut(Task& task, const std::string& target_id);
+  bool NetworkIsCut(Task& task, std::set<std::string> ran);
 
   HttpClient& http;
   TargetTable& targets;
--- a/anvilcroft/target_state.cc
+++ b/anvilcroft/target_state.cc
@@ -208,6 +208,7 @@
 }
 
 void TargetState::OnLost(TimePoint now) {
+  if (this->failed_probes == 0) this->lost_at = now;
   ++this->failed_probes;
   // The run that was leaving has ended; what answers here later is another one.
   this->said_leaving = false;
--- a/anvilcroft/target_state.h
+++ b/anvilcroft/target_state.h
@@ -72,6 +72,8 @@
   void OnLeaving(TimePoint now);
   // A new connection failed.
   void OnLost(TimePoint now);
+  // When the first of the refusals in a row came; means something only while the target is lost.
+  TimePoint LostAt() const { return this->lost_at; }
   // The target was silent but could still be reached: no new work until `until`.
   void Suspect(TimePoint until);
 
@@ -125,6 +127,7 @@
   TimePoint suspected_until;
   TimePoint next_probe;
   int failed_probes = 0;
+  TimePoint lost_at;
   bool probing = false;
 
   std::shared_ptr<int64_t> in_flight = std::make_shared<int64_t>(0);
--- a/anvilcroft/target_table.cc
+++ b/anvilcroft/target_table.cc
@@ -71,15 +71,24 @@
   return found == this->working.end() ? nullptr : found->second;
 }
 
-std::vector<std::shared_ptr<TargetState>> TargetTable::Answering(const std::string& target_id,
-                                                                 std::size_t count) const {
+std::vector<std::shared_ptr<TargetState>> TargetTable::Witnesses(
+    const std::set<std::string>& excluded, TimePoint since, std::size_t count) const {
   std::vector<std::shared_ptr<TargetState>> answering;
+  std::vector<std::shared_ptr<TargetState>> lost;
   for (const auto& [id, state] : this->working) {
-    if (answering.size() == count) break;
     const TargetPhase phase = state->Phase();
-    const bool answers = phase != TargetPhase::kLost && phase != TargetPhase::kUnknown;
-    if (id != target_id && answers) answering.push_back(state);
+    // A new connection to another kind of target proves only that something accepts it: a link
+    // that is cut may still accept and then reset.
+    if (state->Description().Kind() != TargetKind::kModelEngine) continue;
+    if (excluded.count(id) != 0 || phase == TargetPhase::kUnknown) continue;
+    if (phase != TargetPhase::kLost) {
+      answering.push_back(state);
+    } else if (state->LostAt() >= since) {
+      lost.push_back(state);
+    }
   }
+  answering.insert(answering.end(), lost.begin(), lost.end());
+  if (answering.size() > count) answering.resize(count);
   return answering;
 }
 
--- a/anvilcroft/target_table.h
+++ b/anvilcroft/target_table.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -59,9 +60,10 @@
   // GET /v1/targets.
   void RegisterRoutes(HttpRouter& router);
 
-  // Up to `count` targets of any service, other than `target_id`, that answered when last asked.
-  std::vector<std::shared_ptr<TargetState>> Answering(const std::string& target_id,
-                                                      std::size_t count) const;
+  // Up to `count` model engines of any service that are not in `excluded` and answered when last
+  // asked, followed by those that were lost at `since` or later.
+  std::vector<std::shared_ptr<TargetState>> Witnesses(const std::set<std::string>& excluded,
+                                                      TimePoint since, std::size_t count) const;
 
   // Probes one target now and records the outcome in its state.
   void Probe(Task& task, const std::shared_ptr<TargetState>& state);
