--- /dev/null
+++ b/anvilcroft/batch_job.h
@@ -0,0 +1,98 @@
+#ifndef ANVILCROFT_BATCH_JOB_H_
+#define ANVILCROFT_BATCH_JOB_H_
+
+// A batch job: generations that are submitted at once and run later, and their results.
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include "anvilcroft/metadata_store.h"
+
+namespace anvilcroft {
+
+// The request that judges a finished text.
+struct ScoreRequest {
+  std::string id;
+  std::string host;
+  std::string path;
+  std::string body;
+
+  friend bool operator==(const ScoreRequest& a, const ScoreRequest& b) {
+    return std::tie(a.id, a.host, a.path, a.body) == std::tie(b.id, b.host, b.path, b.body);
+  }
+  friend bool operator!=(const ScoreRequest& a, const ScoreRequest& b) { return !(a == b); }
+};
+
+struct BatchItem {
+  std::string id;
+  std::string path;
+  std::vector<std::pair<std::string, std::string>> headers;
+  std::string body;
+  int64_t tokens = 0;          // prompt tokens and most output tokens together
+  std::string group;           // items of a group share their prompt; empty: none
+  double expected_tokens = 0;  // the submitter's estimate of the output; 0: none
+  double max_output_tokens = 0;
+  std::optional<ScoreRequest> score;
+
+  friend bool operator==(const BatchItem& a, const BatchItem& b) {
+    return std::tie(a.id, a.path, a.headers, a.body, a.tokens, a.group, a.expected_tokens,
+                    a.max_output_tokens, a.score) == std::tie(b.id, b.path, b.headers, b.body,
+                                                              b.tokens, b.group, b.expected_tokens,
+                                                              b.max_output_tokens, b.score);
+  }
+  friend bool operator!=(const BatchItem& a, const BatchItem& b) { return !(a == b); }
+};
+
+// What is known of a job without its items.
+struct BatchHead {
+  std::string id;
+  std::string host;
+  std::string path;  // that it was submitted to
+  std::string model;
+  int64_t step = -1;  // of the trainer; -1: not a training step
+  int64_t min_version = 0;
+  int64_t target_groups = 0;
+  int64_t total = 0;  // items
+  StoreMillis submitted_at = 0;
+  bool ended = false;
+
+  friend bool operator==(const BatchHead& a, const BatchHead& b) {
+    return std::tie(a.id, a.host, a.path, a.model, a.step, a.min_version, a.target_groups, a.total,
+                    a.submitted_at, a.ended) == std::tie(b.id, b.host, b.path, b.model, b.step,
+                                                         b.min_version, b.target_groups, b.total,
+                                                         b.submitted_at, b.ended);
+  }
+  friend bool operator!=(const BatchHead& a, const BatchHead& b) { return !(a == b); }
+};
+
+struct BatchJob {
+  BatchHead head;
+  std::vector<BatchItem> items;
+
+  friend bool operator==(const BatchJob& a, const BatchJob& b) {
+    return a.head == b.head && a.items == b.items;
+  }
+  friend bool operator!=(const BatchJob& a, const BatchJob& b) { return !(a == b); }
+};
+
+struct ItemResult {
+  std::string item_id;
+  bool completed = false;         // false: expired, the item was given up
+  std::string text;               // data of all events, separated by line feeds
+  std::vector<int64_t> versions;  // weight versions that made an event of the text
+  std::string score;              // signature of the judging target's answer
+
+  friend bool operator==(const ItemResult& a, const ItemResult& b) {
+    return std::tie(a.item_id, a.completed, a.text, a.versions, a.score) ==
+           std::tie(b.item_id, b.completed, b.text, b.versions, b.score);
+  }
+  friend bool operator!=(const ItemResult& a, const ItemResult& b) { return !(a == b); }
+};
+
+}  // namespace anvilcroft
+
+#endif  // ANVILCROFT_BATCH_JOB_H_
--- /dev/null
+++ b/anvilcroft/batch_owner.cc
@@ -0,0 +1,358 @@
+#include "anvilcroft/batch_owner.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "anvilcroft/batch_records.h"
+#include "anvilcroft/item_placement.h"
+#include "anvilcroft/log.h"
+
+namespace anvilcroft {
+namespace {
+
+constexpr char kPart[] = "batch";
+constexpr Duration kCallTimeout = milliseconds(900);
+constexpr Duration kFeedWait = milliseconds(600);  // short, so that a silent connection shows
+constexpr Duration kRetryPause = milliseconds(100);
+constexpr Duration kIdlePause = milliseconds(100);  // between looks at the lease
+constexpr Duration kPlanEvery = milliseconds(100);  // at least; most plans follow an event
+constexpr Duration kGather = milliseconds(1);       // events that arrive together make one plan
+// Tokens in one event when the configuration does not say, and events of an item without estimate.
+constexpr double kTokensPerEvent = 32;
+constexpr double kUsualEvents = 20;
+// Items expected to go on for this many events may outlast the step.
+constexpr double kLongItemEvents = 60;
+
+}  // namespace
+
+BatchOwner::BatchOwner(BatchContext& context)
+    : context(context), runner(context), lister(context), weights(context) {}
+
+void BatchOwner::Start() {
+  this->context.runtime.Spawn([this](Task& task) { this->FollowJobs(task); });
+  this->context.runtime.Spawn([this](Task& task) { this->PlanWork(task); });
+}
+
+void BatchOwner::FollowJobs(Task& task) {
+  int64_t version = 0;
+  bool following = false;
+  while (true) {
+    if (!this->context.lease.Held().ValidAt(BootNow())) {
+      if (following) this->DropAll();
+      following = false;
+      SleepUntil(task, SteadyNow() + kIdlePause);
+      continue;
+    }
+    if (!following) {
+      following = this->LoadOpenJobs(task, version);
+      if (!following) SleepUntil(task, SteadyNow() + kRetryPause);
+      continue;
+    }
+    const BootTime asked = BootNow();
+    const auto feed = this->context.metadata.Feed(task, kBatchHeadTable, version, kFeedWait);
+    if (!feed) {
+      SleepUntil(task, SteadyNow() + kRetryPause);
+      continue;
+    }
+    if (feed->history_lost) {
+      LogWarning(kPart, "the store has dropped its history; reading all open jobs again");
+      following = false;
+      continue;
+    }
+    version = std::max(version, feed->version);
+    for (const StoredRow& row : feed->rows) {
+      if (row.removed) {
+        this->EndJob(row.id.partition);
+        continue;
+      }
+      const auto head = DecodeHead(row.id.partition, row.value);
+      if (head) {
+        this->TakeHead(*head);
+      } else {
+        LogError(kPart, "a job's head cannot be read",
+                 {{"batch", row.id.partition}, {"error", head.error().message}});
+      }
+    }
+    this->context.jobs_known_at = asked;
+    if (!feed->rows.empty()) this->context.wake.NotifyAll();
+  }
+}
+
+bool BatchOwner::LoadOpenJobs(Task& task, int64_t& version) {
+  // The version is read before the jobs, so that the feed repeats what changes meanwhile.
+  const BootTime asked = BootNow();
+  RowRange nothing;
+  nothing.table = kBatchHeadTable;
+  nothing.max_rows = 1;
+  const auto read = this->context.metadata.Read(task, nothing, SteadyNow() + kCallTimeout);
+  if (!read) return false;
+  const auto open = this->context.store.OpenJobs(task, SteadyNow() + kCallTimeout);
+  if (!open) return false;
+  const std::set<std::string> listed(open->begin(), open->end());
+  std::vector<std::string> gone;
+  for (const auto& [id, job] : this->context.jobs) {
+    if (listed.count(id) == 0) gone.push_back(id);
+  }
+  for (const std::string& id : gone) this->EndJob(id);
+  for (const std::string& id : *open) {
+    const auto head = this->context.store.ReadHead(task, id, SteadyNow() + kCallTimeout);
+    if (!head) return false;
+    if (*head) this->TakeHead(**head);
+  }
+  version = read->version;
+  this->context.jobs_known_at = asked;
+  LogInfo(kPart, "owns the batch jobs", {{"open", std::to_string(open->size())}});
+  return true;
+}
+
+void BatchOwner::TakeHead(const BatchHead& head) {
+  if (head.ended) {
+    this->EndJob(head.id);
+    return;
+  }
+  if (this->context.jobs.count(head.id) != 0 || !this->loading.insert(head.id).second) return;
+  this->context.runtime.Spawn([this, head](Task& task) { this->LoadJob(task, head); });
+}
+
+void BatchOwner::LoadJob(Task& task, const BatchHead& head) {
+  auto job = std::make_shared<OwnedJob>();
+  job->head = head;
+  while (true) {
+    if (!this->context.lease.Held().ValidAt(BootNow()) || this->ended.erase(head.id) != 0) {
+      this->loading.erase(head.id);
+      return;
+    }
+    const TimePoint deadline = SteadyNow() + kCallTimeout;
+    auto items = this->context.store.ReadItems(task, head.id, deadline);
+    const auto listing = items ? this->context.store.ReadListing(task, head.id, deadline)
+                               : Result<Listing>(Listing());
+    std::set<std::string> listed;
+    bool whole = items && listing;
+    while (whole && static_cast<int64_t>(listed.size()) < listing->count) {
+      const auto at = static_cast<int64_t>(listed.size());
+      const auto results = this->context.store.ReadResults(task, head.id, at, listing->count - at,
+                                                           SteadyNow() + kCallTimeout);
+      whole = results && !results->empty();
+      if (!whole) break;
+      for (const ItemResult& result : *results) listed.insert(result.item_id);
+    }
+    if (!whole) {
+      SleepUntil(task, SteadyNow() + kRetryPause);
+      continue;
+    }
+    job->listing = *listing;
+    for (BatchItem& item : *items) {
+      OwnedItem owned;
+      owned.item = std::move(item);
+      if (listed.count(owned.item.id) != 0) owned.phase = ItemPhase::kFinished;
+      job->items.push_back(std::move(owned));
+    }
+    break;
+  }
+  this->loading.erase(head.id);
+  if (this->ended.erase(head.id) != 0 || this->context.jobs.count(head.id) != 0) return;
+  const auto routes = this->context.routes();
+  const ServiceRoute* route = routes ? routes->Match(head.host, head.path) : nullptr;
+  for (OwnedItem& item : job->items) {
+    const auto before = this->carried.Take(item.item.id);
+    if (!before) continue;
+    item.carried = true;
+    if (before->Fits(head.min_version, route != nullptr && route->single_version)) {
+      item.text = *before;
+    }
+  }
+  // An item of a carried group is needed whether or not it was begun.
+  std::set<std::string> groups;
+  for (const OwnedItem& item : job->items) {
+    if (item.carried) groups.insert(item.item.group);
+  }
+  for (OwnedItem& item : job->items) {
+    if (groups.count(item.item.group) != 0) item.carried = true;
+  }
+  job->taken_at = SteadyNow();
+  this->context.jobs[head.id] = job;
+  LogInfo(kPart, "took a job",
+          {{"batch", head.id},
+           {"model", head.model},
+           {"step", std::to_string(head.step)},
+           {"min_version", std::to_string(head.min_version)},
+           {"items", std::to_string(job->items.size())},
+           {"listed", std::to_string(job->listing.count)},
+           {"carried_groups", std::to_string(groups.size())}});
+  this->lister.Start(job);
+  this->context.wake.NotifyAll();
+}
+
+void BatchOwner::EndJob(const std::string& id) {
+  if (this->loading.count(id) != 0) this->ended.insert(id);
+  const auto found = this->context.jobs.find(id);
+  if (found == this->context.jobs.end()) return;
+  const std::shared_ptr<OwnedJob> job = found->second;
+  this->context.jobs.erase(found);
+  job->ended = true;
+  this->carried.Keep(*job, SteadyNow());
+  int stopped = 0;
+  for (OwnedItem& item : job->items) {
+    if (!item.run) continue;
+    ++stopped;
+    item.run->Cancel();
+  }
+  job->finished_changed.NotifyAll();
+  LogInfo(kPart, "a job ended",
+          {{"batch", id},
+           {"listed", std::to_string(job->listing.count)},
+           {"items", std::to_string(job->items.size())},
+           {"stopped_runs", std::to_string(stopped)},
+           {"age_ms", std::to_string(ToMillis(SteadyNow() - job->taken_at))}});
+}
+
+void BatchOwner::DropAll() {
+  const auto jobs = std::move(this->context.jobs);
+  this->context.jobs.clear();
+  for (const auto& [id, job] : jobs) {
+    job->ended = true;
+    for (OwnedItem& item : job->items) {
+      if (item.run) item.run->Cancel();
+    }
+    job->finished_changed.NotifyAll();
+  }
+  LogInfo(kPart, "no longer owns the batch jobs", {{"open", std::to_string(jobs.size())}});
+}
+
+void BatchOwner::PlanWork(Task& task) {
+  while (true) {
+    if (this->context.wake.WaitUntil(task, SteadyNow() + kPlanEvery)) {
+      SleepUntil(task, SteadyNow() + kGather);
+    }
+    if (this->context.lease.Held().ValidAt(BootNow())) this->Plan(SteadyNow());
+  }
+}
+
+void BatchOwner::Plan(TimePoint now) {
+  this->carried.Expire(now);
+  this->context.board.Update(this->context.pool.All(), now);
+  this->ExpireItems(now);
+  this->PlaceWaiting(now);
+  std::map<std::string, int> waiting;
+  for (const auto& [id, job] : this->context.jobs) {
+    for (const OwnedItem& item : job->items) {
+      if (item.phase == ItemPhase::kWaiting) ++waiting[job->head.model];
+    }
+  }
+  this->weights.Plan(waiting, now);
+}
+
+void BatchOwner::ExpireItems(TimePoint now) {
+  const StoreMillis store_time = this->context.metadata.StoreTime(now);
+  const auto routes = this->context.routes();
+  if (!routes) return;
+  for (const auto& [id, job] : this->context.jobs) {
+    const ServiceRoute* route = routes->Match(job->head.host, job->head.path);
+    if (route == nullptr) continue;
+    const bool over = route->item_lifetime > Duration::zero() &&
+                      store_time - job->head.submitted_at > ToMillis(route->item_lifetime);
+    for (std::size_t i = 0; i < job->items.size(); ++i) {
+      if (job->items[i].phase != ItemPhase::kWaiting) continue;
+      if (over) {
+        this->runner.Expire(job, i, "its lifetime is over");
+      } else if (job->items[i].failures >= route->max_targets) {
+        this->runner.Expire(job, i, "it failed at each attempt");
+      }
+    }
+  }
+}
+
+void BatchOwner::PlaceWaiting(TimePoint now) {
+  const auto routes = this->context.routes();
+  if (!routes || BootNow() - this->context.jobs_known_at > ItemRunner::kMaxJobAge) return;
+  std::vector<WaitingItem> waiting;
+  std::vector<std::pair<std::shared_ptr<OwnedJob>, std::size_t>> of_key;
+  for (const auto& [id, job] : this->context.jobs) {
+    // Groups by their expected end, to find those that the trainer can do without.
+    std::map<std::string, double> longest;
+    std::set<std::string> carried_groups;
+    for (const OwnedItem& item : job->items) {
+      double& left = longest[item.item.group];
+      if (item.carried) carried_groups.insert(item.item.group);
+      if (item.phase == ItemPhase::kFinished || item.text.complete) continue;
+      const double expected = item.item.expected_tokens > 0
+                                  ? item.item.expected_tokens / kTokensPerEvent
+                                  : kUsualEvents;
+      left = std::max(left, ExpectedEventsLeft(expected, item.text.events));
+    }
+    std::vector<std::pair<double, std::string>> order;
+    for (const auto& [group, left] : longest) {
+      if (carried_groups.count(group) == 0) order.emplace_back(-left, group);
+    }
+    std::sort(order.begin(), order.end());
+    const int64_t spare = job->head.target_groups > 0
+                              ? static_cast<int64_t>(longest.size()) - job->head.target_groups
+                              : 0;
+    std::set<std::string> dispensable;
+    for (int64_t i = 0; i < spare && i < static_cast<int64_t>(order.size()); ++i) {
+      dispensable.insert(order[static_cast<std::size_t>(i)].second);
+    }
+    for (std::size_t i = 0; i < job->items.size(); ++i) {
+      OwnedItem& item = job->items[i];
+      if (item.phase != ItemPhase::kWaiting || now < item.not_before) continue;
+      if (item.text.complete) {
+        this->runner.StartScoring(job, i);
+        continue;
+      }
+      const ServiceRoute* route =
+          routes->Match(job->head.host, item.item.path.substr(0, item.item.path.find('?')));
+      if (route == nullptr) continue;
+      WaitingItem entry;
+      entry.key = of_key.size();
+      entry.service = route->split.empty() ? "" : route->split.front().first;
+      entry.model = job->head.model;
+      entry.min_version = job->head.min_version;
+      if (route->single_version && !item.text.versions.empty()) {
+        entry.only_version = item.text.versions.front();
+      }
+      entry.rank = item.carried                              ? ItemRank::kRequired
+                   : dispensable.count(item.item.group) != 0 ? ItemRank::kDispensable
+                                                             : ItemRank::kUsual;
+      const double expected = item.item.expected_tokens > 0
+                                  ? item.item.expected_tokens / kTokensPerEvent
+                                  : kUsualEvents;
+      entry.events_left = ExpectedEventsLeft(expected, item.text.events);
+      entry.prefer_newest = entry.events_left > kLongItemEvents;
+      for (auto it = item.avoid.begin(); it != item.avoid.end();) {
+        if (it->second <= now) {
+          it = item.avoid.erase(it);
+        } else {
+          entry.avoid.insert(it->first);
+          ++it;
+        }
+      }
+      of_key.emplace_back(job, i);
+      waiting.push_back(std::move(entry));
+    }
+  }
+  if (waiting.empty()) return;
+  const double median = this->context.board.MedianEventMs();
+  std::vector<PlacementEngine> engines;
+  for (const auto& [id, state] : this->context.board.All()) {
+    const PoolTarget* target = this->context.pool.Find(id);
+    if (target == nullptr || target->entry.draining || target->removal_at) continue;
+    PlacementEngine engine;
+    engine.id = id;
+    engine.service = state.entry.service;
+    engine.slots = state.entry.slots;
+    for (const auto& [model, running] : state.running) engine.running += running;
+    const bool paced = state.event_ms > 0 && now - state.paced_at < seconds(3);
+    engine.event_ms = paced ? state.event_ms : median;
+    engine.failure_share = FailureShare(*target, now);
+    engine.versions = state.versions;
+    if (!state.loading_model.empty()) engine.loading.insert(state.loading_model);
+    engines.push_back(std::move(engine));
+  }
+  for (const Placement& placement : PlaceItems(std::move(waiting), std::move(engines))) {
+    const auto& [job, index] = of_key[placement.key];
+    this->runner.Start(job, index, placement.engine, placement.version);
+  }
+}
+
+}  // namespace anvilcroft
--- /dev/null
+++ b/anvilcroft/batch_owner.h
@@ -0,0 +1,51 @@
+#ifndef ANVILCROFT_BATCH_OWNER_H_
+#define ANVILCROFT_BATCH_OWNER_H_
+
+// The duty of the instance that holds the lease: it runs the items of all open batch jobs and
+// orders the weight versions that they need. Without the lease it does nothing.
+
+#include <memory>
+#include <set>
+#include <string>
+
+#include "anvilcroft/batch_context.h"
+#include "anvilcroft/carried_texts.h"
+#include "anvilcroft/item_runner.h"
+#include "anvilcroft/result_lister.h"
+#include "anvilcroft/weight_control.h"
+
+namespace anvilcroft {
+
+class BatchOwner {
+ public:
+  explicit BatchOwner(BatchContext& context);
+
+  void Start();
+
+ private:
+  // Follows the jobs in the metadata store while the lease is held.
+  void FollowJobs(Task& task);
+  bool LoadOpenJobs(Task& task, int64_t& version);
+  void TakeHead(const BatchHead& head);
+  void LoadJob(Task& task, const BatchHead& head);
+  void EndJob(const std::string& id);
+  void DropAll();
+
+  // Plans and starts work.
+  void PlanWork(Task& task);
+  void Plan(TimePoint now);
+  void ExpireItems(TimePoint now);
+  void PlaceWaiting(TimePoint now);
+
+  BatchContext& context;
+  ItemRunner runner;
+  ResultLister lister;
+  WeightControl weights;
+  CarriedTexts carried;
+  std::set<std::string> loading;  // jobs whose items are being read
+  std::set<std::string> ended;    // jobs that ended while their items were being read
+};
+
+}  // namespace anvilcroft
+
+#endif  // ANVILCROFT_BATCH_OWNER_H_
--- /dev/null
+++ b/anvilcroft/batch_store.cc
@@ -0,0 +1,234 @@
+#include "anvilcroft/batch_store.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "anvilcroft/batch_records.h"
+
+namespace anvilcroft {
+namespace {
+
+// One transaction takes 1 MB in base64 and 100 rows.
+constexpr std::size_t kMaxBatchBytes = 600 << 10;
+constexpr std::size_t kMaxBatchRows = 90;
+constexpr Duration kCallTimeout = milliseconds(900);  // several times the slowest answer
+constexpr Duration kRetryPause = milliseconds(60);
+constexpr int kMaxRefusedSubmits = 2;
+
+bool Unsettled(const Error& error) { return error.code == ErrorCode::kOutcomeUnknown; }
+
+// Whether the store may serve the same call a moment later.
+bool Passing(const Error& error) {
+  return error.code == ErrorCode::kStoreUnavailable || error.code == ErrorCode::kOverloaded ||
+         Unsettled(error);
+}
+
+TimePoint CallDeadline(TimePoint now, TimePoint deadline) {
+  return std::min(deadline, now + kCallTimeout);
+}
+
+}  // namespace
+
+Result<bool> BatchStore::Submit(Task& task, const BatchJob& job, TimePoint deadline) {
+  const auto parts = EncodeItems(job.items);
+  if (!parts) return tl::unexpected<Error>(parts.error());
+  const std::string& id = job.head.id;
+
+  // Parts that do not fit into one transaction with the head are written first; without the head
+  // there is no job. Each attempt to submit the same job writes the same parts.
+  std::size_t first = 0;
+  std::size_t left = 0;
+  for (const std::string& part : *parts) left += part.size();
+  bool unsettled = false;
+  while (left > kMaxBatchBytes || parts->size() - first > kMaxBatchRows) {
+    RowBatch::Builder builder;
+    std::size_t bytes = 0;
+    std::size_t rows = 0;
+    while (first < parts->size() && rows < kMaxBatchRows &&
+           bytes + (*parts)[first].size() <= kMaxBatchBytes) {
+      builder.Put(ItemRow(id, first), (*parts)[first]);
+      bytes += (*parts)[first].size();
+      ++rows;
+      ++first;
+    }
+    left -= bytes;
+    const RowBatch batch = builder.Build();
+    while (true) {
+      const TimePoint now = SteadyNow();
+      const auto written = this->store.Commit(task, batch, CallDeadline(now, deadline));
+      if (written) break;
+      // No head is written yet, so whatever became of the parts, there is no job.
+      if (!Passing(written.error()) || SteadyNow() + kRetryPause >= deadline) {
+        return tl::unexpected<Error>(written.error().WithRan(Ran::kNo));
+      }
+      SleepUntil(task, SteadyNow() + kRetryPause);
+    }
+  }
+  RowBatch::Builder builder;
+  builder.Expect(HeadRow(id), 0).Put(HeadRow(id), EncodeHead(job.head)).Put(OpenRow(id), "1");
+  for (std::size_t part = first; part < parts->size(); ++part) {
+    builder.Put(ItemRow(id, part), (*parts)[part]);
+  }
+  const RowBatch batch = builder.Build();
+  for (int attempt = 1;; ++attempt) {
+    const auto written = this->store.Commit(task, batch, CallDeadline(SteadyNow(), deadline));
+    if (written) return written->committed;
+    unsettled |= Unsettled(written.error());
+    // A store that refuses this instance may serve another one, to which the submitter can turn.
+    const bool refused = !unsettled && attempt >= kMaxRefusedSubmits;
+    if (refused || !Passing(written.error()) || SteadyNow() + kRetryPause >= deadline) {
+      Error error = written.error();
+      if (unsettled) error = error.WithRan(Ran::kUnknown);
+      return tl::unexpected<Error>(std::move(error));
+    }
+    SleepUntil(task, SteadyNow() + kRetryPause);
+  }
+}
+
+Result<std::optional<BatchHead>> BatchStore::ReadHead(Task& task, const std::string& job,
+                                                      TimePoint deadline) {
+  RowRange range;
+  range.table = kBatchHeadTable;
+  range.partition = job;
+  range.max_rows = 1;
+  const auto read = this->store.Read(task, range, deadline);
+  if (!read) return tl::unexpected<Error>(read.error());
+  if (read->rows.empty()) return std::optional<BatchHead>();
+  auto head = DecodeHead(job, read->rows.front().value);
+  if (!head) return tl::unexpected<Error>(head.error());
+  return std::optional<BatchHead>(std::move(*head));
+}
+
+Result<std::vector<BatchItem>> BatchStore::ReadItems(Task& task, const std::string& job,
+                                                     TimePoint deadline) {
+  std::vector<BatchItem> items;
+  RowRange range;
+  range.table = kBatchItemTable;
+  range.partition = job;
+  range.max_rows = 12;  // about 700 KB of base64
+  while (true) {
+    const auto read = this->store.Read(task, range, deadline);
+    if (!read) return tl::unexpected<Error>(read.error());
+    for (const StoredRow& row : read->rows) {
+      auto part = DecodeItems(row.value);
+      if (!part) return tl::unexpected<Error>(part.error());
+      std::move(part->begin(), part->end(), std::back_inserter(items));
+    }
+    if (!read->more || read->rows.empty()) return items;
+    range.from = read->rows.back().id.key + '\x01';
+  }
+}
+
+Result<std::vector<ItemResult>> BatchStore::ReadResults(Task& task, const std::string& job,
+                                                        int64_t from, int64_t max_results,
+                                                        TimePoint deadline) {
+  RowRange range;
+  range.table = kBatchResultTable;
+  range.partition = job;
+  range.from = ResultRow(job, from).key;
+  range.max_rows = std::min<int64_t>(max_results, 500);
+  std::vector<ItemResult> results;
+  ResultDecoder decoder;
+  while (true) {
+    const auto read = this->store.Read(task, range, deadline);
+    if (!read) return tl::unexpected<Error>(read.error());
+    for (const StoredRow& row : read->rows) {
+      auto result = decoder.Add(row.value);
+      if (!result) return tl::unexpected<Error>(result.error());
+      if (*result) results.push_back(std::move(**result));
+    }
+    // Goes on only for a result whose rows did not fit into one answer.
+    if (!results.empty() || !read->more || read->rows.empty()) return results;
+    range.from = read->rows.back().id.key + '\x01';
+  }
+}
+
+Result<Listing> BatchStore::ReadListing(Task& task, const std::string& job, TimePoint deadline) {
+  RowRange range;
+  range.table = kBatchListingTable;
+  range.partition = job;
+  range.max_rows = 1;
+  const auto read = this->store.Read(task, range, deadline);
+  if (!read) return tl::unexpected<Error>(read.error());
+  if (read->rows.empty()) return Listing();
+  return Listing{ResultPosition(read->rows.front().value), read->rows.front().version};
+}
+
+Result<Listing> BatchStore::Append(Task& task, const std::string& job, const Listing& listing,
+                                   const std::vector<ItemResult>& results, TimePoint deadline) {
+  RowBatch::Builder builder;
+  builder.Expect(ListingRow(job), listing.version);
+  int64_t position = listing.count;
+  std::size_t bytes = 0;
+  std::size_t rows = 0;
+  for (const ItemResult& result : results) {
+    const std::vector<std::string> values = EncodeResult(result);
+    std::size_t size = 0;
+    for (const std::string& value : values) size += value.size();
+    const bool fits = bytes + size <= kMaxBatchBytes && rows + values.size() <= kMaxBatchRows;
+    if (position > listing.count && !fits) break;
+    bytes += size;
+    rows += values.size();
+    for (std::size_t part = 0; part < values.size(); ++part) {
+      builder.Put(ResultRow(job, position, part), values[part]);
+    }
+    ++position;
+  }
+  builder.Put(ListingRow(job), ResultRow(job, position).key);
+  const auto written =
+      this->store.Commit(task, builder.Build(), CallDeadline(SteadyNow(), deadline));
+  if (!written) return tl::unexpected<Error>(written.error());
+  if (!written->committed) {
+    return Fail(ErrorCode::kConflict, "another owner lists results", job);
+  }
+  return Listing{position, written->version};
+}
+
+Result<bool> BatchStore::End(Task& task, const std::string& job, TimePoint deadline) {
+  while (true) {
+    RowRange range;
+    range.table = kBatchHeadTable;
+    range.partition = job;
+    range.max_rows = 1;
+    const auto read = this->store.Read(task, range, CallDeadline(SteadyNow(), deadline));
+    Error error;
+    if (read) {
+      if (read->rows.empty()) return false;
+      const StoredRow& row = read->rows.front();
+      const auto head = DecodeHead(job, row.value);
+      if (!head) return tl::unexpected<Error>(head.error());
+      if (head->ended) return true;
+      BatchHead ended = *head;
+      ended.ended = true;
+      const RowBatch batch = RowBatch::Builder()
+                                 .Expect(row.id, row.version)
+                                 .Put(row.id, EncodeHead(ended))
+                                 .Remove(OpenRow(job))
+                                 .Build();
+      const auto written = this->store.Commit(task, batch, CallDeadline(SteadyNow(), deadline));
+      if (written && written->committed) return true;
+      if (written) continue;
+      error = written.error();
+    } else {
+      error = read.error();
+    }
+    if (!Passing(error) || SteadyNow() + kRetryPause >= deadline) {
+      return tl::unexpected<Error>(error.WithRan(Ran::kUnknown));
+    }
+    SleepUntil(task, SteadyNow() + kRetryPause);
+  }
+}
+
+Result<std::vector<std::string>> BatchStore::OpenJobs(Task& task, TimePoint deadline) {
+  constexpr std::size_t kPageSize = 1000;
+  std::vector<std::string> jobs;
+  while (true) {
+    const std::string after = jobs.empty() ? "" : jobs.back();
+    auto page = this->store.Partitions(task, kBatchOpenTable, after, deadline);
+    if (!page) return tl::unexpected<Error>(page.error());
+    std::move(page->begin(), page->end(), std::back_inserter(jobs));
+    if (page->size() < kPageSize) return jobs;
+  }
+}
+
+}  // namespace anvilcroft
--- a/anvilcroft/call_options.cc
+++ b/anvilcroft/call_options.cc
@@ -22,4 +22,16 @@
   return copy;
 }
 
+CallOptions CallOptions::WithSendGuard(std::function<bool()> guard) const {
+  CallOptions copy = *this;
+  copy.send_guard = std::move(guard);
+  return copy;
+}
+
+CallOptions CallOptions::WithConnectTimeout(Duration timeout) const {
+  CallOptions copy = *this;
+  copy.connect_timeout = timeout;
+  return copy;
+}
+
 }  // namespace anvilcroft
--- a/anvilcroft/call_options.h
+++ b/anvilcroft/call_options.h
@@ -3,7 +3,9 @@
 
 // How one HTTP call is made.
 
+#include <functional>
 #include <memory>
+#include <optional>
 
 #include "anvilcroft/cancellation.h"
 #include "anvilcroft/time.h"
@@ -27,11 +29,20 @@
   // A copy that ends with kCancelled when `cancellation` is cancelled.
   CallOptions WithCancellation(std::shared_ptr<Cancellation> cancellation) const;
 
+  // A copy that gives up connecting after `timeout` instead of HttpClient::kConnectTimeout.
+  CallOptions WithConnectTimeout(Duration timeout) const;
+
+  // A copy that asks `guard` right before the first byte of the request is written, and ends with
+  // kCancelled, ran = no, if it says no. For permissions that may lapse while a connection is made.
+  CallOptions WithSendGuard(std::function<bool()> guard) const;
+
   TimePoint Deadline() const { return this->deadline; }
   Duration ProgressTimeout() const { return this->progress_timeout; }
   bool FreshConnection() const { return this->fresh_connection; }
   bool Resend() const { return this->resend; }
   const std::shared_ptr<Cancellation>& CancelledBy() const { return this->cancellation; }
+  const std::optional<Duration>& ConnectTimeout() const { return this->connect_timeout; }
+  const std::function<bool()>& SendGuard() const { return this->send_guard; }
 
  private:
   TimePoint deadline;
@@ -39,6 +50,8 @@
   bool fresh_connection = false;
   bool resend = false;
   std::shared_ptr<Cancellation> cancellation;
+  std::optional<Duration> connect_timeout;
+  std::function<bool()> send_guard;
 };
 
 }  // namespace anvilcroft
--- a/anvilcroft/command.h
+++ b/anvilcroft/command.h
@@ -27,6 +27,8 @@
 
 // Runs an instance.
 Command RunCommand();
+// Runs an instance on a hosted platform.
+Command ServeCommand();
 // Checks a settings file or a configuration document without an instance.
 Command CheckCommand();
 // Submits a configuration patch or shows an accepted one.
--- /dev/null
+++ b/anvilcroft/front_directory.cc
@@ -0,0 +1,149 @@
+#include "anvilcroft/front_directory.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "anvilcroft/hash.h"
+#include "anvilcroft/log.h"
+
+namespace anvilcroft {
+namespace {
+
+constexpr char kPart[] = "directory";
+constexpr char kTable[] = "fronts";
+constexpr Duration kCallTimeout = milliseconds(800);
+// Rows of dead instances are removed after this long, by any instance that reads them.
+constexpr int64_t kForgetAfterMs = 60000;
+
+}  // namespace
+
+std::vector<FrontRecord> LiveFronts(const std::vector<FrontRecord>& rows, StoreMillis store_time,
+                                    int64_t lifetime_ms) {
+  std::vector<FrontRecord> live;
+  for (const FrontRecord& row : rows) {
+    if (!row.leaving && store_time - row.renewed_at < lifetime_ms) live.push_back(row);
+  }
+  return live;
+}
+
+std::vector<std::string> AddressesFor(const std::vector<FrontRecord>& fronts,
+                                      const std::string& zone, std::size_t most) {
+  std::vector<std::pair<std::pair<int, uint64_t>, const FrontRecord*>> ordered;
+  for (const FrontRecord& front : fronts) {
+    ordered.push_back({{front.zone == zone ? 0 : 1, StableHash(zone + front.instance)}, &front});
+  }
+  std::sort(ordered.begin(), ordered.end());
+  std::vector<std::string> addresses;
+  for (const auto& [order, front] : ordered) {
+    if (addresses.size() >= most) break;
+    addresses.push_back(front->address);
+  }
+  return addresses;
+}
+
+FrontDirectory::FrontDirectory(Runtime& runtime, MetadataStore& store, FrontRecord self)
+    : runtime(runtime), store(store), self(std::move(self)) {}
+
+void FrontDirectory::Start() {
+  this->runtime.Spawn([this](Task& task) {
+    while (!this->self.leaving) {
+      const TimePoint started = SteadyNow();
+      this->Renew(task);
+      SleepUntil(task, started + kRenewEvery);
+    }
+  });
+  this->runtime.Spawn([this](Task& task) {
+    while (true) {
+      const TimePoint started = SteadyNow();
+      this->Read(task);
+      SleepUntil(task, started + kReadEvery);
+    }
+  });
+}
+
+bool FrontDirectory::Write(Task& task, TimePoint deadline) {
+  this->self.renewed_at = this->store.StoreTime(SteadyNow());
+  const RowBatch batch =
+      RowBatch::Builder().Put({kTable, "", this->self.instance}, EncodeFront(this->self)).Build();
+  return this->store.Commit(task, batch, deadline).has_value();
+}
+
+void FrontDirectory::Renew(Task& task) {
+  // The first write needs the store's time, which the first read brings.
+  if (this->store.StoreTime(SteadyNow()) == 0) this->Read(task);
+  if (this->store.StoreTime(SteadyNow()) == 0 || this->self.leaving) return;
+  this->Write(task, SteadyNow() + kCallTimeout);
+}
+
+void FrontDirectory::Leave(Task& task, TimePoint deadline) {
+  this->self.leaving = true;
+  while (SteadyNow() < deadline) {
+    if (this->Write(task, std::min(deadline, SteadyNow() + kCallTimeout))) return;
+    SleepUntil(task, SteadyNow() + milliseconds(100));
+  }
+  LogWarning(kPart, "could not tell the store that this instance leaves");
+}
+
+void FrontDirectory::Read(Task& task) {
+  std::vector<FrontRecord> rows;
+  RowRange range;
+  range.table = kTable;
+  StoreMillis store_time = 0;
+  while (true) {
+    const auto read = this->store.Read(task, range, SteadyNow() + kCallTimeout);
+    if (!read) return;
+    store_time = read->store_time;
+    for (const StoredRow& row : read->rows) {
+      auto record = DecodeFront(row.value);
+      if (!record) {
+        LogWarning(kPart, "ignored a malformed row", {{"key", row.id.key}});
+        continue;
+      }
+      rows.push_back(std::move(*record));
+    }
+    if (!read->more || read->rows.empty()) break;
+    range.from = read->rows.back().id.key + '\x01';
+  }
+  const TimePoint now = SteadyNow();
+  if (this->read_at != TimePoint() && now - this->read_at > kOutage) {
+    this->grace_until = now + kGrace;
+  }
+  this->read_at = now;
+  std::vector<FrontRecord> alive = LiveFronts(rows, store_time, kLifetimeMs);
+  if (now < this->grace_until) {
+    for (const FrontRecord& before : this->live) {
+      const bool same = std::any_of(alive.begin(), alive.end(), [&](const FrontRecord& front) {
+        return front.instance == before.instance;
+      });
+      const bool leaving = std::any_of(rows.begin(), rows.end(), [&](const FrontRecord& row) {
+        return row.instance == before.instance && row.leaving;
+      });
+      if (!same && !leaving) alive.push_back(before);
+    }
+  }
+  if (alive.size() != this->live.size()) {
+    LogInfo(kPart, "live instances changed",
+            {{"before", std::to_string(this->live.size())}, {"now", std::to_string(alive.size())}});
+  }
+  this->live = std::move(alive);
+  // The largest machine removes rows of instances that are gone for good.
+  if (this->Rank() != 0) return;
+  for (const FrontRecord& row : rows) {
+    if (store_time - row.renewed_at < kForgetAfterMs) continue;
+    this->store.Commit(task, RowBatch::Builder().Remove({kTable, "", row.instance}).Build(),
+                       SteadyNow() + kCallTimeout);
+  }
+}
+
+int FrontDirectory::Rank() const {
+  int before = 0;
+  const auto order = [](const FrontRecord& front) {
+    return std::make_pair(-front.cpu_share, StableHash("owner" + front.instance));
+  };
+  for (const FrontRecord& front : this->live) {
+    if (front.instance != this->self.instance && order(front) < order(this->self)) ++before;
+  }
+  return before;
+}
+
+}  // namespace anvilcroft
--- /dev/null
+++ b/anvilcroft/front_record.h
@@ -0,0 +1,37 @@
+#ifndef ANVILCROFT_FRONT_RECORD_H_
+#define ANVILCROFT_FRONT_RECORD_H_
+
+// One row for each instance in the metadata store: where callers reach it, and until when.
+
+#include <cstdint>
+#include <string>
+#include <tuple>
+
+#include "anvilcroft/error.h"
+#include "anvilcroft/metadata_store.h"
+
+namespace anvilcroft {
+
+struct FrontRecord {
+  std::string instance;
+  std::string zone;
+  std::string region;
+  std::string address;   // "ip:port" for callers
+  double cpu_share = 1;  // of a core
+  bool leaving = false;  // about to stop
+  StoreMillis renewed_at = 0;
+
+  friend bool operator==(const FrontRecord& a, const FrontRecord& b) {
+    return std::tie(a.instance, a.zone, a.region, a.address, a.cpu_share, a.leaving,
+                    a.renewed_at) ==
+           std::tie(b.instance, b.zone, b.region, b.address, b.cpu_share, b.leaving, b.renewed_at);
+  }
+  friend bool operator!=(const FrontRecord& a, const FrontRecord& b) { return !(a == b); }
+};
+
+std::string EncodeFront(const FrontRecord& record);
+Result<FrontRecord> DecodeFront(const std::string& value);
+
+}  // namespace anvilcroft
+
+#endif  // ANVILCROFT_FRONT_RECORD_H_
--- /dev/null
+++ b/anvilcroft/front_settings.cc
@@ -0,0 +1,121 @@
+#include "anvilcroft/front_settings.h"
+
+#include <utility>
+
+#include "anvilcroft/input_file.h"
+#include "anvilcroft/settings_loader.h"
+#include "anvilcroft/settings_reader.h"
+#include "anvilcroft/yaml_tree.h"
+
+namespace anvilcroft {
+
+FrontSettings::Builder& FrontSettings::Builder::SetInstanceId(std::string value) {
+  this->settings.instance_id = std::move(value);
+  return *this;
+}
+
+FrontSettings::Builder& FrontSettings::Builder::SetZone(std::string value) {
+  this->settings.zone = std::move(value);
+  return *this;
+}
+
+FrontSettings::Builder& FrontSettings::Builder::SetRegion(std::string value) {
+  this->settings.region = std::move(value);
+  return *this;
+}
+
+FrontSettings::Builder& FrontSettings::Builder::SetFrontAddress(Endpoint value) {
+  this->settings.front_address = std::move(value);
+  return *this;
+}
+
+FrontSettings::Builder& FrontSettings::Builder::SetDirectoryAddress(Endpoint value) {
+  this->settings.directory_address = std::move(value);
+  return *this;
+}
+
+FrontSettings::Builder& FrontSettings::Builder::SetReadyAddress(Endpoint value) {
+  this->settings.ready_address = std::move(value);
+  return *this;
+}
+
+FrontSettings::Builder& FrontSettings::Builder::SetMetricsAddress(Endpoint value) {
+  this->settings.metrics_address = std::move(value);
+  return *this;
+}
+
+FrontSettings::Builder& FrontSettings::Builder::SetStoreAddress(Endpoint value) {
+  this->settings.store_address = std::move(value);
+  return *this;
+}
+
+FrontSettings::Builder& FrontSettings::Builder::SetCpuShare(double value) {
+  this->settings.cpu_share = value;
+  return *this;
+}
+
+FrontSettings::Builder& FrontSettings::Builder::SetLogLevel(LogLevel value) {
+  this->settings.log_level = value;
+  return *this;
+}
+
+FrontSettings::Builder& FrontSettings::Builder::SetGracePeriod(Duration value) {
+  this->settings.grace_period = value;
+  return *this;
+}
+
+FrontSettings::Builder& FrontSettings::Builder::SetAddressTtl(Duration value) {
+  this->settings.address_ttl = value;
+  return *this;
+}
+
+FrontSettings::Builder& FrontSettings::Builder::SetOwnerLease(Duration value) {
+  this->settings.owner_lease = value;
+  return *this;
+}
+
+FrontSettingsResult ParseFrontSettings(std::string_view text, const std::string& name) {
+  const auto tree = ParseYaml(text);
+  if (!tree) {
+    return tl::unexpected<std::vector<SettingsProblem>>({SettingsProblem{
+        name, tree.error().line, "", tree.error().message, "a YAML map of settings"}});
+  }
+  const FrontSettings defaults;
+  SettingsReader reader(
+      *tree, name,
+      {"instance_id", "zone", "region", "cpu_share", "log_level", "address", "address.front",
+       "address.directory", "address.ready", "address.metrics", "address.store", "timing",
+       "timing.grace_s", "timing.address_ttl_s", "timing.owner_lease_ms"},
+      {"address", "timing"});
+  const auto address = [&reader](const char* key) {
+    return reader.Address(key, true).value_or(Endpoint());
+  };
+  FrontSettings::Builder builder;
+  builder.SetInstanceId(reader.Name("instance_id", true))
+      .SetZone(reader.Name("zone", true))
+      .SetRegion(reader.Name("region", false))
+      .SetFrontAddress(address("address.front"))
+      .SetDirectoryAddress(address("address.directory"))
+      .SetReadyAddress(address("address.ready"))
+      .SetMetricsAddress(address("address.metrics"))
+      .SetStoreAddress(address("address.store"))
+      .SetCpuShare(reader.Real("cpu_share", defaults.CpuShare(), 0.001, 1024))
+      .SetLogLevel(reader.Level("log_level", defaults.MinimumLogLevel()))
+      .SetGracePeriod(reader.Seconds("timing.grace_s", defaults.GracePeriod(), 1, 86400))
+      .SetAddressTtl(reader.Seconds("timing.address_ttl_s", defaults.AddressTtl(), 0.1, 3600))
+      .SetOwnerLease(reader.Millis("timing.owner_lease_ms", defaults.OwnerLease(), 1000, 600000));
+  auto problems = reader.TakeProblems();
+  if (!problems.empty()) return tl::unexpected<std::vector<SettingsProblem>>(std::move(problems));
+  return builder.Build();
+}
+
+FrontSettingsResult LoadFrontSettings(const std::string& path) {
+  const auto text = ReadInputFile(path, kMaxSettingsBytes);
+  if (!text) {
+    return tl::unexpected<std::vector<SettingsProblem>>(
+        {SettingsProblem{path, 0, "", text.error().message, "a readable settings file"}});
+  }
+  return ParseFrontSettings(*text, path);
+}
+
+}  // namespace anvilcroft
--- /dev/null
+++ b/anvilcroft/front_settings.h
@@ -0,0 +1,101 @@
+#ifndef ANVILCROFT_FRONT_SETTINGS_H_
+#define ANVILCROFT_FRONT_SETTINGS_H_
+
+// The settings of an instance that serves a hosted platform (`anvilcroft serve`). Immutable; made
+// by LoadFrontSettings from a YAML file or by FrontSettings::Builder in tests.
+
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <tuple>
+#include <vector>
+
+#include "anvilcroft/endpoint.h"
+#include "anvilcroft/log.h"
+#include "anvilcroft/settings_problem.h"
+#include "anvilcroft/time.h"
+
+namespace anvilcroft {
+
+class FrontSettings {
+ public:
+  class Builder;
+
+  // Unique name of the instance.
+  const std::string& InstanceId() const { return this->instance_id; }
+  const std::string& Zone() const { return this->zone; }
+  const std::string& Region() const { return this->region; }
+  // Where callers connect, where they ask for addresses, and where readiness is asked for.
+  const Endpoint& FrontAddress() const { return this->front_address; }
+  const Endpoint& DirectoryAddress() const { return this->directory_address; }
+  const Endpoint& ReadyAddress() const { return this->ready_address; }
+  const Endpoint& MetricsAddress() const { return this->metrics_address; }
+  const Endpoint& StoreAddress() const { return this->store_address; }
+  // Share of a core that the instance may use.
+  double CpuShare() const { return this->cpu_share; }
+  LogLevel MinimumLogLevel() const { return this->log_level; }
+  // From SIGTERM to the end of the process.
+  Duration GracePeriod() const { return this->grace_period; }
+  // How long callers may keep an answer of the address directory.
+  Duration AddressTtl() const { return this->address_ttl; }
+  // How long the owner of the batch jobs may give orders after its last renewal.
+  Duration OwnerLease() const { return this->owner_lease; }
+
+  friend bool operator==(const FrontSettings& a, const FrontSettings& b) {
+    return std::tie(a.instance_id, a.zone, a.region, a.front_address, a.directory_address,
+                    a.ready_address, a.metrics_address, a.store_address, a.cpu_share, a.log_level,
+                    a.grace_period, a.address_ttl, a.owner_lease) ==
+           std::tie(b.instance_id, b.zone, b.region, b.front_address, b.directory_address,
+                    b.ready_address, b.metrics_address, b.store_address, b.cpu_share, b.log_level,
+                    b.grace_period, b.address_ttl, b.owner_lease);
+  }
+  friend bool operator!=(const FrontSettings& a, const FrontSettings& b) { return !(a == b); }
+
+ private:
+  std::string instance_id;
+  std::string zone;
+  std::string region;
+  Endpoint front_address;
+  Endpoint directory_address;
+  Endpoint ready_address;
+  Endpoint metrics_address;
+  Endpoint store_address;
+  double cpu_share = 1;
+  LogLevel log_level = LogLevel::kInfo;
+  Duration grace_period = seconds(8);
+  Duration address_ttl = seconds(2);
+  Duration owner_lease = seconds(3);
+};
+
+class FrontSettings::Builder {
+ public:
+  Builder& SetInstanceId(std::string value);
+  Builder& SetZone(std::string value);
+  Builder& SetRegion(std::string value);
+  Builder& SetFrontAddress(Endpoint value);
+  Builder& SetDirectoryAddress(Endpoint value);
+  Builder& SetReadyAddress(Endpoint value);
+  Builder& SetMetricsAddress(Endpoint value);
+  Builder& SetStoreAddress(Endpoint value);
+  Builder& SetCpuShare(double value);
+  Builder& SetLogLevel(LogLevel value);
+  Builder& SetGracePeriod(Duration value);
+  Builder& SetAddressTtl(Duration value);
+  Builder& SetOwnerLease(Duration value);
+  FrontSettings Build() const { return this->settings; }
+
+ private:
+  FrontSettings settings;
+};
+
+using FrontSettingsResult = tl::expected<FrontSettings, std::vector<SettingsProblem>>;
+
+// Reads and checks the file at `path`; reports all problems at once, as LoadSettings does.
+FrontSettingsResult LoadFrontSettings(const std::string& path);
+
+// Reads and checks `text`; `name` stands for the file in problems.
+FrontSettingsResult ParseFrontSettings(std::string_view text, const std::string& name);
+
+}  // namespace anvilcroft
+
+#endif  // ANVILCROFT_FRONT_SETTINGS_H_
--- a/anvilcroft/http_client.cc
+++ b/anvilcroft/http_client.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <limits>
 #include <map>
 #include <utility>
@@ -36,6 +37,8 @@
   beast::flat_buffer buffer;
   std::shared_ptr<Traffic> traffic;
   TimePoint idle_since;
+  // How long the other side keeps the connection open without a request.
+  Duration idle_limit = HttpClient::kMaxIdleTime;
   bool reused = false;
 };
 
@@ -54,6 +57,21 @@
   return Fail(ErrorCode::kConnectionLost, failed.message(), "", Ran::kUnknown);
 }
 
+// How long an idle connection can be used: what the server's Keep-Alive field says, less a margin
+// for a request that crosses the close.
+Duration IdleLimit(const HttpHeaders& headers) {
+  constexpr std::string_view kName = "timeout=";
+  constexpr Duration kMargin = milliseconds(250);  // a few round trips between zones
+  const std::string_view field = headers.Find("Keep-Alive");
+  const std::size_t at = field.find(kName);
+  if (at == std::string_view::npos) return HttpClient::kMaxIdleTime;
+  int64_t limit_s = 0;
+  const char* begin = field.data() + at + kName.size();
+  const auto parsed = std::from_chars(begin, field.data() + field.size(), limit_s);
+  if (parsed.ec != std::errc() || limit_s < 0 || limit_s > 3600) return HttpClient::kMaxIdleTime;
+  return std::min<Duration>(HttpClient::kMaxIdleTime, seconds(limit_s) - kMargin);
+}
+
 std::shared_ptr<void> CloseOnCancel(const CallOptions& options,
                                     const std::shared_ptr<Connection>& connection) {
   if (!options.CancelledBy()) return nullptr;
@@ -77,7 +95,7 @@
     while (!idle.empty() && !options.FreshConnection()) {
       std::shared_ptr<Connection> connection = std::move(idle.back());
       idle.pop_back();
-      if (now - connection->idle_since < kMaxIdleTime && StillOpen(*connection)) {
+      if (now - connection->idle_since < connection->idle_limit && StillOpen(*connection)) {
         connection->reused = true;
         return connection;
       }
@@ -105,7 +123,8 @@
     error_code failed;
     const auto ip = asio::ip::make_address(endpoint.ip, failed);
     if (failed) return Fail(ErrorCode::kConnectFailed, "malformed address", endpoint.ToString());
-    connection->stream.expires_at(std::min(options.Deadline(), SteadyNow() + kConnectTimeout));
+    const Duration limit = options.ConnectTimeout().value_or(kConnectTimeout);
+    connection->stream.expires_at(std::min(options.Deadline(), SteadyNow() + limit));
     connection->stream.async_connect(asio::ip::tcp::endpoint(ip, endpoint.port),
                                      task.yield[failed]);
     if (failed) {
@@ -161,6 +180,7 @@
         this->connection->stream, this->connection->buffer, this->parser, task.yield[failed]);
     if (failed) return TransferError(failed, this->options);
     this->headers = FromWire(this->parser.get());
+    this->connection->idle_limit = IdleLimit(this->headers);
     return {};
   }
 
@@ -229,6 +249,10 @@
         if (const auto open = weak.lock()) open->Release(endpoint, std::move(done));
       });
 
+  if (options.SendGuard() && !options.SendGuard()()) {
+    this->impl->Release(endpoint, std::move(connection));
+    return Fail(ErrorCode::kCancelled, "the permission to send has lapsed");
+  }
   error_code failed;
   const auto message = ToWire(request, endpoint.ToString());
   connection->stream.expires_at(
--- a/anvilcroft/http_server.cc
+++ b/anvilcroft/http_server.cc
@@ -23,7 +23,7 @@
 constexpr char kPart[] = "http";
 
 // One open connection and the answer to the request it is serving.
-class Session : public HttpReply {
+class Session : public HttpReply, public std::enable_shared_from_this<Session> {
  public:
   Session(asio::ip::tcp::socket socket, Duration write_timeout)
       : stream(std::move(socket)), write_timeout(write_timeout) {}
@@ -34,6 +34,15 @@
     this->head_only = head_only_wanted;
     this->streaming = false;
     this->keep_alive = keep_alive_wanted && !this->closing;
+    this->caller_gone = nullptr;
+  }
+
+  std::shared_ptr<Cancellation> CallerGone() override {
+    if (!this->caller_gone) {
+      this->caller_gone = std::make_shared<Cancellation>();
+      this->WatchCaller(this->caller_gone);
+    }
+    return this->caller_gone;
   }
 
   Result<void> Send(Task& task, const HttpResponse& response) override {
@@ -117,7 +126,24 @@
     return Fail(ErrorCode::kConnectionLost, failed.message(), "", Ran::kUnknown);
   }
 
+  // Cancels `gone` when the connection ends. Bytes that arrive are the next request of a caller
+  // that pipelines; they end the watch.
+  void WatchCaller(const std::shared_ptr<Cancellation>& gone) {
+    const std::weak_ptr<Session> weak = this->shared_from_this();
+    this->stream.socket().async_wait(
+        asio::ip::tcp::socket::wait_read, [weak, gone](const error_code& failed) {
+          const auto session = weak.lock();
+          if (failed || !session || session->caller_gone != gone) return;
+          char byte = 0;
+          const auto received =
+              ::recv(session->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+          const bool open = received > 0 || (received < 0 && errno == EAGAIN);
+          if (!open) gone->Cancel();
+        });
+  }
+
   Duration write_timeout;
+  std::shared_ptr<Cancellation> caller_gone;
 };
 
 }  // namespace
@@ -161,6 +187,14 @@
     for (const auto& session : this->sessions) session->closing = true;
   }
 
+  void SetLimits(std::size_t max_header_bytes, std::size_t max_body_bytes, Duration read_timeout,
+                 Duration idle_timeout) override {
+    this->options.max_header_bytes = max_header_bytes;
+    this->options.max_body_bytes = max_body_bytes;
+    this->options.read_timeout = read_timeout;
+    this->options.idle_timeout = idle_timeout;
+  }
+
   std::size_t ActiveRequests() const override { return this->active; }
 
  private:
--- a/anvilcroft/http_server.h
+++ b/anvilcroft/http_server.h
@@ -22,6 +22,7 @@
 #include <memory>
 #include <string>
 
+#include "anvilcroft/cancellation.h"
 #include "anvilcroft/error.h"
 #include "anvilcroft/http_request.h"
 #include "anvilcroft/http_response.h"
@@ -50,6 +51,9 @@
   // Ends the connection without completing the response, so that the caller can tell a broken
   // stream from a whole one.
   virtual void Abort() = 0;
+
+  // Cancelled when the caller closes its connection while the handler runs.
+  virtual std::shared_ptr<Cancellation> CallerGone() = 0;
 };
 
 using HttpHandler = std::function<void(Task&, const HttpRequest&, HttpReply&)>;
@@ -71,6 +75,10 @@
   // From now on answers each request with "Connection: close", so that callers leave.
   virtual void CloseAfterResponse() = 0;
 
+  // Limits of requests and connections from now on; see the builder.
+  virtual void SetLimits(std::size_t max_header_bytes, std::size_t max_body_bytes,
+                         Duration read_timeout, Duration idle_timeout) = 0;
+
   // Number of requests whose handler is running.
   virtual std::size_t ActiveRequests() const = 0;
 };
--- a/anvilcroft/http_wire.cc
+++ b/anvilcroft/http_wire.cc
@@ -28,8 +28,8 @@
   message.method_string(request.Method());
   message.target(request.Target());
   message.version(11);
-  for (const auto& [name, value] : request.Headers().Fields()) message.set(name, value);
-  message.set(http::field::host, host);
+  for (const auto& [name, value] : request.Headers().Fields()) message.insert(name, value);
+  if (request.Headers().Find("Host").empty()) message.set(http::field::host, host);
   message.body() = request.Body();
   message.prepare_payload();
   return message;
@@ -39,7 +39,7 @@
   http::response<http::string_body> message;
   message.result(static_cast<unsigned>(response.Status()));
   message.version(11);
-  for (const auto& [name, value] : response.Headers().Fields()) message.set(name, value);
+  for (const auto& [name, value] : response.Headers().Fields()) message.insert(name, value);
   message.keep_alive(keep_alive);
   message.body() = response.Body();
   message.prepare_payload();
--- a/anvilcroft/http_wire.h
+++ b/anvilcroft/http_wire.h
@@ -19,7 +19,7 @@
 // A request as the server received it.
 HttpRequest FromWire(const boost::beast::http::request<boost::beast::http::string_body>& message);
 
-// `host` becomes the Host field.
+// `host` becomes the Host field unless the request has one.
 boost::beast::http::request<boost::beast::http::string_body> ToWire(const HttpRequest& request,
                                                                     const std::string& host);
 
--- /dev/null
+++ b/anvilcroft/item_placement.cc
@@ -0,0 +1,74 @@
+#include "anvilcroft/item_placement.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace anvilcroft {
+namespace {
+
+// How much longer an event takes on a full engine than on an empty one.
+constexpr double kFullSlowdown = 0.35;
+// Time lost when a run fails and starts again elsewhere, in ms.
+constexpr double kFailureCostMs = 1500;
+// Cost of a text that cannot be used in the next step, as a share of its time.
+constexpr double kOldVersionShare = 0.3;
+// An engine that failed the item lately is used only if no other one is nearly as good.
+constexpr double kAvoidCostMs = 1000;
+
+double CostMs(const WaitingItem& item, const PlacementEngine& engine, int64_t version,
+              int64_t newest) {
+  const double load = static_cast<double>(engine.running) / engine.slots;
+  double cost = std::max(1.0, item.events_left) * engine.event_ms * (1 + kFullSlowdown * load);
+  if (item.prefer_newest && version < newest) cost *= 1 + kOldVersionShare;
+  cost += engine.failure_share * kFailureCostMs;
+  if (item.avoid.count(engine.id) != 0) cost += kAvoidCostMs;
+  return cost;
+}
+
+}  // namespace
+
+std::vector<Placement> PlaceItems(std::vector<WaitingItem> items,
+                                  std::vector<PlacementEngine> engines) {
+  std::stable_sort(items.begin(), items.end(), [](const WaitingItem& a, const WaitingItem& b) {
+    return std::make_tuple(a.rank, -a.events_left) < std::make_tuple(b.rank, -b.events_left);
+  });
+  std::map<std::string, int64_t> newest;
+  for (const PlacementEngine& engine : engines) {
+    for (const auto& [model, version] : engine.versions) {
+      newest[model] = std::max(newest[model], version);
+    }
+  }
+  int free_slots = 0;
+  for (const PlacementEngine& engine : engines) {
+    free_slots += std::max(0, engine.slots - engine.running);
+  }
+  std::vector<Placement> placements;
+  for (const WaitingItem& item : items) {
+    if (free_slots == 0) break;
+    PlacementEngine* best = nullptr;
+    double best_cost = 0;
+    int64_t best_version = 0;
+    for (PlacementEngine& engine : engines) {
+      if (engine.running >= engine.slots || engine.service != item.service) continue;
+      if (engine.loading.count(item.model) != 0) continue;
+      const auto found = engine.versions.find(item.model);
+      const int64_t version = found == engine.versions.end() ? 0 : found->second;
+      if (!item.model.empty() && found == engine.versions.end()) continue;
+      if (version < item.min_version) continue;
+      if (item.only_version != 0 && version != item.only_version) continue;
+      const double cost = CostMs(item, engine, version, newest[item.model]);
+      if (best == nullptr || cost < best_cost) {
+        best = &engine;
+        best_cost = cost;
+        best_version = version;
+      }
+    }
+    if (best == nullptr) continue;
+    ++best->running;
+    --free_slots;
+    placements.push_back(Placement{item.key, best->id, best_version});
+  }
+  return placements;
+}
+
+}  // namespace anvilcroft
--- /dev/null
+++ b/anvilcroft/item_runner.cc
@@ -0,0 +1,237 @@
+#include "anvilcroft/item_runner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "anvilcroft/log.h"
+
+namespace anvilcroft {
+namespace {
+
+using Kind = platform::GenerationOutcome::Kind;
+
+constexpr char kPart[] = "item";
+// After an engine has refused an item; engines free a slot within tens of milliseconds.
+constexpr Duration kRefusalPause = milliseconds(40);
+constexpr Duration kAvoidTime = seconds(3);  // troubles of an engine last seconds
+constexpr Duration kScoreTimeout = milliseconds(2500);
+constexpr Duration kScorePause = milliseconds(60);
+constexpr Duration kMinRunTime = seconds(60);  // no run is longer; the end of the job ends it
+
+// The run's place in the order of an engine's queue: texts that a group waits for go first.
+constexpr int kUrgency = 5;
+
+}  // namespace
+
+bool ItemRunner::MaySend(const OwnedJob& job) const {
+  const BootTime now = BootNow();
+  return !job.ended && this->context.lease.Held().ValidAt(now) &&
+         now - this->context.jobs_known_at < kMaxJobAge;
+}
+
+void ItemRunner::Start(const std::shared_ptr<OwnedJob>& job, std::size_t index,
+                       const std::string& engine, int64_t version) {
+  EngineState* state = this->context.board.Find(engine);
+  if (state == nullptr) return;
+  OwnedItem& item = job->items[index];
+  item.phase = ItemPhase::kRunning;
+  item.engine = engine;
+  item.run = std::make_shared<Cancellation>();
+  ++state->running[job->head.model];
+  this->context.pool.Started(engine);
+  this->context.runtime.Spawn([this, job, index, entry = state->entry, version](Task& task) {
+    this->Run(task, job, index, entry, version);
+  });
+}
+
+void ItemRunner::Run(Task& task, const std::shared_ptr<OwnedJob>& job, std::size_t index,
+                     const TargetEntry& engine, int64_t version) {
+  OwnedItem& item = job->items[index];
+  const std::shared_ptr<Cancellation> run = item.run;
+  const int64_t resumed_after = item.text.events;
+  const TimePoint started = SteadyNow();
+  platform::GenerationRequest request;
+  request.id = item.item.id;
+  request.host = job->head.host;
+  request.path = item.item.path;
+  request.headers = item.item.headers;
+  request.body = item.item.body;
+  request.resume_after = item.text.events;
+  request.expected_version = version;
+  request.urgency = kUrgency;
+  const CallOptions options =
+      CallOptions(started + kMinRunTime, kSilence).WithCancellation(run).WithSendGuard([this, job] {
+        return this->MaySend(*job);
+      });
+  TimePoint last_event = started;
+  const auto outcome = this->context.engines.Generate(
+      task, engine, request, options, [&](const platform::GenerationEvent& event) {
+        const TimePoint now = SteadyNow();
+        // The first event includes the prompt.
+        if (event.number > resumed_after + 1) {
+          this->context.board.Paced(engine.id, now - last_event, now);
+        }
+        last_event = now;
+        item.text.Add(event.data, event.weight_version);
+      });
+  const TimePoint now = SteadyNow();
+  const bool cancelled = run->Cancelled();
+  TargetOutcome health = TargetOutcome::kServed;
+  if (cancelled) {
+    health = TargetOutcome::kAbandoned;
+  } else if (outcome.kind == Kind::kNotExecuted || outcome.kind == Kind::kWrongTarget) {
+    health = TargetOutcome::kRefused;
+  } else if (outcome.kind == Kind::kBroken) {
+    health = outcome.status == 0 ? TargetOutcome::kSilent : TargetOutcome::kFailed;
+  } else if (outcome.kind == Kind::kFailed) {
+    health = TargetOutcome::kFailed;
+  }
+  this->context.pool.Finished(engine.id, health, now - started, now);
+  if (EngineState* state = this->context.board.Find(engine.id)) {
+    int& running = state->running[job->head.model];
+    running = std::max(0, running - 1);
+    if (item.text.events > resumed_after) {
+      this->context.board.VersionSeen(engine.id, job->head.model, item.text.versions.back());
+    }
+  }
+  LogDebug(kPart, "run ended",
+           {{"item", item.item.id},
+            {"batch", job->head.id},
+            {"engine", engine.id},
+            {"outcome", std::to_string(static_cast<int>(outcome.kind))},
+            {"reason", outcome.reason},
+            {"events", std::to_string(item.text.events)},
+            {"ms", std::to_string(ToMillis(now - started))}});
+  item.engine.clear();
+  item.run = nullptr;
+  this->context.wake.NotifyAll();
+  if (item.phase != ItemPhase::kRunning) return;  // listed by another owner meanwhile
+  if (outcome.kind == Kind::kComplete && !cancelled) item.text.complete = true;
+  if (job->ended) {
+    item.phase = ItemPhase::kWaiting;
+    return;
+  }
+  if (item.text.complete) {
+    this->Score(task, job, index);
+    return;
+  }
+  item.phase = ItemPhase::kWaiting;
+  if (outcome.kind == Kind::kImpossible) {
+    this->Expire(job, index, "the engine says that it can never be done");
+    return;
+  }
+  if (!cancelled) this->HandleBroken(item, engine.id, outcome, now);
+}
+
+void ItemRunner::HandleBroken(OwnedItem& item, const std::string& engine,
+                              const platform::GenerationOutcome& outcome, TimePoint now) {
+  LogInfo(kPart, "run did not complete",
+          {{"item", item.item.id},
+           {"engine", engine},
+           {"reason", outcome.reason},
+           {"events", std::to_string(item.text.events)}});
+  if (outcome.kind == Kind::kFailed) ++item.failures;
+  if (outcome.kind == Kind::kNotExecuted) {
+    item.not_before = now + kRefusalPause;
+  } else if (outcome.kind == Kind::kWrongTarget) {
+    item.not_before = now + kRefusalPause;
+    item.avoid[engine] = now + kRefusalPause * 5;
+  } else {
+    item.avoid[engine] = now + kAvoidTime;
+  }
+}
+
+void ItemRunner::StartScoring(const std::shared_ptr<OwnedJob>& job, std::size_t index) {
+  job->items[index].phase = ItemPhase::kScoring;
+  this->context.runtime.Spawn([this, job, index](Task& task) { this->Score(task, job, index); });
+}
+
+void ItemRunner::Score(Task& task, const std::shared_ptr<OwnedJob>& job, std::size_t index) {
+  OwnedItem& item = job->items[index];
+  item.phase = ItemPhase::kScoring;
+  ItemResult result;
+  result.item_id = item.item.id;
+  result.completed = true;
+  if (item.item.score) {
+    const ScoreRequest& score = *item.item.score;
+    int failures = 0;
+    while (true) {
+      if (!this->MaySend(*job)) {
+        if (job->ended || !this->context.lease.Held().ValidAt(BootNow())) {
+          item.phase = ItemPhase::kWaiting;
+          return;
+        }
+        SleepUntil(task, SteadyNow() + kScorePause);
+        continue;
+      }
+      LiveRequest request;
+      request.message.id = score.id;
+      request.message.method = "POST";
+      request.message.target = score.path;
+      request.message.headers = HttpHeaders({{"Host", score.host}});
+      request.message.body = score.body;
+      request.host = score.host;
+      request.path = score.path.substr(0, score.path.find('?'));
+      request.deadline = SteadyNow() + kScoreTimeout;
+      item.run = std::make_shared<Cancellation>();
+      request.caller_gone = item.run;
+      const LiveOutcome outcome = this->context.live.Serve(task, request);
+      item.run = nullptr;
+      if (item.phase != ItemPhase::kScoring) return;  // listed by another owner meanwhile
+      if (job->ended) {
+        item.phase = ItemPhase::kWaiting;
+        return;
+      }
+      const auto& reply = outcome.reply;
+      if (outcome.kind == LiveOutcome::Kind::kAnswered && reply.status / 100 == 2 &&
+          !reply.signature.empty()) {
+        result.score = reply.signature;
+        break;
+      }
+      const auto routes = this->context.routes();
+      const ServiceRoute* route = routes ? routes->Match(job->head.host, job->head.path) : nullptr;
+      const ServiceRoute* score_route =
+          routes ? routes->Match(request.host, request.path) : nullptr;
+      failures += outcome.failures;
+      const int most = std::max(route == nullptr ? 1 : route->max_targets,
+                                score_route == nullptr ? 1 : score_route->max_targets);
+      LogInfo(kPart, "the judging request was not answered",
+              {{"item", item.item.id},
+               {"request", score.id},
+               {"reason", outcome.reason},
+               {"target", outcome.target},
+               {"status", std::to_string(reply.status)},
+               {"failures", std::to_string(failures)}});
+      if (failures >= most) {
+        this->Expire(job, index, "the judging request failed at each attempt");
+        return;
+      }
+      SleepUntil(task, SteadyNow() + kScorePause);
+    }
+  }
+  result.text = item.text.data;
+  result.versions = item.text.versions;
+  std::sort(result.versions.begin(), result.versions.end());
+  this->Finish(job, index, std::move(result));
+}
+
+void ItemRunner::Expire(const std::shared_ptr<OwnedJob>& job, std::size_t index,
+                        const char* reason) {
+  LogInfo(kPart, "gave the item up",
+          {{"item", job->items[index].item.id}, {"batch", job->head.id}, {"reason", reason}});
+  ItemResult result;
+  result.item_id = job->items[index].item.id;
+  this->Finish(job, index, std::move(result));
+}
+
+void ItemRunner::Finish(const std::shared_ptr<OwnedJob>& job, std::size_t index,
+                        ItemResult result) {
+  job->items[index].phase = ItemPhase::kFinished;
+  this->context.metrics.Count("anvilcroft_batch_items_total",
+                              {{"outcome", result.completed ? "completed" : "expired"}});
+  job->finished.push_back(std::move(result));
+  job->finished_changed.NotifyAll();
+  this->context.wake.NotifyAll();
+}
+
+}  // namespace anvilcroft
--- /dev/null
+++ b/anvilcroft/item_text.cc
@@ -0,0 +1,30 @@
+#include "anvilcroft/item_text.h"
+
+#include <algorithm>
+
+namespace anvilcroft {
+
+void ItemText::Add(const std::string& event, int64_t version) {
+  if (this->events > 0) this->data += '\n';
+  this->data += event;
+  ++this->events;
+  const auto known = std::find(this->versions.begin(), this->versions.end(), version);
+  if (known == this->versions.end()) this->versions.push_back(version);
+}
+
+bool ItemText::Fits(int64_t min_version, bool single) const {
+  if (single && this->versions.size() > 1) return false;
+  return std::all_of(this->versions.begin(), this->versions.end(),
+                     [min_version](int64_t version) { return version >= min_version; });
+}
+
+double ExpectedEventsLeft(double expected_events, int64_t made) {
+  // Share of what has been made that an item beyond its estimate is expected to add, and the least
+  // number of events of any item.
+  constexpr double kOverrunShare = 0.4;
+  constexpr double kLeastEvents = 2;
+  const double done = static_cast<double>(made);
+  return std::max(expected_events - done, kOverrunShare * done + kLeastEvents);
+}
+
+}  // namespace anvilcroft
--- /dev/null
+++ b/anvilcroft/item_text.h
@@ -0,0 +1,31 @@
+#ifndef ANVILCROFT_ITEM_TEXT_H_
+#define ANVILCROFT_ITEM_TEXT_H_
+
+// The text of a batch item as far as it has been generated.
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace anvilcroft {
+
+struct ItemText {
+  int64_t events = 0;             // the number of the last one
+  std::string data;               // of all events, separated by line feeds
+  std::vector<int64_t> versions;  // weight versions that made an event, in order of first use
+  bool complete = false;
+
+  void Add(const std::string& event, int64_t version);
+
+  // Whether a job that allows versions from `min_version` on, and only one if `single`, can use it.
+  bool Fits(int64_t min_version, bool single) const;
+};
+
+// How many events are still to come, given the submitter's estimate of the whole and the number
+// made so far. The estimate is right at the median and often far off, so an item that has outlived
+// it is expected to go on for a share of what it has made.
+double ExpectedEventsLeft(double expected_events, int64_t made);
+
+}  // namespace anvilcroft
+
+#endif  // ANVILCROFT_ITEM_TEXT_H_
--- /dev/null
+++ b/anvilcroft/live_forwarder.h
@@ -0,0 +1,85 @@
+#ifndef ANVILCROFT_LIVE_FORWARDER_H_
+#define ANVILCROFT_LIVE_FORWARDER_H_
+
+// Serves one short request by one or more targets within its deadline.
+//
+// A request that may be repeated is sent to a second target when the first one fails or takes
+// unusually long; the first whole answer wins and the other attempt is ended. Any request is sent
+// elsewhere when a target says that it did not run it. A refusal says "not run" only if no target
+// can have run it.
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+
+#include "anvilcroft/latency_window.h"
+#include "anvilcroft/retry_budget.h"
+#include "anvilcroft/route_table.h"
+#include "anvilcroft/target_pool.h"
+#include "platform/engine_client.h"
+
+namespace anvilcroft {
+
+struct LiveRequest {
+  platform::ForwardRequest message;
+  std::string host;
+  std::string path;  // without the query
+  TimePoint deadline;
+  std::shared_ptr<Cancellation> caller_gone;  // may be null
+};
+
+struct LiveOutcome {
+  enum class Kind {
+    kAnswered,    // `reply` holds a target's answer
+    kNoRoute,     // the configuration has no route for it
+    kNotRun,      // no target ran it, and none will
+    kUnknown,     // it may have run
+    kTimedOut,    // the deadline passed; it may have run
+    kCallerGone,  // the caller has left
+  };
+  Kind kind = Kind::kNotRun;
+  platform::ForwardReply reply;
+  std::string reason;
+  std::string target;  // the last one tried
+  int attempts = 0;
+  int failures = 0;  // answers by which a target says that it failed
+};
+
+class LiveForwarder {
+ public:
+  using Routes = std::function<std::shared_ptr<const RouteTable>()>;
+
+  // Extra attempts beside one that still runs: at most this share of the requests.
+  static constexpr double kHedgeShare = 0.15;
+  static constexpr double kHedgeBurst = 10;
+  // A target that says "not executed" costs no attempt; this many such answers end the request.
+  static constexpr int kMaxRefusals = 4;
+
+  LiveForwarder(Runtime& runtime, platform::EngineClient& engines, TargetPool& pool, Routes routes,
+                std::string zone, uint64_t seed);
+
+  LiveOutcome Serve(Task& task, const LiveRequest& request);
+
+ private:
+  struct Race;
+
+  const PoolTarget* Choose(const ServiceRoute& route, const Race& race, TimePoint now);
+  void Launch(const std::shared_ptr<Race>& race, const PoolTarget& target, TimePoint now);
+  Duration HedgeDelay(const ServiceRoute& route, const std::string& service) const;
+  double Random();
+
+  Runtime& runtime;
+  platform::EngineClient& engines;
+  TargetPool& pool;
+  Routes routes;
+  std::string zone;
+  std::mt19937_64 generator;
+  RetryBudget hedges{kHedgeShare, kHedgeBurst};
+  std::map<std::string, LatencyWindow> latencies;  // by service
+};
+
+}  // namespace anvilcroft
+
+#endif  // ANVILCROFT_LIVE_FORWARDER_H_
--- /dev/null
+++ b/anvilcroft/owned_job.h
@@ -0,0 +1,56 @@
+#ifndef ANVILCROFT_OWNED_JOB_H_
+#define ANVILCROFT_OWNED_JOB_H_
+
+// A batch job as its owner runs it. Soft state: a new owner rebuilds it from the metadata store.
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "anvilcroft/batch_job.h"
+#include "anvilcroft/batch_store.h"
+#include "anvilcroft/cancellation.h"
+#include "anvilcroft/event.h"
+#include "anvilcroft/item_text.h"
+
+namespace anvilcroft {
+
+enum class ItemPhase {
+  kWaiting,  // for an engine
+  kRunning,
+  kScoring,
+  kFinished,  // its result is listed or about to be
+};
+
+struct OwnedItem {
+  BatchItem item;
+  ItemPhase phase = ItemPhase::kWaiting;
+  ItemText text;
+  bool carried = false;                    // was part of an earlier job
+  int failures = 0;                        // answers that the attempt failed
+  TimePoint not_before;                    // after a refusal
+  std::map<std::string, TimePoint> avoid;  // engines that failed it, and until when they count
+  std::string engine;                      // that runs it
+  std::shared_ptr<Cancellation> run;       // ends the run
+};
+
+struct OwnedJob {
+  BatchHead head;
+  std::vector<OwnedItem> items;
+  Listing listing;
+  std::deque<ItemResult> finished;  // results that are not listed yet
+  Event finished_changed;
+  bool ended = false;
+  TimePoint taken_at;
+
+  // Items whose result is not listed.
+  std::size_t Unlisted() const {
+    return this->items.size() - static_cast<std::size_t>(this->listing.count);
+  }
+};
+
+}  // namespace anvilcroft
+
+#endif  // ANVILCROFT_OWNED_JOB_H_
--- /dev/null
+++ b/anvilcroft/platform_view.cc
@@ -0,0 +1,179 @@
+#include "anvilcroft/platform_view.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "anvilcroft/log.h"
+#include "platform/operator_rows.h"
+
+namespace anvilcroft {
+namespace {
+
+constexpr char kPart[] = "platform";
+constexpr Duration kCallTimeout = milliseconds(900);
+
+}  // namespace
+
+PlatformView::PlatformView(Runtime& runtime, MetadataStore& store, TargetPool& pool,
+                           std::function<void()> on_change)
+    : runtime(runtime), store(store), pool(pool), on_change(std::move(on_change)) {}
+
+void PlatformView::Start() {
+  this->runtime.Spawn([this](Task& task) { this->FollowOperator(task); });
+  this->runtime.Spawn([this](Task& task) { this->FollowTargets(task); });
+}
+
+Result<RangeResult> PlatformView::ReadAll(Task& task, const std::string& table) {
+  RowRange range;
+  range.table = table;
+  auto all = this->store.Read(task, range, SteadyNow() + kCallTimeout);
+  while (all && all->more && !all->rows.empty()) {
+    range.from = all->rows.back().id.key + '\x01';
+    auto page = this->store.Read(task, range, SteadyNow() + kCallTimeout);
+    if (!page) return page;
+    std::move(page->rows.begin(), page->rows.end(), std::back_inserter(all->rows));
+    all->more = page->more;  // the first page's version stays: the feed repeats later changes
+  }
+  return all;
+}
+
+void PlatformView::FollowOperator(Task& task) {
+  int64_t version = 0;
+  bool following = false;
+  while (true) {
+    const TimePoint asked = SteadyNow();
+    if (!following) {
+      const auto all = this->ReadAll(task, platform::kOperatorTable);
+      if (!all) {
+        SleepUntil(task, SteadyNow() + kRetryPause);
+        continue;
+      }
+      for (const StoredRow& row : all->rows) this->ApplyOperatorRow(row);
+      version = all->version;
+      following = true;
+    } else {
+      const auto feed = this->store.Feed(task, platform::kOperatorTable, version, kFeedWait);
+      if (!feed) {
+        SleepUntil(task, SteadyNow() + kRetryPause);
+        continue;
+      }
+      if (feed->history_lost) {
+        LogWarning(kPart, "the store has dropped the operator's history; reading all again");
+        following = false;
+        continue;
+      }
+      for (const StoredRow& row : feed->rows) this->ApplyOperatorRow(row);
+      version = std::max(version, feed->version);
+    }
+    this->routes_confirmed_at = asked;
+  }
+}
+
+void PlatformView::ApplyOperatorRow(const StoredRow& row) {
+  if (platform::IsConfiguration(row)) {
+    auto table = platform::DecodeConfiguration(row.value);
+    if (!table) {
+      LogError(kPart, "a configuration cannot be read; keeping the one in force",
+               {{"part", table.error().part}, {"error", table.error().message}});
+      return;
+    }
+    if (this->routes && table->Version() <= this->routes->Version()) return;
+    LogInfo(kPart, "configuration in force",
+            {{"before", this->routes ? std::to_string(this->routes->Version()) : "none"},
+             {"version", std::to_string(table->Version())},
+             {"routes", std::to_string(table->Routes().size())}});
+    this->routes = std::make_shared<const RouteTable>(std::move(*table));
+    this->on_change();
+    return;
+  }
+  const auto named = platform::DecodeNamedVersion(row);
+  if (!named) return;
+  int64_t& known = this->named[named->model];
+  if (named->version <= known) return;
+  LogInfo(kPart, "a trainer named a version",
+          {{"model", named->model},
+           {"before", std::to_string(known)},
+           {"version", std::to_string(named->version)}});
+  known = named->version;
+  this->on_change();
+}
+
+Duration PlatformView::GraceAt(TimePoint now) const {
+  const TimePoint failed = this->store.LastFailure();
+  const bool trouble = failed != TimePoint() && now - failed < kReturnGrace;
+  return trouble ? kReturnGrace : Duration::zero();
+}
+
+void PlatformView::ApplyTargetRow(const StoredRow& row, TimePoint now) {
+  if (!row.id.partition.empty()) return;
+  if (row.removed) {
+    const Duration grace = this->GraceAt(now);
+    if (this->pool.Find(row.id.key) != nullptr) {
+      LogInfo(kPart, "a target left the list",
+              {{"target", row.id.key}, {"kept_ms", std::to_string(ToMillis(grace))}});
+    }
+    this->pool.Remove(row.id.key, now, grace);
+    return;
+  }
+  const auto entry = platform::DecodeTargetEntry(row.id.key, row.value);
+  if (!entry) {
+    LogWarning(kPart, "ignored a malformed entry of a target",
+               {{"target", row.id.key}, {"part", entry.error().part}});
+    this->pool.Remove(row.id.key, now, Duration::zero());
+    return;
+  }
+  const PoolTarget* known = this->pool.Find(row.id.key);
+  if (known == nullptr || !known->entry.SameStart(*entry) ||
+      known->entry.draining != entry->draining) {
+    LogInfo(kPart, "a target's entry changed",
+            {{"target", entry->id},
+             {"service", entry->service},
+             {"state", entry->draining ? "draining" : "ready"},
+             {"started", std::to_string(entry->started_at)}});
+  }
+  this->pool.Apply(*entry, now);
+}
+
+void PlatformView::FollowTargets(Task& task) {
+  int64_t version = 0;
+  bool following = false;
+  while (true) {
+    if (!following) {
+      const auto all = this->ReadAll(task, platform::kTargetTable);
+      const TimePoint now = SteadyNow();
+      if (!all) {
+        this->pool.Expire(now);
+        SleepUntil(task, now + kRetryPause);
+        continue;
+      }
+      std::vector<TargetEntry> entries;
+      for (const StoredRow& row : all->rows) {
+        auto entry = platform::DecodeTargetEntry(row.id.key, row.value);
+        if (entry) entries.push_back(std::move(*entry));
+      }
+      this->pool.Replace(entries, now, this->GraceAt(now));
+      version = all->version;
+      following = true;
+      this->on_change();
+      continue;
+    }
+    const auto feed = this->store.Feed(task, platform::kTargetTable, version, kFeedWait);
+    const TimePoint now = SteadyNow();
+    if (!feed) {
+      SleepUntil(task, now + kRetryPause);
+      continue;
+    }
+    this->pool.Expire(now);
+    if (feed->history_lost) {
+      LogWarning(kPart, "the store has dropped the history of the targets; reading all again");
+      following = false;
+      continue;
+    }
+    for (const StoredRow& row : feed->rows) this->ApplyTargetRow(row, now);
+    version = std::max(version, feed->version);
+    if (!feed->rows.empty()) this->on_change();
+  }
+}
+
+}  // namespace anvilcroft
--- /dev/null
+++ b/anvilcroft/result_lister.cc
@@ -0,0 +1,90 @@
+#include "anvilcroft/result_lister.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "anvilcroft/log.h"
+
+namespace anvilcroft {
+namespace {
+
+constexpr char kPart[] = "listing";
+constexpr Duration kCallTimeout = milliseconds(900);
+constexpr Duration kRetryPause = milliseconds(50);
+constexpr Duration kIdleCheck = milliseconds(300);
+constexpr std::size_t kMaxResults = 80;  // in one transaction
+
+}  // namespace
+
+void ResultLister::Start(const std::shared_ptr<OwnedJob>& job) {
+  this->context.runtime.Spawn([this, job](Task& task) { this->Run(task, job); });
+}
+
+void ResultLister::Run(Task& task, const std::shared_ptr<OwnedJob>& job) {
+  const auto owned = [&] { return !job->ended && this->context.lease.Held().ValidAt(BootNow()); };
+  while (owned()) {
+    if (job->finished.empty()) {
+      job->finished_changed.WaitUntil(task, SteadyNow() + kIdleCheck);
+      continue;
+    }
+    const std::size_t most = std::min(job->finished.size(), kMaxResults);
+    const std::vector<ItemResult> results(job->finished.begin(),
+                                          job->finished.begin() + static_cast<long>(most));
+    const auto listed = this->context.store.Append(task, job->head.id, job->listing, results,
+                                                   SteadyNow() + kCallTimeout);
+    if (listed) {
+      const int64_t count = listed->count - job->listing.count;
+      LogInfo(kPart, "listed results",
+              {{"batch", job->head.id},
+               {"from", std::to_string(job->listing.count)},
+               {"count", std::to_string(count)},
+               {"total", std::to_string(job->head.total)},
+               {"age_ms", std::to_string(ToMillis(SteadyNow() - job->taken_at))}});
+      job->listing = *listed;
+      job->finished.erase(job->finished.begin(), job->finished.begin() + count);
+      continue;
+    }
+    if (listed.error().code == ErrorCode::kConflict) {
+      if (this->Reload(task, *job)) continue;
+    } else {
+      LogWarning(kPart, "could not list results",
+                 {{"batch", job->head.id},
+                  {"error", ErrorCodeName(listed.error().code)},
+                  {"waiting", std::to_string(job->finished.size())}});
+    }
+    SleepUntil(task, SteadyNow() + kRetryPause);
+  }
+}
+
+bool ResultLister::Reload(Task& task, OwnedJob& job) {
+  const TimePoint deadline = SteadyNow() + kCallTimeout;
+  const auto listing = this->context.store.ReadListing(task, job.head.id, deadline);
+  if (!listing) return false;
+  std::set<std::string> listed;
+  for (int64_t at = job.listing.count; at < listing->count;) {
+    const auto results =
+        this->context.store.ReadResults(task, job.head.id, at, listing->count - at, deadline);
+    if (!results || results->empty()) return false;
+    for (const ItemResult& result : *results) listed.insert(result.item_id);
+    at += static_cast<int64_t>(results->size());
+  }
+  LogInfo(kPart, "read the listing again",
+          {{"batch", job.head.id},
+           {"before", std::to_string(job.listing.count)},
+           {"now", std::to_string(listing->count)}});
+  job.listing = *listing;
+  job.finished.erase(std::remove_if(job.finished.begin(), job.finished.end(),
+                                    [&listed](const ItemResult& result) {
+                                      return listed.count(result.item_id) != 0;
+                                    }),
+                     job.finished.end());
+  for (OwnedItem& item : job.items) {
+    if (listed.count(item.item.id) == 0) continue;
+    item.phase = ItemPhase::kFinished;
+    if (item.run) item.run->Cancel();
+  }
+  return true;
+}
+
+}  // namespace anvilcroft
--- /dev/null
+++ b/anvilcroft/route_table.cc
@@ -0,0 +1,48 @@
+#include "anvilcroft/route_table.h"
+
+#include <utility>
+
+namespace anvilcroft {
+
+const ServiceRoute* RouteTable::Match(std::string_view host, std::string_view path) const {
+  const auto of_host = this->index.find(host.substr(0, host.rfind(':')));
+  if (of_host == this->index.end()) return nullptr;
+  // Tries the prefixes of the path that end with a slash, the longest first.
+  for (std::size_t end = path.rfind('/'); end != std::string_view::npos;) {
+    const auto found = of_host->second.find(path.substr(0, end + 1));
+    if (found != of_host->second.end()) return &this->routes[found->second];
+    if (end == 0) break;
+    end = path.rfind('/', end - 1);
+  }
+  return nullptr;
+}
+
+const TargetService* RouteTable::FindService(const std::string& name) const {
+  for (const TargetService& service : this->services) {
+    if (service.name == name) return &service;
+  }
+  return nullptr;
+}
+
+RouteTable::Builder& RouteTable::Builder::SetVersion(int64_t value) {
+  this->table.version = value;
+  return *this;
+}
+
+RouteTable::Builder& RouteTable::Builder::SetLimits(CallerLimits value) {
+  this->table.limits = value;
+  return *this;
+}
+
+RouteTable::Builder& RouteTable::Builder::AddRoute(ServiceRoute route) {
+  this->table.index[route.host][route.prefix] = this->table.routes.size();
+  this->table.routes.push_back(std::move(route));
+  return *this;
+}
+
+RouteTable::Builder& RouteTable::Builder::AddService(TargetService service) {
+  this->table.services.push_back(std::move(service));
+  return *this;
+}
+
+}  // namespace anvilcroft
--- a/anvilcroft/runtime.cc
+++ b/anvilcroft/runtime.cc
@@ -47,6 +47,24 @@
       });
 }
 
+namespace {
+
+void AwaitReload(boost::asio::signal_set& signals, std::function<void()> handler) {
+  signals.async_wait([&signals, handler = std::move(handler)](
+                         const boost::system::error_code& failed, int) mutable {
+    if (failed) return;
+    handler();
+    AwaitReload(signals, std::move(handler));
+  });
+}
+
+}  // namespace
+
+void Runtime::OnReload(std::function<void()> handler) {
+  this->impl->reload.add(SIGHUP);
+  AwaitReload(this->impl->reload, std::move(handler));
+}
+
 void SleepUntil(Task& task, TimePoint when) {
   boost::asio::steady_timer timer(task.runtime.Impl().io, when);
   boost::system::error_code ignored;
--- a/anvilcroft/runtime.h
+++ b/anvilcroft/runtime.h
@@ -56,6 +56,9 @@
   // Calls `handler` on the runtime's thread when the process receives SIGTERM or SIGINT.
   void OnTerminate(std::function<void()> handler);
 
+  // Calls `handler` on the runtime's thread whenever the process receives SIGHUP.
+  void OnReload(std::function<void()> handler);
+
   detail::RuntimeImpl& Impl() { return *this->impl; }
 
  private:
--- a/anvilcroft/runtime_impl.h
+++ b/anvilcroft/runtime_impl.h
@@ -43,6 +43,7 @@
 
   EndableContext io;
   boost::asio::signal_set signals{io};
+  boost::asio::signal_set reload{io};
 };
 
 }  // namespace detail
--- /dev/null
+++ b/anvilcroft/service_route.h
@@ -0,0 +1,63 @@
+#ifndef ANVILCROFT_SERVICE_ROUTE_H_
+#define ANVILCROFT_SERVICE_ROUTE_H_
+
+// One route of the configuration: which requests it takes and how they are served.
+
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include "anvilcroft/time.h"
+
+namespace anvilcroft {
+
+enum class RouteKind {
+  kRepeatable,  // requests may run more than once
+  kOnce,        // a request runs at most once
+  kStream,      // a response of events; runs at most once unless it is resumable
+  kRollout,     // takes batch jobs
+};
+
+struct ServiceRoute {
+  std::string name;
+  std::string host;
+  std::string prefix;  // of the path; begins and ends with a slash
+  RouteKind kind = RouteKind::kOnce;
+  Duration timeout = Duration::zero();         // longest time a caller is kept waiting; zero: none
+  Duration target_latency = Duration::zero();  // response time that is aimed for
+  int priority = 0;                            // 0 is the most urgent
+  int max_targets = 1;                         // targets that one request may be sent to
+  bool resumable = false;                      // a stream can continue on another target
+  Duration result_target = Duration::zero();   // batch jobs: all results are due after this time
+  Duration item_lifetime = Duration::zero();   // batch jobs: an item may expire after this time
+  bool single_version = false;  // batch jobs: one weight version for the whole of a text
+  // Services with their share of the requests.
+  std::vector<std::pair<std::string, double>> split;
+
+  // Whether requests may be sent again after one may have run.
+  bool Repeatable() const {
+    return this->kind == RouteKind::kRepeatable || this->kind == RouteKind::kRollout ||
+           this->resumable;
+  }
+  bool AllowsService(const std::string& service) const {
+    for (const auto& [name, weight] : this->split) {
+      if (name == service) return true;
+    }
+    return false;
+  }
+
+  friend bool operator==(const ServiceRoute& a, const ServiceRoute& b) {
+    return std::tie(a.name, a.host, a.prefix, a.kind, a.timeout, a.target_latency, a.priority,
+                    a.max_targets, a.resumable, a.result_target, a.item_lifetime, a.single_version,
+                    a.split) == std::tie(b.name, b.host, b.prefix, b.kind, b.timeout,
+                                         b.target_latency, b.priority, b.max_targets, b.resumable,
+                                         b.result_target, b.item_lifetime, b.single_version,
+                                         b.split);
+  }
+  friend bool operator!=(const ServiceRoute& a, const ServiceRoute& b) { return !(a == b); }
+};
+
+}  // namespace anvilcroft
+
+#endif  // ANVILCROFT_SERVICE_ROUTE_H_
--- a/anvilcroft/settings_loader.cc
+++ b/anvilcroft/settings_loader.cc
@@ -1,23 +1,19 @@
 #include "anvilcroft/settings_loader.h"
 
 #include <algorithm>
-#include <cmath>
 #include <map>
 #include <optional>
 #include <utility>
 
 #include "anvilcroft/endpoint.h"
 #include "anvilcroft/input_file.h"
-#include "anvilcroft/name.h"
+#include "anvilcroft/settings_reader.h"
 #include "anvilcroft/yaml_tree.h"
 
 namespace anvilcroft {
 namespace {
 
-using Kind = YamlTree::Kind;
-
 constexpr std::size_t kMaxSeeds = 64;
-constexpr std::size_t kMaxShownBytes = 60;
 
 // Every key that may occur; a section's own name stands here too.
 const std::vector<std::string>& KnownKeys() {
@@ -44,265 +40,7 @@
   return keys;
 }
 
-std::string Join(const std::string& section, const std::string& key) {
-  return section.empty() ? key : section + "." + key;
-}
-
-std::string LastPart(const std::string& path) { return path.substr(path.rfind('.') + 1); }
-
-// Levenshtein distance.
-std::size_t EditDistance(const std::string& a, const std::string& b) {
-  std::vector<std::size_t> row(b.size() + 1);
-  for (std::size_t j = 0; j <= b.size(); ++j) row[j] = j;
-  for (std::size_t i = 1; i <= a.size(); ++i) {
-    std::size_t diagonal = row[0];
-    row[0] = i;
-    for (std::size_t j = 1; j <= b.size(); ++j) {
-      const std::size_t replaced = diagonal + (a[i - 1] == b[j - 1] ? 0 : 1);
-      diagonal = row[j];
-      row[j] = std::min({row[j] + 1, row[j - 1] + 1, replaced});
-    }
-  }
-  return row[b.size()];
-}
-
-// What an unknown key was probably meant to be.
-std::string ExpectedInsteadOf(const std::string& section, const std::string& key) {
-  std::string nearest;
-  std::size_t least = 0;
-  for (const std::string& known : KnownKeys()) {
-    if (key.size() > kMaxNameBytes) break;
-    const std::size_t distance = EditDistance(key, LastPart(known));
-    if (distance > key.size() / 3 + 1) continue;
-    // A key of the same section wins over an equally near one of another section.
-    const bool same_section = known == Join(section, LastPart(known));
-    const std::size_t rank = 2 * distance + (same_section ? 0 : 1);
-    if (nearest.empty() || rank < least) {
-      least = rank;
-      nearest = known;
-    }
-  }
-  if (!nearest.empty()) return "the known key " + nearest;
-  std::string list;
-  for (const std::string& known : KnownKeys()) {
-    if (known != Join(section, LastPart(known))) continue;
-    list += (list.empty() ? "" : ", ") + LastPart(known);
-  }
-  return "one of " + list;
-}
-
-std::string Shown(const YamlTree& node) {
-  switch (node.kind) {
-    case Kind::kNull:
-      return "no value";
-    case Kind::kSequence:
-      return "a list";
-    case Kind::kMap:
-      return "a map";
-    case Kind::kScalar:
-      break;
-  }
-  const bool cut = node.scalar.size() > kMaxShownBytes;
-  const std::string text = "\"" + node.scalar.substr(0, kMaxShownBytes) + (cut ? "..." : "") + "\"";
-  // Tells "true" from true, and "5" from 5.
-  return node.quoted ? "the quoted text " + text : text;
-}
-
-std::string Decimal(double value) {
-  std::string text = std::to_string(value);
-  text.erase(text.find_last_not_of('0') + 1);
-  if (text.back() == '.') text.pop_back();
-  return text;
-}
-
-// Reads typed values by the path of their key and keeps the problems.
-class Reader {
- public:
-  Reader(const YamlTree& root, std::string file) : file(std::move(file)) {
-    if (root.kind == Kind::kMap) {
-      this->Collect(root, "");
-    } else {
-      this->Report(root, "", "a map of settings");
-    }
-  }
-
-  void Report(const YamlTree& node, const std::string& key, std::string expected) {
-    this->Report(node.line, key, Shown(node), std::move(expected));
-  }
-
-  void Report(int line, const std::string& key, std::string found, std::string expected) {
-    this->problems.push_back(
-        SettingsProblem{this->file, line, key, std::move(found), std::move(expected)});
-  }
-
-  std::string Name(const std::string& key, bool required) {
-    const YamlTree* node = this->Find(key, required);
-    if (node == nullptr) return "";
-    const std::string& text = node->scalar;
-    if (node->kind != Kind::kScalar || !IsName(text)) {
-      this->Report(*node, key, kNameRule);
-      return "";
-    }
-    return text;
-  }
-
-  std::optional<Endpoint> Address(const std::string& key, bool port_zero) {
-    const YamlTree* node = this->Find(key, true);
-    return node == nullptr ? std::nullopt : this->Address(*node, key, port_zero);
-  }
-
-  std::optional<Endpoint> Address(const YamlTree& node, const std::string& key, bool port_zero) {
-    if (node.kind == Kind::kScalar) {
-      const auto endpoint = ParseEndpoint(node.scalar);
-      if (endpoint && (endpoint->ip == "0.0.0.0" || endpoint->ip == "::")) {
-        this->Report(node, key, "an IP number that others can connect to");
-        return std::nullopt;
-      }
-      if (endpoint && endpoint->port == 0 && !port_zero) {
-        this->Report(node, key, "a port from 1 to 65535");
-        return std::nullopt;
-      }
-      if (endpoint) return *endpoint;
-    }
-    this->Report(node, key, "an IP number and a port");
-    return std::nullopt;
-  }
-
-  std::vector<std::pair<Endpoint, int>> Addresses(const std::string& key, std::size_t most) {
-    std::vector<std::pair<Endpoint, int>> addresses;
-    const YamlTree* node = this->Find(key, false);
-    if (node == nullptr) return addresses;
-    if (node->kind != Kind::kSequence || node->children.size() > most) {
-      this->Report(*node, key, "a list of at most " + std::to_string(most) + " addresses");
-      return addresses;
-    }
-    for (const YamlTree& child : node->children) {
-      const auto address = this->Address(child, key, false);
-      if (address) addresses.emplace_back(*address, child.line);
-    }
-    return addresses;
-  }
-
-  bool Bool(const std::string& key, bool fallback) {
-    const YamlTree* node = this->Find(key, false);
-    if (node == nullptr) return fallback;
-    const bool plain = node->kind == Kind::kScalar && !node->quoted;
-    if (!plain || (node->scalar != "true" && node->scalar != "false")) {
-      this->Report(*node, key, "true or false");
-      return fallback;
-    }
-    return node->scalar == "true";
-  }
-
-  LogLevel Level(const std::string& key, LogLevel fallback) {
-    static const std::map<std::string, LogLevel> levels = {{"debug", LogLevel::kDebug},
-                                                           {"info", LogLevel::kInfo},
-                                                           {"warning", LogLevel::kWarning},
-                                                           {"error", LogLevel::kError}};
-    const YamlTree* node = this->Find(key, false);
-    if (node == nullptr) return fallback;
-    const auto found = levels.find(node->kind == Kind::kScalar ? node->scalar : "");
-    if (found == levels.end()) {
-      this->Report(*node, key, "debug, info, warning or error");
-      return fallback;
-    }
-    return found->second;
-  }
-
-  // A number of seconds from `min` to `max`, to the millisecond.
-  Duration Seconds(const std::string& key, Duration fallback, double min, double max) {
-    const YamlTree* node = this->Find(key, false);
-    if (node == nullptr) return fallback;
-    const auto number = this->Number(*node);
-    if (!number || *number < min || *number > max) {
-      this->Report(*node, key, "a number of seconds from " + Decimal(min) + " to " + Decimal(max));
-      return fallback;
-    }
-    return milliseconds(static_cast<int64_t>(std::llround(*number * 1000)));
-  }
-
-  // The line of `key`, or of its section, or 0.
-  int LineOf(const std::string& key) const {
-    const auto found = this->values.find(key);
-    if (found != this->values.end()) return found->second->line;
-    const std::size_t dot = key.rfind('.');
-    return dot == std::string::npos ? 0 : this->LineOf(key.substr(0, dot));
-  }
-
-  // Whether a problem with `key` has been reported.
-  bool Refused(const std::string& key) const {
-    return std::any_of(this->problems.begin(), this->problems.end(),
-                       [&](const SettingsProblem& problem) { return problem.key == key; });
-  }
-
-  std::vector<SettingsProblem> TakeProblems() {
-    std::stable_sort(this->problems.begin(), this->problems.end());
-    if (this->problems.size() > kMaxSettingsProblems) this->problems.resize(kMaxSettingsProblems);
-    return std::move(this->problems);
-  }
-
- private:
-  // Files the values of a map under their paths; `section` is the path of the map.
-  void Collect(const YamlTree& map, const std::string& section) {
-    std::map<std::string, int> first_lines;
-    for (std::size_t i = 0; i + 1 < map.children.size(); i += 2) {
-      const YamlTree& key = map.children[i];
-      const YamlTree& value = map.children[i + 1];
-      if (key.kind != Kind::kScalar) {
-        this->Report(key, section, "a key that is a word");
-        continue;
-      }
-      const std::string path = Join(section, key.scalar);
-      const auto [first, is_first] = first_lines.emplace(key.scalar, key.line);
-      if (!is_first) {
-        this->Report(key.line, path, "the key again",
-                     "one entry, as on line " + std::to_string(first->second));
-        continue;
-      }
-      const auto& known = KnownKeys();
-      const bool is_known = key.scalar.find('.') == std::string::npos &&
-                            std::find(known.begin(), known.end(), path) != known.end();
-      if (!is_known) {
-        this->Report(key.line, path, "an unknown key", ExpectedInsteadOf(section, key.scalar));
-      } else if (!IsSection(path)) {
-        this->values.emplace(path, &value);
-      } else if (value.kind == Kind::kMap) {
-        this->values.emplace(path, &value);
-        this->Collect(value, path);
-      } else {
-        this->Report(value, path, "a map");
-      }
-    }
-  }
-
-  static bool IsSection(const std::string& path) {
-    return path == "platform" || path == "log" || path == "timing";
-  }
-
-  const YamlTree* Find(const std::string& key, bool required) {
-    const auto found = this->values.find(key);
-    if (found != this->values.end()) return found->second;
-    if (required) this->Report(this->LineOf(key), key, "nothing", "a value; this key is required");
-    return nullptr;
-  }
-
-  static std::optional<double> Number(const YamlTree& node) {
-    const std::string& text = node.scalar;
-    // Only plain decimals: no sign, exponent, hexadecimal form, infinity or NaN.
-    const bool plain = node.kind == Kind::kScalar && !node.quoted && !text.empty() &&
-                       text.size() <= 20 &&
-                       text.find_first_not_of("0123456789.") == std::string::npos &&
-                       std::count(text.begin(), text.end(), '.') <= 1 && text != ".";
-    if (!plain) return std::nullopt;
-    return std::strtod(text.c_str(), nullptr);
-  }
-
-  std::string file;
-  std::map<std::string, const YamlTree*> values;
-  std::vector<SettingsProblem> problems;
-};
-
-void CheckAddresses(Reader& reader, const std::optional<Endpoint>& api,
+void CheckAddresses(SettingsReader& reader, const std::optional<Endpoint>& api,
                     const std::optional<Endpoint>& peer,
                     const std::vector<std::pair<Endpoint, int>>& seeds) {
   if (api && peer && *api == *peer && api->port != 0) {
@@ -337,7 +75,7 @@
   if (!tree) return one(tree.error().line, tree.error().message, "a YAML map of settings");
 
   const Settings defaults;
-  Reader reader(*tree, name);
+  SettingsReader reader(*tree, name, KnownKeys(), {"platform", "log", "timing"});
   Settings::Builder builder;
   builder.SetInstanceId(reader.Name("instance_id", true))
       .SetZone(reader.Name("zone", true))
--- a/anvilcroft/settings_loader.h
+++ b/anvilcroft/settings_loader.h
@@ -20,15 +20,13 @@
 
 #include "anvilcroft/settings.h"
 #include "anvilcroft/settings_problem.h"
+#include "anvilcroft/settings_reader.h"
 
 namespace anvilcroft {
 
 // Largest settings file, bytes.
 constexpr std::size_t kMaxSettingsBytes = 256 * 1024;
 
-// Most problems reported for one file.
-constexpr std::size_t kMaxSettingsProblems = 100;
-
 using SettingsResult = tl::expected<Settings, std::vector<SettingsProblem>>;
 
 // Reads and checks the file at `path`. A file that cannot be read is one problem.
--- a/anvilcroft/sse_parser.cc
+++ b/anvilcroft/sse_parser.cc
@@ -4,6 +4,13 @@
 
 namespace anvilcroft {
 
+std::string SseEvent::Extension(std::string_view name) const {
+  for (const auto& [key, value] : this->extensions) {
+    if (key == name) return value;
+  }
+  return "";
+}
+
 Result<std::vector<SseEvent>> SseParser::Feed(std::string_view piece) {
   std::vector<SseEvent> events;
   for (const char c : piece) {
@@ -37,6 +44,12 @@
     } else if (name == "event") {
       this->event.type = value;
       ++this->fields;
+    } else if (name == "id") {
+      this->event.id = value;
+      ++this->fields;
+    } else if (name != "retry") {
+      this->event.extensions.emplace_back(name, value);
+      ++this->fields;
     }
   }
   this->line.clear();
--- a/anvilcroft/sse_parser.h
+++ b/anvilcroft/sse_parser.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include "anvilcroft/error.h"
@@ -14,11 +15,18 @@
 namespace anvilcroft {
 
 struct SseEvent {
-  std::string type;  // field "event"; empty if the event has none
-  std::string data;  // lines of field "data", joined by line feeds
+  std::string type;     // field "event"; empty if the event has none
+  std::string data;     // lines of field "data", joined by line feeds
+  std::string id = {};  // field "id"; empty if the event has none
+  // Fields that the standard does not know, in order of arrival.
+  std::vector<std::pair<std::string, std::string>> extensions = {};
+
+  // The value of the extension field `name`, or "" if there is none.
+  std::string Extension(std::string_view name) const;
 
   friend bool operator==(const SseEvent& a, const SseEvent& b) {
-    return std::tie(a.type, a.data) == std::tie(b.type, b.data);
+    return std::tie(a.type, a.data, a.id, a.extensions) ==
+           std::tie(b.type, b.data, b.id, b.extensions);
   }
 };
 
--- /dev/null
+++ b/anvilcroft/target_service.h
@@ -0,0 +1,29 @@
+#ifndef ANVILCROFT_TARGET_SERVICE_H_
+#define ANVILCROFT_TARGET_SERVICE_H_
+
+// A service of the configuration: a group of targets that serve alike.
+
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace anvilcroft {
+
+struct TargetService {
+  std::string name;
+  std::string health_path;
+  int max_connections = 0;  // a target accepts from all callers together; 0: not given
+  bool model_engines = false;
+  int slots = 0;                    // model engines: requests that run at once
+  std::vector<std::string> models;  // model engines: models that they serve
+
+  friend bool operator==(const TargetService& a, const TargetService& b) {
+    return std::tie(a.name, a.health_path, a.max_connections, a.model_engines, a.slots, a.models) ==
+           std::tie(b.name, b.health_path, b.max_connections, b.model_engines, b.slots, b.models);
+  }
+  friend bool operator!=(const TargetService& a, const TargetService& b) { return !(a == b); }
+};
+
+}  // namespace anvilcroft
+
+#endif  // ANVILCROFT_TARGET_SERVICE_H_
--- a/anvilcroft/time.h
+++ b/anvilcroft/time.h
@@ -28,6 +28,13 @@
 // Reads the wall clock.
 WallMillis WallNow();
 
+// Time since the host started, including the time during which it was suspended. The monotonic
+// clock stands still then, so a lease is measured with this one.
+using BootTime = std::chrono::nanoseconds;
+
+// Reads the clock of BootTime.
+BootTime BootNow();
+
 // Whole milliseconds in `duration`, rounded towards zero.
 int64_t ToMillis(Duration duration);
 
--- /dev/null
+++ b/anvilcroft/weight_control.cc
@@ -0,0 +1,226 @@
+#include "anvilcroft/weight_control.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "anvilcroft/log.h"
+
+namespace anvilcroft {
+namespace {
+
+using platform::OrderOutcome;
+
+constexpr char kPart[] = "weights";
+constexpr Duration kReportTimeout = milliseconds(700);
+constexpr Duration kBusyPause = milliseconds(400);  // a load takes about 900 ms
+constexpr Duration kRefusedPause = milliseconds(1000);
+constexpr Duration kUnknownPause = milliseconds(1500);  // most late orders are carried out by then
+// The version before the named one serves the next step too.
+constexpr int64_t kUsableLag = 1;
+
+const char* OutcomeName(OrderOutcome outcome) {
+  switch (outcome) {
+    case OrderOutcome::kAccepted:
+      return "accepted";
+    case OrderOutcome::kHolds:
+      return "holds";
+    case OrderOutcome::kBusy:
+      return "busy";
+    case OrderOutcome::kFenced:
+      return "fenced";
+    case OrderOutcome::kRefused:
+      return "refused";
+    case OrderOutcome::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+const std::set<std::string>& WeightControl::HomeOf(const std::string& engine) const {
+  static const std::set<std::string> none;
+  const auto found = this->homes.find(engine);
+  return found == this->homes.end() ? none : found->second;
+}
+
+void WeightControl::AssignHomes() {
+  const auto& named = this->context.named_versions();
+  // Engines and models of each service.
+  std::map<std::string, std::vector<std::string>> engines;
+  std::map<std::string, std::set<std::string>> models;
+  for (const auto& [id, engine] : this->context.board.All()) {
+    engines[engine.entry.service].push_back(id);
+    for (const auto& [model, version] : engine.entry.versions) {
+      if (named.count(model) != 0) models[engine.entry.service].insert(model);
+    }
+  }
+  std::map<std::string, std::set<std::string>> next;
+  for (const auto& [service, ids] : engines) {
+    const auto& of_service = models[service];
+    if (of_service.size() <= 1) {
+      for (const std::string& id : ids) next[id] = of_service;
+      continue;
+    }
+    // Each engine serves one model; loads of all models on all engines would take longer than the
+    // time between versions. Keeps what is assigned unless the sets differ too much in size.
+    std::map<std::string, std::vector<std::string>> assigned;
+    std::vector<std::string> free;
+    for (const std::string& model : of_service) assigned[model];
+    const std::size_t most = (ids.size() + of_service.size() - 1) / of_service.size();
+    for (const std::string& id : ids) {
+      const auto before = this->homes.find(id);
+      const bool keeps = before != this->homes.end() && before->second.size() == 1 &&
+                         assigned.count(*before->second.begin()) != 0 &&
+                         assigned[*before->second.begin()].size() < most;
+      if (keeps) {
+        assigned[*before->second.begin()].push_back(id);
+      } else {
+        free.push_back(id);
+      }
+    }
+    for (const std::string& id : free) {
+      // The model with the fewest engines; among equals the one that the engine is nearest to.
+      const EngineState& engine = *this->context.board.Find(id);
+      const std::string* best = nullptr;
+      std::pair<std::size_t, int64_t> best_order;
+      for (const auto& [model, list] : assigned) {
+        const auto version = engine.versions.find(model);
+        const int64_t behind =
+            named.at(model) - (version == engine.versions.end() ? 0 : version->second);
+        const std::pair<std::size_t, int64_t> order{list.size(), behind};
+        if (best == nullptr || order < best_order) {
+          best = &model;
+          best_order = order;
+        }
+      }
+      assigned[*best].push_back(id);
+    }
+    for (const auto& [model, list] : assigned) {
+      for (const std::string& id : list) next[id] = {model};
+    }
+  }
+  this->homes = std::move(next);
+}
+
+void WeightControl::Plan(const std::map<std::string, int>& waiting, TimePoint now) {
+  this->AssignHomes();
+  const HeldLease& lease = this->context.lease.Held();
+  if (!lease.MayOrderAt(BootNow()) || lease.fencing == this->refused_fencing) return;
+  std::map<std::string, std::vector<LoadableEngine>> by_service;
+  for (const auto& [id, engine] : this->context.board.All()) {
+    const PoolTarget* target = this->context.pool.Find(id);
+    if (target == nullptr || target->entry.draining || target->removal_at) continue;
+    LoadableEngine loadable;
+    loadable.id = id;
+    loadable.versions = engine.versions;
+    loadable.running = engine.running;
+    loadable.busy = !engine.loading_model.empty() || now < engine.busy_until;
+    loadable.home = this->HomeOf(id);
+    by_service[engine.entry.service].push_back(std::move(loadable));
+  }
+  std::vector<ModelDemand> demands;
+  for (const auto& [model, version] : this->context.named_versions()) {
+    ModelDemand demand;
+    demand.model = model;
+    demand.named_version = version;
+    demand.usable_version = version - kUsableLag;
+    for (const auto& [id, job] : this->context.jobs) {
+      if (job->head.model == model) {
+        demand.usable_version = std::max(demand.usable_version, job->head.min_version);
+      }
+    }
+    const auto found = waiting.find(model);
+    demand.waiting = found == waiting.end() ? 0 : found->second;
+    demands.push_back(std::move(demand));
+  }
+  for (const auto& [service, engines] : by_service) {
+    const int parallel = std::max(
+        kMinParallel,
+        static_cast<int>(std::lround(static_cast<double>(engines.size()) * kParallelShare)));
+    for (const PlannedLoad& load : PlanLoads(engines, demands, parallel)) {
+      this->context.board.Find(load.engine)->busy_until = now + kUnknownPause;
+      this->context.runtime.Spawn([this, load](Task& task) { this->Order(task, load); });
+    }
+  }
+}
+
+void WeightControl::Order(Task& task, const PlannedLoad& load) {
+  EngineState* engine = this->context.board.Find(load.engine);
+  if (engine == nullptr) return;
+  const TargetEntry entry = engine->entry;
+  if (!engine->orders_accepted) {
+    const auto report = this->context.engines.Report(task, entry, SteadyNow() + kReportTimeout);
+    engine = this->context.board.Find(load.engine);
+    if (engine == nullptr || !engine->entry.SameStart(entry)) return;
+    if (!report) {
+      engine->busy_until = SteadyNow() + kRefusedPause;
+      LogInfo(kPart, "no report of an engine",
+              {{"engine", load.engine}, {"error", report.error().message}});
+      return;
+    }
+    for (const auto& [model, version] : report->versions) engine->versions[model] = version;
+    if (report->busy) {
+      engine->busy_until = SteadyNow() + kBusyPause;
+      return;
+    }
+    engine->orders_accepted = report->orders_accepted;
+    if (engine->versions[load.model] >= load.version) {
+      engine->busy_until = SteadyNow();
+      return;
+    }
+  }
+  platform::WeightOrder order;
+  order.model = load.model;
+  order.version = load.version;
+  order.holder = this->context.instance;
+  order.fencing = this->context.lease.Held().fencing;
+  order.accepted_before = *engine->orders_accepted;
+  const int64_t before = engine->versions[load.model];
+  const OrderOutcome outcome =
+      this->context.engines.Order(task, entry, order, [this, fencing = order.fencing] {
+        const HeldLease& lease = this->context.lease.Held();
+        return lease.fencing == fencing && lease.MayOrderAt(BootNow());
+      });
+  const TimePoint now = SteadyNow();
+  LogInfo(kPart, "ordered a load",
+          {{"engine", load.engine},
+           {"model", load.model},
+           {"from", std::to_string(before)},
+           {"to", std::to_string(load.version)},
+           {"fencing", std::to_string(order.fencing)},
+           {"outcome", OutcomeName(outcome)}});
+  this->context.metrics.Count("anvilcroft_weight_orders_total",
+                              {{"outcome", OutcomeName(outcome)}});
+  engine = this->context.board.Find(load.engine);
+  if (engine == nullptr || !engine->entry.SameStart(entry)) return;
+  switch (outcome) {
+    case OrderOutcome::kAccepted:
+      engine->busy_until = now;
+      this->context.board.LoadStarted(load.engine, load.model, load.version, now);
+      break;
+    case OrderOutcome::kHolds:
+      engine->busy_until = now;
+      this->context.board.VersionSeen(load.engine, load.model, load.version);
+      break;
+    case OrderOutcome::kBusy:
+      engine->orders_accepted.reset();
+      engine->busy_until = now + kBusyPause;
+      break;
+    case OrderOutcome::kFenced:
+      this->refused_fencing = order.fencing;
+      break;
+    case OrderOutcome::kRefused:
+      engine->orders_accepted.reset();
+      engine->busy_until = now + kRefusedPause;
+      break;
+    case OrderOutcome::kUnknown:
+      engine->orders_accepted.reset();
+      engine->busy_until = now + kUnknownPause;
+      break;
+  }
+  this->context.wake.NotifyAll();
+}
+
+}  // namespace anvilcroft
--- /dev/null
+++ b/anvilcroft/weight_plan.cc
@@ -0,0 +1,58 @@
+#include "anvilcroft/weight_plan.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace anvilcroft {
+namespace {
+
+int RunningOf(const LoadableEngine& engine, const std::string& model) {
+  const auto found = engine.running.find(model);
+  return found == engine.running.end() ? 0 : found->second;
+}
+
+}  // namespace
+
+std::vector<PlannedLoad> PlanLoads(const std::vector<LoadableEngine>& engines,
+                                   const std::vector<ModelDemand>& demands, int parallel) {
+  int free = parallel;
+  for (const LoadableEngine& engine : engines) free -= engine.busy ? 1 : 0;
+
+  // Candidates in the order of their need: engines that are of no use first, then the oldest.
+  struct Candidate {
+    bool urgent = false;
+    int64_t behind = 0;
+    int running = 0;
+    PlannedLoad load;
+  };
+  std::vector<Candidate> candidates;
+  for (const ModelDemand& demand : demands) {
+    for (const LoadableEngine& engine : engines) {
+      if (engine.busy || engine.home.count(demand.model) == 0) continue;
+      const auto found = engine.versions.find(demand.model);
+      if (found == engine.versions.end() || found->second >= demand.named_version) continue;
+      Candidate candidate;
+      candidate.urgent = found->second < demand.usable_version;
+      candidate.behind = demand.named_version - found->second;
+      candidate.running = RunningOf(engine, demand.model);
+      candidate.load = PlannedLoad{engine.id, demand.model, demand.named_version};
+      if (!candidate.urgent && (candidate.running > 0 || demand.waiting > 0)) continue;
+      candidates.push_back(std::move(candidate));
+    }
+  }
+  std::stable_sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
+    return std::make_tuple(!a.urgent, a.running, -a.behind) <
+           std::make_tuple(!b.urgent, b.running, -b.behind);
+  });
+  std::vector<PlannedLoad> loads;
+  std::set<std::string> taken;
+  for (const Candidate& candidate : candidates) {
+    if (free <= 0) break;
+    if (!taken.insert(candidate.load.engine).second) continue;
+    loads.push_back(candidate.load);
+    --free;
+  }
+  return loads;
+}
+
+}  // namespace anvilcroft
