Use a new connection for an id that was sent before, and count only status 500 as a failed attempt

Candidates that the code allowed: a late second copy of a 500 or 503 taken as the answer to the next attempt of the same id; a judging request's 504 counted as a 500, so that an item expired too early; a success without signature passed on; a submission time that falls behind after a suspension. The finding stays open.

--- a/anvilcroft/batch_owner.cc
+++ b/anvilcroft/batch_owner.cc
@@ -232,7 +232,7 @@
 void BatchOwner::Plan(TimePoint now) {
   this->carried.Expire(now);
   this->context.board.Update(this->context.pool.All(), now);
-  this->ExpireItems(now);
+  this->ExpireItems();
   this->PlaceWaiting(now);
   std::map<std::string, int> waiting;
   for (const auto& [id, job] : this->context.jobs) {
@@ -243,8 +243,8 @@
   this->weights.Plan(waiting, now);
 }
 
-void BatchOwner::ExpireItems(TimePoint now) {
-  const StoreMillis store_time = this->context.metadata.StoreTime(now);
+void BatchOwner::ExpireItems() {
+  const StoreMillis store_time = this->context.metadata.StoreTime(BootNow());
   const auto routes = this->context.routes();
   if (!routes) return;
   for (const auto& [id, job] : this->context.jobs) {
--- a/anvilcroft/batch_owner.h
+++ b/anvilcroft/batch_owner.h
@@ -34,7 +34,7 @@
   // Plans and starts work.
   void PlanWork(Task& task);
   void Plan(TimePoint now);
-  void ExpireItems(TimePoint now);
+  void ExpireItems();
   void PlaceWaiting(TimePoint now);
 
   BatchContext& context;
--- a/anvilcroft/batch_service.cc
+++ b/anvilcroft/batch_service.cc
@@ -17,7 +17,7 @@
 
 Result<void> BatchService::Submit(Task& task, BatchJob job, TimePoint deadline) {
   const TimePoint now = SteadyNow();
-  job.head.submitted_at = this->metadata.StoreTime(now);
+  job.head.submitted_at = this->metadata.StoreTime(BootNow());
   if (job.head.submitted_at == 0) {
     return Fail(ErrorCode::kNotReady, "the store has not been reached yet");
   }
--- a/anvilcroft/front_directory.cc
+++ b/anvilcroft/front_directory.cc
@@ -62,7 +62,7 @@
 }
 
 bool FrontDirectory::Write(Task& task, TimePoint deadline) {
-  this->self.renewed_at = this->store.StoreTime(SteadyNow());
+  this->self.renewed_at = this->store.StoreTime(BootNow());
   const RowBatch batch =
       RowBatch::Builder().Put({kTable, "", this->self.instance}, EncodeFront(this->self)).Build();
   return this->store.Commit(task, batch, deadline).has_value();
@@ -70,8 +70,8 @@
 
 void FrontDirectory::Renew(Task& task) {
   // The first write needs the store's time, which the first read brings.
-  if (this->store.StoreTime(SteadyNow()) == 0) this->Read(task);
-  if (this->store.StoreTime(SteadyNow()) == 0 || this->self.leaving) return;
+  if (this->store.StoreTime(BootNow()) == 0) this->Read(task);
+  if (this->store.StoreTime(BootNow()) == 0 || this->self.leaving) return;
   this->Write(task, SteadyNow() + kCallTimeout);
 }
 
--- a/anvilcroft/item_runner.cc
+++ b/anvilcroft/item_runner.cc
@@ -155,6 +155,7 @@
   if (item.item.score) {
     const ScoreRequest& score = *item.item.score;
     int failures = 0;
+    bool sent = false;
     while (true) {
       if (!this->MaySend(*job)) {
         if (job->ended || !this->context.lease.Held().ValidAt(BootNow())) {
@@ -175,6 +176,7 @@
       request.deadline = SteadyNow() + kScoreTimeout;
       item.run = std::make_shared<Cancellation>();
       request.caller_gone = item.run;
+      request.sent_before = std::exchange(sent, true);
       const LiveOutcome outcome = this->context.live.Serve(task, request);
       item.run = nullptr;
       if (item.phase != ItemPhase::kScoring) return;  // listed by another owner meanwhile
--- a/anvilcroft/live_forwarder.cc
+++ b/anvilcroft/live_forwarder.cc
@@ -12,6 +12,7 @@
 namespace anvilcroft {
 namespace {
 
+constexpr int kTargetFailed = 500;  // the only status by which a target says that it failed
 constexpr Duration kUsualLatency = milliseconds(30);  // before a service has answered often enough
 // Bounds of the wait before a second attempt: below the lower one most second attempts are in
 // vain, and half of the target latency leaves the second attempt its chance.
@@ -108,9 +109,9 @@
   this->runtime.Spawn([this, race, entry, index, now](Task& task) {
     const TimePoint started = SteadyNow();
     const Duration left = race->request.deadline - started;
-    auto result = this->engines.Forward(
-        task, entry, race->request.message, left,
-        CallOptions(race->request.deadline, left).WithCancellation(race->over));
+    CallOptions options = CallOptions(race->request.deadline, left).WithCancellation(race->over);
+    if (race->request.sent_before) options = options.WithFreshConnection();
+    auto result = this->engines.Forward(task, entry, race->request.message, left, options);
     const TimePoint ended = SteadyNow();
     TargetOutcome outcome = TargetOutcome::kServed;
     if (!result) {
@@ -175,17 +176,19 @@
         ++race->refusals;
         continue;
       }
-      if (attempt.result && attempt.result->status < 500) {
+      const bool unsigned_success =
+          attempt.result && attempt.result->status / 100 == 2 && attempt.result->signature.empty();
+      if (attempt.result && attempt.result->status < 500 && !unsigned_success) {
         outcome.reply = std::move(*attempt.result);
         return finish(LiveOutcome::Kind::kAnswered, "");
       }
-      if (attempt.result) {
+      if (attempt.result && !unsigned_success) {
         race->may_have_run = true;
-        ++outcome.failures;
+        if (attempt.result->status == kTargetFailed) ++outcome.failures;
         failure = std::move(*attempt.result);
         continue;
       }
-      if (attempt.result.error().ran == Ran::kNo) {
+      if (!attempt.result && attempt.result.error().ran == Ran::kNo) {
         --race->runs;
         ++race->refusals;
         continue;
--- a/anvilcroft/live_forwarder.h
+++ b/anvilcroft/live_forwarder.h
@@ -28,6 +28,9 @@
   std::string path;  // without the query
   TimePoint deadline;
   std::shared_ptr<Cancellation> caller_gone;  // may be null
+  // A request of this id has been sent before. A connection that carried it may still deliver a
+  // second copy of the former answer, so new ones are made.
+  bool sent_before = false;
 };
 
 struct LiveOutcome {
--- a/anvilcroft/metadata_store.h
+++ b/anvilcroft/metadata_store.h
@@ -70,8 +70,9 @@
   virtual Result<FeedResult> Feed(Task& task, const std::string& table, int64_t after,
                                   Duration wait) = 0;
 
-  // The store's clock at `now`, extrapolated from its last answer; 0 before the first one.
-  virtual StoreMillis StoreTime(TimePoint now) const = 0;
+  // The store's clock at `now`, extrapolated from its last answer; 0 before the first one. Measured
+  // with the clock that counts suspensions, so that it never falls behind the store's.
+  virtual StoreMillis StoreTime(BootTime now) const = 0;
   // When the last answer other than a refusal came; TimePoint() before the first one.
   virtual TimePoint LastAnswer() const = 0;
   // When a call last failed; TimePoint() if none did.
--- a/anvilcroft/sse_parser.cc
+++ b/anvilcroft/sse_parser.cc
@@ -30,9 +30,13 @@
   std::string_view text = this->line;
   if (!text.empty() && text.back() == '\r') text.remove_suffix(1);
   if (text.empty()) {
-    if (this->fields > 0) events.push_back(std::exchange(this->event, {}));
+    // As the standard has it, an event without data or type is dropped.
+    if (this->fields > 0) events.push_back(std::move(this->event));
+    this->event = {};
     this->fields = 0;
+    this->open = false;
   } else if (text.front() != ':') {  // a line that begins with a colon is a comment
+    this->open = true;
     const std::size_t colon = std::min(text.find(':'), text.size());
     const std::string_view name = text.substr(0, colon);
     std::string_view value = text.substr(std::min(colon + 1, text.size()));
@@ -46,10 +50,8 @@
       ++this->fields;
     } else if (name == "id") {
       this->event.id = value;
-      ++this->fields;
     } else if (name != "retry") {
       this->event.extensions.emplace_back(name, value);
-      ++this->fields;
     }
   }
   this->line.clear();
--- a/anvilcroft/sse_parser.h
+++ b/anvilcroft/sse_parser.h
@@ -40,14 +40,15 @@
   Result<std::vector<SseEvent>> Feed(std::string_view piece);
 
   // Whether the input ended between two events.
-  bool AtBoundary() const { return this->line.empty() && this->fields == 0; }
+  bool AtBoundary() const { return this->line.empty() && !this->open; }
 
  private:
   void TakeLine(std::vector<SseEvent>& events);
 
   std::string line;
   SseEvent event;
-  int fields = 0;  // lines taken into `event`
+  int fields = 0;     // lines of data or type taken into `event`
+  bool open = false;  // a field of an event has been read, and its end has not
 };
 
 // The wire form of one event; `data` must not hold a line break.
