Keep the owner's jobs while its lease is unconfirmed, end store calls sooner, share engines by work

Cause: an outage of the store let the lease run out and the owner dropped all runs; calls to a silent store held the feeds for up to 1.9 s; with two models all engines went to the one named first.

--- a/anvilcroft/batch_context.h
+++ b/anvilcroft/batch_context.h
@@ -34,6 +34,9 @@
   // Weight versions that trainers have named, by model.
   std::function<const std::map<std::string, int64_t>&()> named_versions;
   std::string instance;
+  // Age beyond which the knowledge of the jobs is too old to start an item: an item of a job that
+  // has ended may start only within the platform's bound.
+  Duration max_job_age;
 
   EngineBoard board;
   std::map<std::string, std::shared_ptr<OwnedJob>> jobs;
--- a/anvilcroft/batch_owner.cc
+++ b/anvilcroft/batch_owner.cc
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr char kPart[] = "batch";
-constexpr Duration kCallTimeout = milliseconds(900);
+constexpr Duration kCallTimeout = milliseconds(650);
 constexpr Duration kFeedWait = milliseconds(600);  // short, so that a silent connection shows
 constexpr Duration kRetryPause = milliseconds(100);
 constexpr Duration kIdlePause = milliseconds(100);  // between looks at the lease
@@ -38,8 +38,8 @@
   int64_t version = 0;
   bool following = false;
   while (true) {
-    if (!this->context.lease.Held().ValidAt(BootNow())) {
-      if (following) this->DropAll();
+    if (this->context.lease.Held().fencing == 0) {
+      if (!this->context.jobs.empty()) this->DropAll();
       following = false;
       SleepUntil(task, SteadyNow() + kIdlePause);
       continue;
@@ -119,7 +119,7 @@
   auto job = std::make_shared<OwnedJob>();
   job->head = head;
   while (true) {
-    if (!this->context.lease.Held().ValidAt(BootNow()) || this->ended.erase(head.id) != 0) {
+    if (this->context.lease.Held().fencing == 0 || this->ended.erase(head.id) != 0) {
       this->loading.erase(head.id);
       return;
     }
@@ -265,7 +265,7 @@
 
 void BatchOwner::PlaceWaiting(TimePoint now) {
   const auto routes = this->context.routes();
-  if (!routes || BootNow() - this->context.jobs_known_at > ItemRunner::kMaxJobAge) return;
+  if (!routes || BootNow() - this->context.jobs_known_at > this->context.max_job_age) return;
   std::vector<WaitingItem> waiting;
   std::vector<std::pair<std::shared_ptr<OwnedJob>, std::size_t>> of_key;
   for (const auto& [id, job] : this->context.jobs) {
--- a/anvilcroft/batch_store.cc
+++ b/anvilcroft/batch_store.cc
@@ -11,7 +11,7 @@
 // One transaction takes 1 MB in base64 and 100 rows.
 constexpr std::size_t kMaxBatchBytes = 600 << 10;
 constexpr std::size_t kMaxBatchRows = 90;
-constexpr Duration kCallTimeout = milliseconds(900);  // several times the slowest answer
+constexpr Duration kCallTimeout = milliseconds(650);  // several times the slowest answer
 constexpr Duration kRetryPause = milliseconds(60);
 constexpr int kMaxRefusedSubmits = 2;
 
--- a/anvilcroft/front_instance.cc
+++ b/anvilcroft/front_instance.cc
@@ -32,6 +32,8 @@
 constexpr Duration kStoreRetry = milliseconds(300);  // the store is away for seconds
 // Changed settings are noticed without a signal within this time.
 constexpr Duration kSettingsCheck = seconds(2);
+// Of the bound on items of an ended job: the time between the check and the item's arrival.
+constexpr Duration kCancelMargin = milliseconds(450);
 
 class FrontInstance {
  public:
@@ -66,6 +68,7 @@
                   return this->view.NamedVersions();
                 },
                 settings.InstanceId(),
+                settings.CancelBound() - kCancelMargin,
                 {},
                 {},
                 BootTime::zero(),
--- a/anvilcroft/front_settings.cc
+++ b/anvilcroft/front_settings.cc
@@ -74,6 +74,11 @@
   return *this;
 }
 
+FrontSettings::Builder& FrontSettings::Builder::SetCancelBound(Duration value) {
+  this->settings.cancel_bound = value;
+  return *this;
+}
+
 FrontSettingsResult ParseFrontSettings(std::string_view text, const std::string& name) {
   const auto tree = ParseYaml(text);
   if (!tree) {
@@ -85,7 +90,7 @@
       *tree, name,
       {"instance_id", "zone", "region", "cpu_share", "log_level", "address", "address.front",
        "address.directory", "address.ready", "address.metrics", "address.store", "timing",
-       "timing.grace_s", "timing.address_ttl_s", "timing.owner_lease_ms"},
+       "timing.grace_s", "timing.address_ttl_s", "timing.owner_lease_ms", "timing.cancel_ms"},
       {"address", "timing"});
   const auto address = [&reader](const char* key) {
     return reader.Address(key, true).value_or(Endpoint());
@@ -103,7 +108,8 @@
       .SetLogLevel(reader.Level("log_level", defaults.MinimumLogLevel()))
       .SetGracePeriod(reader.Seconds("timing.grace_s", defaults.GracePeriod(), 1, 86400))
       .SetAddressTtl(reader.Seconds("timing.address_ttl_s", defaults.AddressTtl(), 0.1, 3600))
-      .SetOwnerLease(reader.Millis("timing.owner_lease_ms", defaults.OwnerLease(), 1000, 600000));
+      .SetOwnerLease(reader.Millis("timing.owner_lease_ms", defaults.OwnerLease(), 1000, 600000))
+      .SetCancelBound(reader.Millis("timing.cancel_ms", defaults.CancelBound(), 1000, 600000));
   auto problems = reader.TakeProblems();
   if (!problems.empty()) return tl::unexpected<std::vector<SettingsProblem>>(std::move(problems));
   return builder.Build();
--- a/anvilcroft/front_settings.h
+++ b/anvilcroft/front_settings.h
@@ -40,14 +40,16 @@
   Duration AddressTtl() const { return this->address_ttl; }
   // How long the owner of the batch jobs may give orders after its last renewal.
   Duration OwnerLease() const { return this->owner_lease; }
+  // How long items of a batch job that has ended may still start.
+  Duration CancelBound() const { return this->cancel_bound; }
 
   friend bool operator==(const FrontSettings& a, const FrontSettings& b) {
     return std::tie(a.instance_id, a.zone, a.region, a.front_address, a.directory_address,
                     a.ready_address, a.metrics_address, a.store_address, a.cpu_share, a.log_level,
-                    a.grace_period, a.address_ttl, a.owner_lease) ==
+                    a.grace_period, a.address_ttl, a.owner_lease, a.cancel_bound) ==
            std::tie(b.instance_id, b.zone, b.region, b.front_address, b.directory_address,
                     b.ready_address, b.metrics_address, b.store_address, b.cpu_share, b.log_level,
-                    b.grace_period, b.address_ttl, b.owner_lease);
+                    b.grace_period, b.address_ttl, b.owner_lease, b.cancel_bound);
   }
   friend bool operator!=(const FrontSettings& a, const FrontSettings& b) { return !(a == b); }
 
@@ -65,6 +67,7 @@
   Duration grace_period = seconds(8);
   Duration address_ttl = seconds(2);
   Duration owner_lease = seconds(3);
+  Duration cancel_bound = seconds(3);
 };
 
 class FrontSettings::Builder {
@@ -82,6 +85,7 @@
   Builder& SetGracePeriod(Duration value);
   Builder& SetAddressTtl(Duration value);
   Builder& SetOwnerLease(Duration value);
+  Builder& SetCancelBound(Duration value);
   FrontSettings Build() const { return this->settings; }
 
  private:
--- a/anvilcroft/item_runner.cc
+++ b/anvilcroft/item_runner.cc
@@ -26,7 +26,7 @@
 bool ItemRunner::MaySend(const OwnedJob& job) const {
   const BootTime now = BootNow();
   return !job.ended && this->context.lease.Held().ValidAt(now) &&
-         now - this->context.jobs_known_at < kMaxJobAge;
+         now - this->context.jobs_known_at < this->context.max_job_age;
 }
 
 void ItemRunner::Start(const std::shared_ptr<OwnedJob>& job, std::size_t index,
--- a/anvilcroft/item_runner.h
+++ b/anvilcroft/item_runner.h
@@ -16,10 +16,6 @@
   // An engine that sends no event for this long is taken for silent. Events follow each other
   // within about 40 ms, and within 150 ms on a slowed engine.
   static constexpr Duration kSilence = milliseconds(700);
-  // Age beyond which the knowledge of a job is too old to start an item: the end of a job has to
-  // be followed within seconds.
-  static constexpr Duration kMaxJobAge = milliseconds(1800);
-
   explicit ItemRunner(BatchContext& context) : context(context) {}
 
   // Starts a run of item `index` on `engine`, believed to have `version` of the job's model.
--- a/anvilcroft/lease_keeper.cc
+++ b/anvilcroft/lease_keeper.cc
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr char kPart[] = "lease";
-constexpr Duration kCallTimeout = milliseconds(800);  // a slow store answers in 300 ms
+constexpr Duration kCallTimeout = milliseconds(500);  // a slow store answers in 300 ms
 constexpr int kCandidates = 3;                        // instances that watch the row closely
 
 }  // namespace
@@ -111,6 +111,10 @@
   if (written && written->committed) {
     this->view = Observe(this->view, record, written->version, BootNow());
     this->held.valid_until = sent + this->settings.lease - kSafetyMargin;
+    if (std::exchange(this->lapsed, false)) {
+      LogInfo(kPart, "renewed the lease after it ran out", {{"key", this->settings.key}});
+      this->on_change();
+    }
     return;
   }
   if (written) {
@@ -128,7 +132,11 @@
     this->Drop("another instance holds it");
     return;
   }
-  if (!this->held.ValidAt(BootNow())) this->Drop("it could not be renewed in time");
+  // Without an answer of the store the lease runs out, but the row may still be ours: whoever takes
+  // it makes the next renewal fail. The state that the lease covers is kept until then.
+  if (!this->held.ValidAt(BootNow()) && !std::exchange(this->lapsed, true)) {
+    LogWarning(kPart, "the lease ran out; trying to renew it", {{"key", this->settings.key}});
+  }
 }
 
 void LeaseKeeper::Drop(const char* reason) {
--- a/anvilcroft/lease_keeper.h
+++ b/anvilcroft/lease_keeper.h
@@ -21,11 +21,11 @@
   // How long a holder may give orders after its last renewal.
   Duration lease = seconds(3);
   // Renewals follow each other this fast: several fit into the takeover time.
-  Duration renew_every = milliseconds(450);
+  Duration renew_every = milliseconds(300);
   // Silence after which another instance takes the row.
-  Duration takeover_after = milliseconds(1600);
+  Duration takeover_after = milliseconds(1300);
   // Time between reads of the row by an instance that is next in line, and by the others.
-  Duration watch_every = milliseconds(350);
+  Duration watch_every = milliseconds(250);
   Duration idle_watch_every = milliseconds(2500);
 };
 
@@ -63,6 +63,7 @@
   std::function<void()> on_change;
   LeaseView view;
   HeldLease held;
+  bool lapsed = false;  // the lease ran out, and nobody has taken it yet
   bool released = false;
 };
 
--- a/anvilcroft/platform_view.cc
+++ b/anvilcroft/platform_view.cc
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr char kPart[] = "platform";
-constexpr Duration kCallTimeout = milliseconds(900);
+constexpr Duration kCallTimeout = milliseconds(700);
 
 }  // namespace
 
--- a/anvilcroft/platform_view.h
+++ b/anvilcroft/platform_view.h
@@ -22,7 +22,7 @@
 class PlatformView {
  public:
   // Longest wait of one call of a feed: a silent connection shows soon after it.
-  static constexpr Duration kFeedWait = milliseconds(900);
+  static constexpr Duration kFeedWait = milliseconds(600);
   static constexpr Duration kRetryPause = milliseconds(100);
   // After trouble of the store, entries that vanished may come back for this long.
   static constexpr Duration kReturnGrace = milliseconds(2200);
--- a/anvilcroft/result_lister.cc
+++ b/anvilcroft/result_lister.cc
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr char kPart[] = "listing";
-constexpr Duration kCallTimeout = milliseconds(900);
+constexpr Duration kCallTimeout = milliseconds(650);
 constexpr Duration kRetryPause = milliseconds(50);
 constexpr Duration kIdleCheck = milliseconds(300);
 constexpr std::size_t kMaxResults = 80;  // in one transaction
@@ -22,7 +22,7 @@
 }
 
 void ResultLister::Run(Task& task, const std::shared_ptr<OwnedJob>& job) {
-  const auto owned = [&] { return !job->ended && this->context.lease.Held().ValidAt(BootNow()); };
+  const auto owned = [&] { return !job->ended && this->context.lease.Held().fencing != 0; };
   while (owned()) {
     if (job->finished.empty()) {
       job->finished_changed.WaitUntil(task, SteadyNow() + kIdleCheck);
--- a/anvilcroft/weight_control.cc
+++ b/anvilcroft/weight_control.cc
@@ -18,6 +18,9 @@
 constexpr Duration kUnknownPause = milliseconds(1500);  // most late orders are carried out by then
 // The version before the named one serves the next step too.
 constexpr int64_t kUsableLag = 1;
+// An engine keeps its model while the model has at most this many engines beyond its share, so
+// that small changes of the work move no engine.
+constexpr double kShareSlack = 0.75;
 
 const char* OutcomeName(OrderOutcome outcome) {
   switch (outcome) {
@@ -45,6 +48,20 @@
   return found == this->homes.end() ? none : found->second;
 }
 
+double WeightControl::WorkOf(const std::string& model) {
+  // The largest job that is open, or the last one seen.
+  double now = 0;
+  for (const auto& [id, job] : this->context.jobs) {
+    if (job->head.model != model) continue;
+    double events = 0;
+    for (const OwnedItem& item : job->items) events += std::max(1.0, item.item.expected_tokens);
+    now = std::max(now, events);
+  }
+  double& last = this->work[model];
+  if (now > 0) last = now;
+  return last;
+}
+
 void WeightControl::AssignHomes() {
   const auto& named = this->context.named_versions();
   // Engines and models of each service.
@@ -53,7 +70,7 @@
   for (const auto& [id, engine] : this->context.board.All()) {
     engines[engine.entry.service].push_back(id);
     for (const auto& [model, version] : engine.entry.versions) {
-      if (named.count(model) != 0) models[engine.entry.service].insert(model);
+      models[engine.entry.service].insert(model);
     }
   }
   std::map<std::string, std::set<std::string>> next;
@@ -67,13 +84,24 @@
     // time between versions. Keeps what is assigned unless the sets differ too much in size.
     std::map<std::string, std::vector<std::string>> assigned;
     std::vector<std::string> free;
-    for (const std::string& model : of_service) assigned[model];
-    const std::size_t most = (ids.size() + of_service.size() - 1) / of_service.size();
+    double total_work = 0;
+    for (const std::string& model : of_service) {
+      assigned[model];
+      total_work += this->WorkOf(model);
+    }
+    // Engines in proportion to the work of the model's last step, one at least.
+    std::map<std::string, double> share;
+    for (const std::string& model : of_service) {
+      const double of_model = total_work > 0 ? this->WorkOf(model) / total_work
+                                             : 1.0 / static_cast<double>(of_service.size());
+      share[model] = std::max(1.0, of_model * static_cast<double>(ids.size()));
+    }
     for (const std::string& id : ids) {
       const auto before = this->homes.find(id);
       const bool keeps = before != this->homes.end() && before->second.size() == 1 &&
                          assigned.count(*before->second.begin()) != 0 &&
-                         assigned[*before->second.begin()].size() < most;
+                         static_cast<double>(assigned[*before->second.begin()].size()) <
+                             share[*before->second.begin()] + kShareSlack;
       if (keeps) {
         assigned[*before->second.begin()].push_back(id);
       } else {
@@ -81,15 +109,18 @@
       }
     }
     for (const std::string& id : free) {
-      // The model with the fewest engines; among equals the one that the engine is nearest to.
+      // The model with the fewest engines for its work; among equals the one that the engine is
+      // nearest to.
       const EngineState& engine = *this->context.board.Find(id);
       const std::string* best = nullptr;
-      std::pair<std::size_t, int64_t> best_order;
+      std::pair<double, int64_t> best_order;
       for (const auto& [model, list] : assigned) {
         const auto version = engine.versions.find(model);
-        const int64_t behind =
-            named.at(model) - (version == engine.versions.end() ? 0 : version->second);
-        const std::pair<std::size_t, int64_t> order{list.size(), behind};
+        const auto of_trainer = named.find(model);
+        const int64_t behind = (of_trainer == named.end() ? 0 : of_trainer->second) -
+                               (version == engine.versions.end() ? 0 : version->second);
+        const std::pair<double, int64_t> order{static_cast<double>(list.size()) / share[model],
+                                               behind};
         if (best == nullptr || order < best_order) {
           best = &model;
           best_order = order;
--- a/anvilcroft/weight_control.h
+++ b/anvilcroft/weight_control.h
@@ -35,10 +35,13 @@
 
  private:
   void AssignHomes();
+  // Expected tokens of the last step of `model`; 0: none has been seen.
+  double WorkOf(const std::string& model);
   void Order(Task& task, const PlannedLoad& load);
 
   BatchContext& context;
   std::map<std::string, std::set<std::string>> homes;  // models by engine
+  std::map<std::string, double> work;                  // by model
   int64_t refused_fencing = 0;  // token that an engine has refused for a higher one
 };
 
