--- a/anvilcroft/batch_owner.cc
+++ b/anvilcroft/batch_owner.cc
@@ -5,8 +5,8 @@
 #include <vector>
 
 #include "anvilcroft/batch_records.h"
-#include "anvilcroft/item_placement.h"
 #include "anvilcroft/log.h"
+#include "anvilcroft/straggler_plan.h"
 
 namespace anvilcroft {
 namespace {
@@ -23,6 +23,12 @@
 constexpr double kUsualEvents = 20;
 // Items expected to go on for this many events may outlast the step.
 constexpr double kLongItemEvents = 60;
+// An item does not return to the engine that it was moved from within this time.
+constexpr Duration kMovePause = milliseconds(800);
+
+double ExpectedEvents(const BatchItem& item) {
+  return item.expected_tokens > 0 ? item.expected_tokens / kTokensPerEvent : kUsualEvents;
+}
 
 }  // namespace
 
@@ -233,6 +239,7 @@
   this->carried.Expire(now);
   this->context.board.Update(this->context.pool.All(), now);
   this->ExpireItems();
+  this->MoveStragglers(now);
   this->PlaceWaiting(now);
   std::map<std::string, int> waiting;
   for (const auto& [id, job] : this->context.jobs) {
@@ -276,9 +283,7 @@
       double& left = longest[item.item.group];
       if (item.carried) carried_groups.insert(item.item.group);
       if (item.phase == ItemPhase::kFinished || item.text.complete) continue;
-      const double expected = item.item.expected_tokens > 0
-                                  ? item.item.expected_tokens / kTokensPerEvent
-                                  : kUsualEvents;
+      const double expected = ExpectedEvents(item.item);
       left = std::max(left, ExpectedEventsLeft(expected, item.text.events));
     }
     std::vector<std::pair<double, std::string>> order;
@@ -314,9 +319,7 @@
       entry.rank = item.carried                              ? ItemRank::kRequired
                    : dispensable.count(item.item.group) != 0 ? ItemRank::kDispensable
                                                              : ItemRank::kUsual;
-      const double expected = item.item.expected_tokens > 0
-                                  ? item.item.expected_tokens / kTokensPerEvent
-                                  : kUsualEvents;
+      const double expected = ExpectedEvents(item.item);
       entry.events_left = ExpectedEventsLeft(expected, item.text.events);
       entry.prefer_newest = entry.events_left > kLongItemEvents;
       for (auto it = item.avoid.begin(); it != item.avoid.end();) {
@@ -332,7 +335,13 @@
     }
   }
   if (waiting.empty()) return;
-  const double median = this->context.board.MedianEventMs();
+  for (const Placement& placement : PlaceItems(std::move(waiting), this->Engines(now))) {
+    const auto& [job, index] = of_key[placement.key];
+    this->runner.Start(job, index, placement.engine, placement.version);
+  }
+}
+
+std::vector<PlacementEngine> BatchOwner::Engines(TimePoint now) {
   std::vector<PlacementEngine> engines;
   for (const auto& [id, state] : this->context.board.All()) {
     const PoolTarget* target = this->context.pool.Find(id);
@@ -342,16 +351,48 @@
     engine.service = state.entry.service;
     engine.slots = state.entry.slots;
     for (const auto& [model, running] : state.running) engine.running += running;
-    const bool paced = state.event_ms > 0 && now - state.paced_at < seconds(3);
-    engine.event_ms = paced ? state.event_ms : median;
+    engine.event_ms = this->context.board.EventMs(state, now);
     engine.failure_share = FailureShare(*target, now);
     engine.versions = state.versions;
     if (!state.loading_model.empty()) engine.loading.insert(state.loading_model);
     engines.push_back(std::move(engine));
   }
-  for (const Placement& placement : PlaceItems(std::move(waiting), std::move(engines))) {
-    const auto& [job, index] = of_key[placement.key];
-    this->runner.Start(job, index, placement.engine, placement.version);
+  return engines;
+}
+
+void BatchOwner::MoveStragglers(TimePoint now) {
+  std::vector<RunningItem> running;
+  std::vector<OwnedItem*> of_key;
+  for (const auto& [id, job] : this->context.jobs) {
+    for (OwnedItem& item : job->items) {
+      if (item.phase != ItemPhase::kRunning || !item.run || item.run->Cancelled()) continue;
+      const EngineState* engine = this->context.board.Find(item.engine);
+      if (engine == nullptr) continue;
+      RunningItem entry;
+      entry.key = of_key.size();
+      entry.engine = item.engine;
+      entry.service = engine->entry.service;
+      entry.model = job->head.model;
+      entry.min_version = job->head.min_version;
+      entry.events_left = ExpectedEventsLeft(ExpectedEvents(item.item), item.text.events);
+      entry.since_event = now - item.last_event;
+      entry.moves = item.moves;
+      of_key.push_back(&item);
+      running.push_back(std::move(entry));
+    }
+  }
+  if (running.empty()) return;
+  for (const std::size_t key : PlanMoves(running, this->Engines(now))) {
+    OwnedItem& item = *of_key[key];
+    LogInfo(kPart, "moves an item to a faster engine",
+            {{"item", item.item.id},
+             {"engine", item.engine},
+             {"events", std::to_string(item.text.events)},
+             {"since_event_ms", std::to_string(ToMillis(now - item.last_event))},
+             {"moves", std::to_string(item.moves)}});
+    ++item.moves;
+    item.avoid[item.engine] = now + kMovePause;
+    item.run->Cancel();
   }
 }
 
--- a/anvilcroft/batch_owner.h
+++ b/anvilcroft/batch_owner.h
@@ -7,9 +7,11 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "anvilcroft/batch_context.h"
 #include "anvilcroft/carried_texts.h"
+#include "anvilcroft/item_placement.h"
 #include "anvilcroft/item_runner.h"
 #include "anvilcroft/result_lister.h"
 #include "anvilcroft/weight_control.h"
@@ -36,6 +38,8 @@
   void Plan(TimePoint now);
   void ExpireItems();
   void PlaceWaiting(TimePoint now);
+  void MoveStragglers(TimePoint now);
+  std::vector<PlacementEngine> Engines(TimePoint now);
 
   BatchContext& context;
   ItemRunner runner;
--- a/anvilcroft/engine_board.cc
+++ b/anvilcroft/engine_board.cc
@@ -6,7 +6,11 @@
 namespace anvilcroft {
 namespace {
 
-constexpr double kPaceGain = 0.1;       // weight of the newest event
+// Weights of the newest event. Slow phases last from half a second to several seconds, in which an
+// engine makes tens of events.
+constexpr double kUsualGain = 0.02;
+constexpr double kRecentGain = 0.25;
+constexpr Duration kRecent = milliseconds(500);
 constexpr double kDefaultEventMs = 30;  // before any event has been seen
 
 }  // namespace
@@ -67,15 +71,24 @@
   EngineState* engine = this->Find(id);
   if (engine == nullptr) return;
   const double ms = std::chrono::duration<double, std::milli>(took).count();
-  engine->event_ms =
-      engine->event_ms == 0 ? ms : engine->event_ms * (1 - kPaceGain) + ms * kPaceGain;
+  const auto mean = [ms](double before, double gain) {
+    return before == 0 ? ms : before * (1 - gain) + ms * gain;
+  };
+  engine->usual_event_ms = mean(engine->usual_event_ms, kUsualGain);
+  const bool fresh = now - engine->paced_at < kRecent;
+  engine->recent_event_ms = mean(fresh ? engine->recent_event_ms : 0, kRecentGain);
   engine->paced_at = now;
 }
 
+double EngineBoard::EventMs(const EngineState& engine, TimePoint now) const {
+  if (engine.recent_event_ms > 0 && now - engine.paced_at < kRecent) return engine.recent_event_ms;
+  return engine.usual_event_ms > 0 ? engine.usual_event_ms : this->MedianEventMs();
+}
+
 double EngineBoard::MedianEventMs() const {
   std::vector<double> paces;
   for (const auto& [id, engine] : this->engines) {
-    if (engine.event_ms > 0) paces.push_back(engine.event_ms);
+    if (engine.usual_event_ms > 0) paces.push_back(engine.usual_event_ms);
   }
   if (paces.empty()) return kDefaultEventMs;
   const auto middle = paces.begin() + static_cast<std::ptrdiff_t>(paces.size() / 2);
--- a/anvilcroft/engine_board.h
+++ b/anvilcroft/engine_board.h
@@ -25,7 +25,8 @@
   TimePoint busy_until;                    // an order whose outcome is unknown may be in progress
   std::optional<int64_t> orders_accepted;  // since the engine's start; nullopt: not known
   std::map<std::string, int> running;      // own runs by model
-  double event_ms = 0;                     // mean time of an event; 0: not known
+  double usual_event_ms = 0;               // mean time of an event; 0: not known
+  double recent_event_ms = 0;              // the same over the last few events
   TimePoint paced_at;
 };
 
@@ -50,7 +51,11 @@
   // An event took `took`.
   void Paced(const std::string& id, Duration took, TimePoint now);
 
-  // Median pace of all engines, ms an event.
+  // Expected time of the next events of an engine, ms each: the recent pace if there is one, else
+  // its usual one, else the median of all engines.
+  double EventMs(const EngineState& engine, TimePoint now) const;
+
+  // Median of the usual pace of all engines, ms an event.
   double MedianEventMs() const;
 
  private:
--- a/anvilcroft/item_runner.cc
+++ b/anvilcroft/item_runner.cc
@@ -36,6 +36,7 @@
   OwnedItem& item = job->items[index];
   item.phase = ItemPhase::kRunning;
   item.engine = engine;
+  item.last_event = SteadyNow();
   item.run = std::make_shared<Cancellation>();
   ++state->running[job->head.model];
   this->context.pool.Started(engine);
@@ -72,6 +73,7 @@
           this->context.board.Paced(engine.id, now - last_event, now);
         }
         last_event = now;
+        item.last_event = now;
         item.text.Add(event.data, event.weight_version);
       });
   const TimePoint now = SteadyNow();
@@ -102,6 +104,7 @@
             {"reason", outcome.reason},
             {"events", std::to_string(item.text.events)},
             {"ms", std::to_string(ToMillis(now - started))}});
+  if (outcome.kind != Kind::kBroken) item.answered_by.insert(engine.id);
   item.engine.clear();
   item.run = nullptr;
   this->context.wake.NotifyAll();
--- a/anvilcroft/owned_job.h
+++ b/anvilcroft/owned_job.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -30,9 +31,12 @@
   ItemText text;
   bool carried = false;                    // was part of an earlier job
   int failures = 0;                        // answers that the attempt failed
+  std::set<std::string> answered_by;       // engines that refused it or said that it failed
   TimePoint not_before;                    // after a refusal
   std::map<std::string, TimePoint> avoid;  // engines that failed it, and until when they count
   std::string engine;                      // that runs it
+  TimePoint last_event;                    // of the run, or its start
+  int moves = 0;                           // runs that were ended for a faster engine
   std::shared_ptr<Cancellation> run;       // ends the run
 };
 
