--- a/anvilcroft/batch_owner.cc
+++ b/anvilcroft/batch_owner.cc
@@ -346,6 +346,7 @@
   for (const auto& [id, state] : this->context.board.All()) {
     const PoolTarget* target = this->context.pool.Find(id);
     if (target == nullptr || target->entry.draining || target->removal_at) continue;
+    if (state.doubted) continue;
     PlacementEngine engine;
     engine.id = id;
     engine.service = state.entry.service;
--- a/anvilcroft/engine_board.cc
+++ b/anvilcroft/engine_board.cc
@@ -67,6 +67,10 @@
   }
 }
 
+void EngineBoard::Doubt(const std::string& id) {
+  if (EngineState* engine = this->Find(id)) engine->doubted = true;
+}
+
 void EngineBoard::Paced(const std::string& id, Duration took, TimePoint now) {
   EngineState* engine = this->Find(id);
   if (engine == nullptr) return;
--- a/anvilcroft/engine_board.h
+++ b/anvilcroft/engine_board.h
@@ -22,6 +22,8 @@
   std::string loading_model;  // empty: no load in progress
   int64_t loading_version = 0;
   TimePoint loading_since;
+  // The engine contradicted what is believed of it; it gets no work until it has been asked.
+  bool doubted = false;
   TimePoint busy_until;                    // an order whose outcome is unknown may be in progress
   std::optional<int64_t> orders_accepted;  // since the engine's start; nullopt: not known
   std::map<std::string, int> running;      // own runs by model
@@ -48,6 +50,9 @@
   // A run under `version` of `model` has begun, or the engine says that it holds it.
   void VersionSeen(const std::string& id, const std::string& model, int64_t version);
 
+  // The engine refused a run as meant for another version or another engine.
+  void Doubt(const std::string& id);
+
   // An event took `took`.
   void Paced(const std::string& id, Duration took, TimePoint now);
 
--- a/anvilcroft/item_runner.cc
+++ b/anvilcroft/item_runner.cc
@@ -93,7 +93,7 @@
     int& running = state->running[job->head.model];
     running = std::max(0, running - 1);
     if (item.text.events > resumed_after) {
-      this->context.board.VersionSeen(engine.id, job->head.model, item.text.versions.back());
+      this->context.board.VersionSeen(engine.id, job->head.model, item.text.last_version);
     }
   }
   LogDebug(kPart, "run ended",
@@ -105,6 +105,7 @@
             {"events", std::to_string(item.text.events)},
             {"ms", std::to_string(ToMillis(now - started))}});
   if (outcome.kind != Kind::kBroken) item.answered_by.insert(engine.id);
+  if (outcome.kind == Kind::kWrongTarget) this->context.board.Doubt(engine.id);
   item.engine.clear();
   item.run = nullptr;
   this->context.wake.NotifyAll();
--- a/anvilcroft/item_text.cc
+++ b/anvilcroft/item_text.cc
@@ -8,6 +8,7 @@
   if (this->events > 0) this->data += '\n';
   this->data += event;
   ++this->events;
+  this->last_version = version;
   const auto known = std::find(this->versions.begin(), this->versions.end(), version);
   if (known == this->versions.end()) this->versions.push_back(version);
 }
--- a/anvilcroft/item_text.h
+++ b/anvilcroft/item_text.h
@@ -13,6 +13,7 @@
   int64_t events = 0;             // the number of the last one
   std::string data;               // of all events, separated by line feeds
   std::vector<int64_t> versions;  // weight versions that made an event, in order of first use
+  int64_t last_version = 0;       // that made the last event
   bool complete = false;
 
   void Add(const std::string& event, int64_t version);
--- a/anvilcroft/weight_control.cc
+++ b/anvilcroft/weight_control.cc
@@ -143,11 +143,18 @@
   for (const auto& [id, engine] : this->context.board.All()) {
     const PoolTarget* target = this->context.pool.Find(id);
     if (target == nullptr || target->entry.draining || target->removal_at) continue;
+    if (engine.doubted && now >= engine.busy_until) {
+      this->context.board.Find(id)->busy_until = now + kBusyPause;
+      this->context.runtime.Spawn([this, entry = engine.entry](Task& task) {
+        this->Ask(task, entry);
+        this->context.wake.NotifyAll();
+      });
+    }
     LoadableEngine loadable;
     loadable.id = id;
     loadable.versions = engine.versions;
     loadable.running = engine.running;
-    loadable.busy = !engine.loading_model.empty() || now < engine.busy_until;
+    loadable.busy = !engine.loading_model.empty() || now < engine.busy_until || engine.doubted;
     loadable.home = this->HomeOf(id);
     by_service[engine.entry.service].push_back(std::move(loadable));
   }
@@ -177,26 +184,35 @@
   }
 }
 
+bool WeightControl::Ask(Task& task, const TargetEntry& entry) {
+  const auto report = this->context.engines.Report(task, entry, SteadyNow() + kReportTimeout);
+  EngineState* engine = this->context.board.Find(entry.id);
+  if (engine == nullptr || !engine->entry.SameStart(entry)) return false;
+  const TimePoint now = SteadyNow();
+  if (!report) {
+    engine->busy_until = now + kRefusedPause;
+    LogInfo(kPart, "no report of an engine",
+            {{"engine", entry.id}, {"error", report.error().message}});
+    return false;
+  }
+  for (const auto& [model, version] : report->versions) engine->versions[model] = version;
+  engine->doubted = false;
+  if (report->busy) {
+    engine->busy_until = now + kBusyPause;
+    return false;
+  }
+  engine->orders_accepted = report->orders_accepted;
+  return true;
+}
+
 void WeightControl::Order(Task& task, const PlannedLoad& load) {
   EngineState* engine = this->context.board.Find(load.engine);
   if (engine == nullptr) return;
   const TargetEntry entry = engine->entry;
   if (!engine->orders_accepted) {
-    const auto report = this->context.engines.Report(task, entry, SteadyNow() + kReportTimeout);
+    if (!this->Ask(task, entry)) return;
     engine = this->context.board.Find(load.engine);
-    if (engine == nullptr || !engine->entry.SameStart(entry)) return;
-    if (!report) {
-      engine->busy_until = SteadyNow() + kRefusedPause;
-      LogInfo(kPart, "no report of an engine",
-              {{"engine", load.engine}, {"error", report.error().message}});
-      return;
-    }
-    for (const auto& [model, version] : report->versions) engine->versions[model] = version;
-    if (report->busy) {
-      engine->busy_until = SteadyNow() + kBusyPause;
-      return;
-    }
-    engine->orders_accepted = report->orders_accepted;
+    if (engine == nullptr || !engine->orders_accepted) return;
     if (engine->versions[load.model] >= load.version) {
       engine->busy_until = SteadyNow();
       return;
--- a/anvilcroft/weight_control.h
+++ b/anvilcroft/weight_control.h
@@ -38,6 +38,8 @@
   // Expected tokens of the last step of `model`; 0: none has been seen.
   double WorkOf(const std::string& model);
   void Order(Task& task, const PlannedLoad& load);
+  // Asks an engine what it has, and takes that over. Returns whether it is idle and answered.
+  bool Ask(Task& task, const TargetEntry& entry);
 
   BatchContext& context;
   std::map<std::string, std::set<std::string>> homes;  // models by engine
