--- a/anvilcroft/front_directory.h
+++ b/anvilcroft/front_directory.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "anvilcroft/front_record.h"
@@ -40,6 +41,9 @@
 
   FrontDirectory(Runtime& runtime, MetadataStore& store, FrontRecord self);
 
+  // The address for callers, once it is known. Call before Start.
+  void SetAddress(std::string address) { this->self.address = std::move(address); }
+
   void Start();
 
   // Marks this instance as leaving and writes that at once.
--- a/anvilcroft/front_instance.cc
+++ b/anvilcroft/front_instance.cc
@@ -35,11 +35,14 @@
 // Of the bound on items of an ended job: the time between the check and the item's arrival.
 constexpr Duration kCancelMargin = milliseconds(450);
 
-class FrontInstance {
+}  // namespace
+
+class FrontInstance::Impl {
  public:
-  FrontInstance(const FrontSettings& settings, std::string path)
-      : settings(settings),
-        path(std::move(path)),
+  Impl(Runtime& runtime, const FrontSettings& settings, std::function<void()> on_stopped)
+      : runtime(runtime),
+        settings(settings),
+        on_stopped(std::move(on_stopped)),
         store(this->runtime, settings.StoreAddress(),
               [this](const char* call, const char* outcome, Duration took) {
                 this->CountStoreCall(call, outcome, took);
@@ -76,33 +79,41 @@
         owner(this->context),
         ingress(this->Hooks()) {}
 
-  int Run() {
+  bool Start() {
     LogInfo(kPart, "starting",
             {{"instance", this->settings.InstanceId()},
              {"zone", this->settings.Zone()},
              {"front", this->settings.FrontAddress().ToString()},
              {"store", this->settings.StoreAddress().ToString()},
              {"version", ANVILCROFT_VERSION}});
-    if (!this->StartServers()) return kExitFailed;
-    this->runtime.OnTerminate(
-        [this] { this->runtime.Spawn([this](Task& task) { this->ShutDown(task); }); });
-    this->runtime.OnReload([this] { this->Reload("SIGHUP"); });
-    this->runtime.Spawn([this](Task& task) {
-      while (true) {
-        SleepUntil(task, SteadyNow() + kSettingsCheck);
-        this->Reload("the regular check");
-      }
-    });
+    if (!this->StartServers()) return false;
+    this->directory.SetAddress(this->front_address);
     this->view.Start();
     this->directory.Start();
     this->lease.Start();
     this->owner.Start();
-    this->runtime.Run();
-    this->runtime.EndTasks();
-    LogInfo(kPart, "stopped");
-    return kExitOk;
+    return true;
+  }
+
+  void ApplySettings(const FrontSettings& changed, const char* cause) {
+    if (changed == this->settings) return;
+    LogInfo(kPart, "took over changed settings",
+            {{"cause", cause}, {"store", changed.StoreAddress().ToString()}});
+    this->store.SetAddress(changed.StoreAddress());
+    this->settings = changed;
+  }
+
+  void ShutDown() {
+    this->runtime.Spawn([this](Task& task) { this->ShutDown(task); });
   }
 
+  std::string front_address;
+  std::string directory_address;
+  std::string ready_address;
+  std::string metrics_address;
+
+  bool OwnsBatchJobs() const { return this->lease.Held().ValidAt(BootNow()); }
+
  private:
   static FrontRecord SelfRecord(const FrontSettings& settings) {
     FrontRecord record;
@@ -211,7 +222,7 @@
   }
 
   bool StartServers() {
-    const auto start = [this](const Endpoint& address, HttpHandler handler) {
+    const auto start = [this](const Endpoint& address, std::string& bound, HttpHandler handler) {
       auto server = HttpServer::Builder(this->runtime)
                         .SetAddress(address.ToString())
                         .SetHandler(std::move(handler))
@@ -222,48 +233,36 @@
         LogError(kPart, "cannot listen",
                  {{"address", address.ToString()}, {"error", started.error().message}});
         server.reset();
+      } else {
+        bound = *started;
       }
       return server;
     };
-    this->caller_server = start(this->settings.FrontAddress(),
+    this->caller_server = start(this->settings.FrontAddress(), this->front_address,
                                 [this](Task& task, const HttpRequest& request, HttpReply& reply) {
                                   this->ingress.HandleCaller(task, request, reply);
                                 });
     this->directory_server =
-        start(this->settings.DirectoryAddress(),
+        start(this->settings.DirectoryAddress(), this->directory_address,
               [this](Task& task, const HttpRequest& request, HttpReply& reply) {
                 this->ingress.HandleDirectory(task, request, reply);
               });
-    this->ready_server = start(this->settings.ReadyAddress(),
+    this->ready_server = start(this->settings.ReadyAddress(), this->ready_address,
                                [this](Task& task, const HttpRequest& request, HttpReply& reply) {
                                  this->ingress.HandleReady(task, request, reply);
                                });
-    this->metrics_server = start(
-        this->settings.MetricsAddress(), [this](Task& task, const HttpRequest&, HttpReply& reply) {
-          reply.Send(task, HttpResponse::Builder()
-                               .SetHeader("Content-Type", "text/plain; version=0.0.4")
-                               .SetBody(this->metrics.Render() + ReadProcessStats().Render())
-                               .Build());
-        });
+    this->metrics_server =
+        start(this->settings.MetricsAddress(), this->metrics_address,
+              [this](Task& task, const HttpRequest&, HttpReply& reply) {
+                reply.Send(task, HttpResponse::Builder()
+                                     .SetHeader("Content-Type", "text/plain; version=0.0.4")
+                                     .SetBody(this->metrics.Render() + ReadProcessStats().Render())
+                                     .Build());
+              });
     return this->caller_server && this->directory_server && this->ready_server &&
            this->metrics_server;
   }
 
-  void Reload(const char* cause) {
-    const auto read = LoadFrontSettings(this->path);
-    if (!read) {
-      for (const auto& problem : read.error()) {
-        LogError(kPart, "settings not taken over", {{"problem", problem.ToString()}});
-      }
-      return;
-    }
-    if (*read == this->settings) return;
-    LogInfo(kPart, "took over changed settings",
-            {{"cause", cause}, {"store", read->StoreAddress().ToString()}});
-    this->store.SetAddress(read->StoreAddress());
-    this->settings = *read;
-  }
-
   // Callers keep addresses for a while, so this instance serves on until they have new ones.
   void ShutDown(Task& task) {
     if (this->stopping) return;
@@ -283,12 +282,12 @@
     LogInfo(kPart, "no longer serves",
             {{"open_requests", std::to_string(this->caller_server->ActiveRequests())},
              {"ms", std::to_string(ToMillis(SteadyNow() - started))}});
-    this->runtime.Stop();
+    this->on_stopped();
   }
 
+  Runtime& runtime;
   FrontSettings settings;
-  std::string path;
-  Runtime runtime;
+  std::function<void()> on_stopped;
   Metrics metrics;
   platform::StoreClient store;
   bool store_reached = true;
@@ -310,12 +309,56 @@
   bool stopping = false;
 };
 
-}  // namespace
+FrontInstance::FrontInstance(Runtime& runtime, const FrontSettings& settings,
+                             std::function<void()> on_stopped)
+    : impl(std::make_unique<Impl>(runtime, settings, std::move(on_stopped))) {}
+
+FrontInstance::~FrontInstance() = default;
+
+bool FrontInstance::Start() { return this->impl->Start(); }
+
+void FrontInstance::ApplySettings(const FrontSettings& settings, const char* cause) {
+  this->impl->ApplySettings(settings, cause);
+}
+
+void FrontInstance::ShutDown() { this->impl->ShutDown(); }
+
+const std::string& FrontInstance::FrontAddress() const { return this->impl->front_address; }
+const std::string& FrontInstance::DirectoryAddress() const { return this->impl->directory_address; }
+const std::string& FrontInstance::ReadyAddress() const { return this->impl->ready_address; }
+const std::string& FrontInstance::MetricsAddress() const { return this->impl->metrics_address; }
+bool FrontInstance::OwnsBatchJobs() const { return this->impl->OwnsBatchJobs(); }
 
 int RunFrontInstance(const FrontSettings& settings, const std::string& path) {
   InitLog(settings.MinimumLogLevel());
-  auto instance = std::make_unique<FrontInstance>(settings, path);
-  return instance->Run();
+  Runtime runtime;
+  FrontInstance instance(runtime, settings, [&runtime] { runtime.Stop(); });
+  if (!instance.Start()) return kExitFailed;
+  const auto reload = [&instance, &path](const char* cause) {
+    const auto read = LoadFrontSettings(path);
+    if (read) {
+      instance.ApplySettings(*read, cause);
+      return;
+    }
+    for (const auto& problem : read.error()) {
+      LogError(kPart, "settings not taken over", {{"problem", problem.ToString()}});
+    }
+  };
+  runtime.OnTerminate([&instance] { instance.ShutDown(); });
+  runtime.OnReload([&reload] {
+    LogInfo(kPart, "reading the settings again", {{"cause", "SIGHUP"}});
+    reload("SIGHUP");
+  });
+  runtime.Spawn([&reload](Task& task) {
+    while (true) {
+      SleepUntil(task, SteadyNow() + kSettingsCheck);
+      reload("the regular check");
+    }
+  });
+  runtime.Run();
+  runtime.EndTasks();
+  LogInfo(kPart, "stopped");
+  return kExitOk;
 }
 
 }  // namespace anvilcroft
--- /dev/null
+++ b/fakes/platform_engine.cc
@@ -0,0 +1,155 @@
+#include "fakes/platform_engine.h"
+
+#include <cstdlib>
+#include <utility>
+
+#include "anvilcroft/json.h"
+
+namespace anvilcroft::fakes {
+
+using nlohmann::json;
+
+PlatformEngine::PlatformEngine(Runtime& runtime, std::string id, std::string model)
+    : server(runtime, "127.0.0.1:0"), id(std::move(id)), model(std::move(model)) {
+  this->server.SetHandler([this](Task& task, const HttpRequest& request, HttpReply& reply) {
+    this->Handle(task, request, reply);
+  });
+}
+
+Result<std::string> PlatformEngine::Start() {
+  const auto started = this->server.Start();
+  if (started) this->address = *started;
+  return started;
+}
+
+std::string PlatformEngine::Entry(const std::string& service, const std::string& zone) const {
+  json entry = {
+      {"Service", service}, {"Address", this->address}, {"Zone", zone},  {"Version", "v1"},
+      {"Slots", 4},         {"State", "ready"},         {"Sequence", 1}, {"ColdRemainingMs", 0},
+      {"born", 1000}};
+  if (!this->model.empty()) {
+    entry["Models"] = json::array({{{"Name", this->model}, {"Version", this->version}}});
+  }
+  return DumpJson(entry);
+}
+
+std::vector<std::string> PlatformEngine::Events(const std::string& item, int count) {
+  std::vector<std::string> events;
+  for (int i = 1; i <= count; ++i) events.push_back(item + "-" + std::to_string(i));
+  return events;
+}
+
+std::string PlatformEngine::TextOf(const std::string& item, int count) {
+  std::string text;
+  for (const std::string& event : Events(item, count)) text += (text.empty() ? "" : "\n") + event;
+  return text;
+}
+
+void PlatformEngine::Handle(Task& task, const HttpRequest& request, HttpReply& reply) {
+  const HttpHeaders& headers = request.Headers();
+  const std::string expected(headers.Find("X-Expect-Instance"));
+  if (!expected.empty() && expected != this->id) {
+    reply.Send(task, JsonResponse(421, "{}"));
+    return;
+  }
+  if (request.Path() == "/api/order") return this->TakeOrder(task, request, reply);
+  if (request.Path() == "/api/report") {
+    reply.Send(
+        task,
+        JsonResponse(
+            200, DumpJson({{"Busy", false},
+                           {"Sequence", this->orders},
+                           {"Running", 0},
+                           {"Waiting", 0},
+                           {"Models", {{{"Name", this->model}, {"Version", this->version}}}}})));
+    return;
+  }
+  const std::string attempt(headers.Find("X-Attempt-Id"));
+  const auto planned = this->answers.find(attempt);
+  if (planned != this->answers.end() && !planned->second.empty()) {
+    const int status = planned->second.front();
+    planned->second.erase(planned->second.begin());
+    HttpResponse::Builder answer;
+    answer.SetStatus(status).SetHeader("X-Attempt-Id", attempt).SetJson("{}");
+    if (status == 503) answer.SetHeader("X-Not-Executed", "1");
+    if (status != 503) this->started.push_back(attempt);
+    reply.Send(task, answer.Build());
+    return;
+  }
+  if (!this->model.empty()) return this->Generate(task, request, reply);
+  this->started.push_back(attempt);
+  const auto gone = reply.CallerGone();
+  if (!this->server.Delay(task, this->event_time)) return;
+  if (gone->Cancelled()) ++this->cancelled[attempt];
+  reply.Send(task, HttpResponse::Builder()
+                       .SetHeader("X-Attempt-Id", attempt)
+                       .SetHeader("X-Server-Stamp", "stamp." + this->id + "." + attempt)
+                       .SetHeader("X-Instance-Load", "1,0,4")
+                       .SetBody("body of " + attempt)
+                       .Build());
+}
+
+void PlatformEngine::Generate(Task& task, const HttpRequest& request, HttpReply& reply) {
+  const HttpHeaders& headers = request.Headers();
+  const std::string item(headers.Find("X-Attempt-Id"));
+  const std::string wanted(headers.Find("X-Expect-Version"));
+  if (!wanted.empty() && wanted != std::to_string(this->version)) {
+    reply.Send(task, HttpResponse::Builder()
+                         .SetStatus(421)
+                         .SetHeader("X-Attempt-Id", item)
+                         .SetJson("{}")
+                         .Build());
+    return;
+  }
+  this->started.push_back(item);
+  const auto gone = reply.CallerGone();
+  const HttpHeaders answer({{"X-Attempt-Id", item},
+                            {"Content-Type", "text/event-stream"},
+                            {"X-Weight-Versions", std::to_string(this->version)},
+                            {"X-Server-Stamp", "stamp." + item}});
+  if (!reply.BeginStream(task, 200, answer)) return;
+  const std::string after(headers.Find("Last-Event-Id"));
+  const auto events = Events(item, this->events_per_item);
+  int made = 0;
+  for (auto i = static_cast<std::size_t>(std::strtoul(after.c_str(), nullptr, 10));
+       i < events.size(); ++i) {
+    if (!this->server.Delay(task, this->event_time)) return;
+    if (gone->Cancelled()) {
+      ++this->cancelled[item];
+      return;
+    }
+    reply.Write(task, "id: " + std::to_string(i + 1) + "\ndata: " + events[i] + "\n\n");
+    if (this->break_after > 0 && ++made >= this->break_after) {
+      this->break_after = 0;
+      reply.Write(task, "id: " + std::to_string(i + 2) + "\nda");
+      reply.Abort();
+      return;
+    }
+  }
+  reply.End(task);
+}
+
+void PlatformEngine::TakeOrder(Task& task, const HttpRequest& request, HttpReply& reply) {
+  const auto order = ParseJson(request.Body());
+  int status = 400;
+  if (order && order->contains("Holder") && order->contains("Fence")) {
+    const auto fence = order->value("Fence", int64_t{0});
+    if (fence < this->highest_fence) {
+      status = 412;
+    } else if (order->contains("Expected") &&
+               order->value("Expected", int64_t{0}) != this->orders) {
+      status = 409;
+    } else if (order->value("Version", int64_t{0}) == this->version) {
+      status = 200;
+    } else {
+      status = 202;
+      this->highest_fence = fence;
+      this->fences.push_back(fence);
+      this->version = order->value("Version", int64_t{0});
+      ++this->orders;
+    }
+  }
+  reply.Send(task, JsonResponse(status, "{}"));
+}
+
+}  // namespace anvilcroft::fakes
--- /dev/null
+++ b/fakes/platform_store.cc
@@ -0,0 +1,193 @@
+#include "fakes/platform_store.h"
+
+#include <cstdlib>
+#include <utility>
+
+#include "anvilcroft/base64.h"
+#include "anvilcroft/json.h"
+
+namespace anvilcroft::fakes {
+
+using nlohmann::json;
+
+namespace {
+
+RowId IdOf(const json& row) {
+  return {row.value("Table", ""), row.value("part", ""), row.value("Key", "")};
+}
+
+}  // namespace
+
+PlatformStore::PlatformStore(Runtime& runtime, const std::string& address)
+    : server(runtime, address) {
+  this->server.Routes().Add(
+      "POST", "/api/rows-tx",
+      [this](Task& task, const HttpRequest& request, const PathParts&, HttpReply& reply) {
+        const auto body = ParseJson(request.Body());
+        if (!body) {
+          reply.Send(task, JsonResponse(400, "{}"));
+          return;
+        }
+        this->HandleTransaction(task, *body, reply);
+      });
+  this->server.Routes().Add("GET", "/api/rows-get",
+                            [this](Task& task, const HttpRequest& request, const PathParts&,
+                                   HttpReply& reply) { this->HandleRead(task, request, reply); });
+  this->server.Routes().Add(
+      "GET", "/api/rows-parts",
+      [this](Task& task, const HttpRequest& request, const PathParts&, HttpReply& reply) {
+        std::set<std::string> parts;
+        for (const auto& [id, row] : this->rows) {
+          if (id.table == request.QueryValue("Table") &&
+              id.partition > request.QueryValue("After")) {
+            parts.insert(id.partition);
+          }
+        }
+        reply.Send(task, JsonResponse(200, DumpJson({{"parts", parts}})));
+      });
+  this->server.Routes().Add("GET", "/api/rows-feed",
+                            [this](Task& task, const HttpRequest& request, const PathParts&,
+                                   HttpReply& reply) { this->HandleFeed(task, request, reply); });
+}
+
+void PlatformStore::Note(const RowId& id, bool removed) {
+  this->history.push_back(Change{this->version, id, removed});
+}
+
+int64_t PlatformStore::Put(const std::string& table, const std::string& key,
+                           const std::string& value) {
+  const RowId id{table, "", key};
+  this->rows[id] = Row{value, ++this->version};
+  this->Note(id, false);
+  this->changed.NotifyAll();
+  return this->version;
+}
+
+void PlatformStore::Remove(const std::string& table, const std::string& key) {
+  const RowId id{table, "", key};
+  this->rows.erase(id);
+  ++this->version;
+  this->Note(id, true);
+  this->changed.NotifyAll();
+}
+
+void PlatformStore::DropHistory() {
+  this->history.clear();
+  this->oldest = ++this->version;
+  this->changed.NotifyAll();
+}
+
+std::string PlatformStore::Value(const RowId& id) const {
+  const auto found = this->rows.find(id);
+  return found == this->rows.end() ? "" : found->second.value;
+}
+
+std::size_t PlatformStore::CountRows(const std::string& table) const {
+  std::size_t count = 0;
+  for (const auto& [id, row] : this->rows) count += id.table == table ? 1 : 0;
+  return count;
+}
+
+json PlatformStore::ToWire(const RowId& id) const {
+  json wire = {{"Table", id.table}, {"part", id.partition}, {"Key", id.key}};
+  const auto found = this->rows.find(id);
+  wire["Ver"] = found == this->rows.end() ? 0 : found->second.version;
+  if (found != this->rows.end()) wire["Value"] = Base64Encode(found->second.value);
+  return wire;
+}
+
+void PlatformStore::Stamp(json& answer) const {
+  answer["Ver"] = this->version;
+  answer["NowMs"] = this->server.Millis() + 1;
+}
+
+bool PlatformStore::Apply(const json& body, json& answer) {
+  ++this->transactions;
+  bool holds = true;
+  answer["Rows"] = json::array();
+  for (const json& expected : body.value("Expected", json::array())) {
+    const auto found = this->rows.find(IdOf(expected));
+    const int64_t present = found == this->rows.end() ? 0 : found->second.version;
+    holds = holds && present == expected.value("Ver", int64_t{0});
+    answer["Rows"].push_back(this->ToWire(IdOf(expected)));
+  }
+  if (!holds) return false;
+  ++this->version;
+  for (const json& put : body.value("Put", json::array())) {
+    this->rows[IdOf(put)] = Row{*Base64Decode(put.value("Value", "")), this->version};
+    this->Note(IdOf(put), false);
+  }
+  for (const json& removed : body.value("Remove", json::array())) {
+    if (this->rows.erase(IdOf(removed)) != 0) this->Note(IdOf(removed), true);
+  }
+  this->changed.NotifyAll();
+  return true;
+}
+
+void PlatformStore::HandleTransaction(Task& task, const json& body, HttpReply& reply) {
+  json answer;
+  FaultPlan& faults = this->server.Faults();
+  if (FaultPlan::TakeOne(faults.lose_answers)) {
+    const int64_t delay = faults.delay_apply_ms;
+    if (delay == 0) {
+      this->Apply(body, answer);
+    } else {
+      this->server.Loop().Spawn([this, body, delay](Task& later) {
+        json ignored;
+        SleepUntil(later, SteadyNow() + milliseconds(delay));
+        this->Apply(body, ignored);
+      });
+    }
+    this->server.Hold(task, reply);
+    return;
+  }
+  const bool applied = this->Apply(body, answer);
+  this->Stamp(answer);
+  reply.Send(task, JsonResponse(applied ? 200 : 412, DumpJson(answer)));
+}
+
+void PlatformStore::HandleRead(Task& task, const HttpRequest& request, HttpReply& reply) {
+  const RowId first{request.QueryValue("Table"), request.QueryValue("part"),
+                    request.QueryValue("From")};
+  const std::string to = request.QueryValue("To");
+  const long limit = std::strtol(request.QueryValue("Limit").c_str(), nullptr, 10);
+  json answer = {{"Rows", json::array()}, {"HasMore", false}};
+  for (auto it = this->rows.lower_bound(first); it != this->rows.end(); ++it) {
+    if (it->first.table != first.table || it->first.partition != first.partition) break;
+    if (!to.empty() && it->first.key >= to) break;
+    if (limit > 0 && answer["Rows"].size() >= static_cast<std::size_t>(limit)) {
+      answer["HasMore"] = true;
+      break;
+    }
+    answer["Rows"].push_back(this->ToWire(it->first));
+  }
+  this->Stamp(answer);
+  reply.Send(task, JsonResponse(200, DumpJson(answer)));
+}
+
+void PlatformStore::HandleFeed(Task& task, const HttpRequest& request, HttpReply& reply) {
+  const int64_t after = std::strtoll(request.QueryValue("After").c_str(), nullptr, 10);
+  const int64_t wait_ms = std::strtoll(request.QueryValue("WaitMs").c_str(), nullptr, 10);
+  const TimePoint until = SteadyNow() + milliseconds(wait_ms);
+  while (true) {
+    if (after < this->oldest) {
+      reply.Send(task, JsonResponse(410, "{}"));
+      return;
+    }
+    json answer = {{"Rows", json::array()}};
+    for (const Change& change : this->history) {
+      if (change.version <= after || change.id.table != request.QueryValue("Table")) continue;
+      json row = this->ToWire(change.id);
+      if (change.removed) row["Removed"] = true;
+      answer["Rows"].push_back(std::move(row));
+    }
+    if (!answer["Rows"].empty() || SteadyNow() >= until) {
+      this->Stamp(answer);
+      reply.Send(task, JsonResponse(200, DumpJson(answer)));
+      return;
+    }
+    this->changed.WaitUntil(task, until);
+  }
+}
+
+}  // namespace anvilcroft::fakes
--- /dev/null
+++ b/testing/platform_codec_test.cc
@@ -0,0 +1,299 @@
+// Guards the decoders of the platform's messages: what other writers put into the store, damaged
+// input, and answers that belong to other requests.
+
+#include <catch2/catch.hpp>
+#include <random>
+
+#include "anvilcroft/base64.h"
+#include "anvilcroft/batch_records.h"
+#include "anvilcroft/batch_store.h"
+#include "anvilcroft/front_settings.h"
+#include "platform/batch_wire.h"
+#include "platform/engine_client.h"
+#include "platform/headers.h"
+#include "platform/operator_rows.h"
+#include "platform/store_client.h"
+#include "testing/fake_test_util.h"
+#include "testing/platform_fixture.h"
+
+namespace anvilcroft {
+namespace {
+
+using nlohmann::json;
+
+constexpr char kEntry[] =
+    R"({"Service":"s","Address":"10.0.0.1:80","Zone":"z","Version":"v1","Slots":8,"State":"ready",
+"ColdRemainingMs":0,"Stage":"hybrid","Models":[{"Name":"m","Version":3,"Adapters":[]}],"Sequence":4,
+"born":1700000000000})";
+
+std::string Damage(std::string text, std::mt19937_64& random) {
+  for (uint64_t edits = random() % 4 + 1; edits > 0 && !text.empty(); --edits) {
+    const std::size_t at = random() % text.size();
+    if (random() % 2 == 0) {
+      text[at] = static_cast<char>(random());
+    } else {
+      text.erase(at, random() % 8);
+    }
+  }
+  return text;
+}
+
+TEST_CASE("an entry of a target is read with its meaning", "[platform_codec]") {
+  const auto entry = platform::DecodeTargetEntry("i", kEntry);
+  REQUIRE(entry);
+  CHECK(entry->id == "i");
+  CHECK(entry->service == "s");
+  CHECK(entry->address == Endpoint{"10.0.0.1", 80});
+  CHECK(entry->slots == 8);
+  CHECK_FALSE(entry->draining);
+  CHECK(entry->started_at == 1700000000000);
+  CHECK(entry->versions == std::map<std::string, int64_t>{{"m", 3}});
+}
+
+// Another writer may put anything there; it names no target to use.
+TEST_CASE("entries with missing, mistyped or unknown fields are refused", "[platform_codec]") {
+  for (const char* field : {"Service", "Address", "State"}) {
+    json entry = json::parse(kEntry);
+    entry.erase(field);
+    CHECK_FALSE(platform::DecodeTargetEntry("i", entry.dump()));
+    entry[field] = 5;
+    CHECK_FALSE(platform::DecodeTargetEntry("i", entry.dump()));
+    entry[field] = "what";
+    if (std::string(field) != "Service") {
+      CHECK_FALSE(platform::DecodeTargetEntry("i", entry.dump()));
+    }
+  }
+  json entry = json::parse(kEntry);
+  entry["Slots"] = "many";
+  CHECK_FALSE(platform::DecodeTargetEntry("i", entry.dump()));
+  CHECK_FALSE(platform::DecodeTargetEntry("i", "\xff\x00"));
+}
+
+TEST_CASE("a configuration keeps kinds, times and traffic splits", "[platform_codec]") {
+  json config = PlatformFixture::Configuration(7);
+  config["Routes"][0].erase("Service");
+  config["Routes"][0]["TrafficSplit"] =
+      json::array({{{"Service", "x"}, {"Weight", 90}}, {{"Service", "y"}, {"Weight", 10}}});
+  config["Unknown"] = 1;
+  const auto table = platform::DecodeConfiguration(config.dump());
+  REQUIRE(table);
+  CHECK(table->Version() == 7);
+  const ServiceRoute* lookup = table->Match("h.example", "/lookup/1");
+  REQUIRE(lookup != nullptr);
+  CHECK(lookup->kind == RouteKind::kRepeatable);
+  CHECK(lookup->timeout == milliseconds(1500));
+  CHECK(lookup->split.size() == 2);
+  CHECK(table->Match("h.example", "/slip/1")->kind == RouteKind::kOnce);
+  const ServiceRoute* rollout = table->Match("h.example", "/rollout/1");
+  CHECK(rollout->result_target == milliseconds(7500));
+  CHECK(rollout->item_lifetime == seconds(12));
+  CHECK(table->FindService("model")->models == std::vector<std::string>{"m"});
+}
+
+TEST_CASE("damaged input never crashes a decoder", "[platform_codec]") {
+  std::mt19937_64 random(11);
+  const std::string config = PlatformFixture::Configuration(7).dump();
+  const std::string step = PlatformFixture::Step("x", 3);
+  BatchItem item;
+  item.id = "1";
+  const std::string items = EncodeItems({item})->front();
+  for (int round = 0; round < 3000; ++round) {
+    platform::DecodeTargetEntry("i", Damage(kEntry, random));
+    platform::DecodeConfiguration(Damage(config, random));
+    platform::DecodeSubmission("j", "h", "/p", Damage(step, random));
+    StoredRow row;
+    row.id.key = "version/m";
+    row.value = Damage(R"({"Model":"m","Version":2})", random);
+    platform::DecodeNamedVersion(row);
+    DecodeItems(Damage(items, random));
+    DecodeHead("j", Damage(EncodeHead(BatchHead()), random));
+    ResultDecoder().Add(Damage(EncodeResult(ItemResult()).front(), random));
+    Base64Decode(Damage("q83vEjRWeJA=", random));
+    platform::DecodeLoad(HttpHeaders().With("X-Instance-Load", Damage("3,0,8,100", random)));
+  }
+}
+
+TEST_CASE("base64 is read strictly and survives the round trip", "[platform_codec]") {
+  std::mt19937_64 random(3);
+  for (std::size_t size = 0; size < 70; ++size) {
+    std::string bytes(size, '\0');
+    for (char& c : bytes) c = static_cast<char>(random());
+    CHECK(Base64Decode(Base64Encode(bytes)) == bytes);
+  }
+  for (const char* bad : {"a", "abc", "a===", "ab=c", "ab c", "abc\n", "=abc"}) {
+    CHECK_FALSE(Base64Decode(bad));
+  }
+}
+
+TEST_CASE("fields that concern one connection are not passed on", "[platform_codec]") {
+  const HttpHeaders headers({{"Host", "h"},
+                             {"Connection", "close, X-Hop"},
+                             {"X-Hop", "1"},
+                             {"Transfer-Encoding", "chunked"},
+                             {"X-Model", "m"},
+                             {"Keep-Alive", "timeout=5"}});
+  const HttpHeaders kept = platform::EndToEnd(headers);
+  CHECK(kept.Fields().size() == 2);
+  CHECK(kept.Find("X-Model") == "m");
+  CHECK(platform::DecodeLoad(HttpHeaders().With("X-Instance-Load", "3,1,8,250"))->slowdown == 2.5);
+  CHECK_FALSE(platform::DecodeLoad(HttpHeaders().With("X-Instance-Load", "3,1")));
+}
+
+TEST_CASE("a submission is read with groups, hints and judging requests", "[platform_codec]") {
+  json step = json::parse(PlatformFixture::Step("x", 1, 6));
+  step["Items"][0]["Headers"]["X-Length-Hint"] = "320";
+  const auto job = platform::DecodeSubmission("j", "h", "/p", step.dump());
+  REQUIRE(job);
+  CHECK(job->head.min_version == 6);
+  CHECK(job->head.total == 2);
+  CHECK(job->items[0].expected_tokens == 320);
+  CHECK(job->items[0].max_output_tokens == 400);
+  CHECK(job->items[0].body == "prompt of x0");
+  REQUIRE(job->items[1].score);
+  CHECK(job->items[1].score->body == "judge x1");
+  const ItemResult expired{"x0", false, "", {}, ""};
+  const ItemResult done{"x1", true, std::string(100, 't'), {6, 7}, "sig"};
+  const json page = json::parse(platform::EncodeResults(9, 4, {expired, done}, 1 << 20));
+  CHECK(page["Next"] == 6);
+  CHECK(page["Results"][0]["State"] == "expired");
+  CHECK(page["Results"][1]["Versions"] == json::array({6, 7}));
+  // At least one result, however large.
+  CHECK(json::parse(platform::EncodeResults(9, 4, {done, done}, 10))["Next"] == 5);
+}
+
+TEST_CASE("the store client tells its outcomes apart", "[platform_store]") {
+  Runtime runtime;
+  fakes::PlatformStore fake(runtime);
+  std::string last;
+  platform::StoreClient store(runtime, *ParseEndpoint(*fake.Start()),
+                              [&](const char*, const char* outcome, Duration) { last = outcome; });
+  fakes::RunTask(runtime, [&](Task& task) {
+    const RowId id{"t", "p", "k"};
+    const auto create = RowBatch::Builder().Expect(id, 0).Put(id, "v").Build();
+    const auto soon = [] { return SteadyNow() + milliseconds(300); };
+    const auto first = store.Commit(task, create, soon());
+    REQUIRE(first);
+    CHECK(first->committed);
+    CHECK(store.StoreTime(BootNow()) > 0);
+    const auto second = store.Commit(task, create, soon());
+    REQUIRE(second);
+    CHECK_FALSE(second->committed);
+    REQUIRE(second->current.size() == 1);
+    CHECK(second->current[0].value == "v");
+    CHECK(second->current[0].version == first->version);
+    // Applied, and the answer lost.
+    fake.Server().Faults().lose_answers = 1;
+    const RowId other{"t", "p", "l"};
+    const auto lost =
+        store.Commit(task, RowBatch::Builder().Expect(other, 0).Put(other, "w").Build(), soon());
+    REQUIRE_FALSE(lost);
+    CHECK(lost.error().code == ErrorCode::kOutcomeUnknown);
+    CHECK(lost.error().ran == Ran::kUnknown);
+    CHECK(fake.Value(other) == "w");
+    fake.Server().SetFaults(*fakes::ChangeFaults({}, {{"mode", "down"}}));
+    const auto refused = store.Commit(task, create, soon());
+    REQUIRE_FALSE(refused);
+    CHECK(refused.error().code == ErrorCode::kStoreUnavailable);
+    CHECK(refused.error().ran == Ran::kNo);
+    CHECK(last == "refused");
+    fake.Server().SetFaults(fakes::FaultPlan());
+    const auto feed = store.Feed(task, "t", 0, milliseconds(10));
+    REQUIRE(feed);
+    CHECK(feed->rows.size() == 2);
+    fake.DropHistory();
+    const auto gone = store.Feed(task, "t", 0, milliseconds(10));
+    REQUIRE(gone);
+    CHECK(gone->history_lost);
+    RowRange range;
+    range.table = "t";
+    range.partition = "p";
+    range.max_rows = 1;
+    const auto page = store.Read(task, range, soon());
+    REQUIRE(page);
+    CHECK(page->more);
+    CHECK(store.Partitions(task, "t", "", soon()) == std::vector<std::string>{"p"});
+  });
+}
+
+// Guards against the race of a repeated transaction: whichever is applied first makes the other
+// one fail, so a job is kept once however late a lost write comes.
+TEST_CASE("a submission that is applied late does not make a second job", "[platform_store]") {
+  Runtime runtime;
+  fakes::PlatformStore fake(runtime);
+  platform::StoreClient store(runtime, *ParseEndpoint(*fake.Start()), {});
+  BatchStore batches(store);
+  fakes::RunTask(runtime, [&](Task& task) {
+    BatchJob job;
+    job.head.id = "j";
+    job.items.resize(3);
+    job.head.total = 3;
+    fake.Server().Faults().lose_answers = 1;
+    fake.Server().Faults().delay_apply_ms = 900;
+    const auto kept = batches.Submit(task, job, SteadyNow() + seconds(5));
+    REQUIRE(kept);
+    SleepUntil(task, SteadyNow() + milliseconds(600));
+    CHECK(fake.CountRows(kBatchHeadTable) == 1);
+    const auto again = batches.Submit(task, job, SteadyNow() + seconds(5));
+    REQUIRE(again);
+    CHECK_FALSE(*again);
+  });
+}
+
+TEST_CASE("results keep their positions whoever lists them", "[platform_store]") {
+  Runtime runtime;
+  fakes::PlatformStore fake(runtime);
+  platform::StoreClient store(runtime, *ParseEndpoint(*fake.Start()), {});
+  BatchStore batches(store);
+  fakes::RunTask(runtime, [&](Task& task) {
+    const auto soon = [] { return SteadyNow() + seconds(3); };
+    const ItemResult a{"a", true, "text", {1}, "s"};
+    const ItemResult b{"b", false, "", {}, ""};
+    const auto one = batches.Append(task, "j", Listing(), {a}, soon());
+    REQUIRE(one);
+    const auto stale = batches.Append(task, "j", Listing(), {b}, soon());
+    REQUIRE_FALSE(stale);
+    CHECK(stale.error().code == ErrorCode::kConflict);
+    const auto two = batches.Append(task, "j", *one, {b}, soon());
+    REQUIRE(two);
+    CHECK(batches.ReadListing(task, "j", soon())->count == 2);
+    CHECK(batches.ReadResults(task, "j", 0, 10, soon()) == std::vector<ItemResult>{a, b});
+    CHECK(batches.ReadResults(task, "j", 1, 10, soon()) == std::vector<ItemResult>{b});
+  });
+}
+
+constexpr char kSettings[] = R"(instance_id: "front-1"
+zone: "z"
+region: "r"
+cpu_share: 0.5
+log_level: info
+address:
+  front: "127.0.0.1:1"
+  directory: "127.0.0.1:2"
+  ready: "127.0.0.1:3"
+  metrics: "127.0.0.1:4"
+  store: "127.0.0.1:5"
+timing:
+  grace_s: 8
+  address_ttl_s: 2
+  owner_lease_ms: 3000
+  cancel_ms: 3000
+)";
+
+TEST_CASE("settings of a front instance are checked with their place", "[front_settings]") {
+  const auto settings = ParseFrontSettings(kSettings, "f.yaml");
+  REQUIRE(settings);
+  CHECK(settings->StoreAddress() == Endpoint{"127.0.0.1", 5});
+  CHECK(settings->OwnerLease() == seconds(3));
+  CHECK(settings->CpuShare() == 0.5);
+  const std::string text = kSettings;
+  const auto broken =
+      ParseFrontSettings(text.substr(0, text.find("  store")) + "  stor: 1\n", "f.yaml");
+  REQUIRE_FALSE(broken);
+  REQUIRE(broken.error().size() == 2);
+  CHECK(broken.error().back().line == 11);
+  std::mt19937_64 random(5);
+  for (int round = 0; round < 2000; ++round) ParseFrontSettings(Damage(text, random), "f.yaml");
+}
+
+}  // namespace
+}  // namespace anvilcroft
--- /dev/null
+++ b/testing/platform_fixture.h
@@ -0,0 +1,188 @@
+#ifndef TESTING_PLATFORM_FIXTURE_H_
+#define TESTING_PLATFORM_FIXTURE_H_
+
+// A stand-in of the platform with one app target and model engines, and instances that serve it,
+// all on one Runtime.
+
+#include <catch2/catch.hpp>
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "anvilcroft/base64.h"
+#include "anvilcroft/front_instance.h"
+#include "anvilcroft/http_client.h"
+#include "fakes/platform_engine.h"
+#include "fakes/platform_store.h"
+
+namespace anvilcroft {
+
+class PlatformFixture {
+ public:
+  PlatformFixture() : http(this->runtime), store(this->runtime), app(this->runtime, "i-app", "") {
+    this->store_address = *this->store.Start();
+    REQUIRE(this->app.Start());
+    this->store.Put("servers", "i-app", this->app.Entry("app", "a"));
+    this->store.Put("op", "config", this->Configuration(3).dump());
+  }
+  ~PlatformFixture() { this->runtime.EndTasks(); }
+
+  static nlohmann::json Configuration(int64_t version) {
+    using nlohmann::json;
+    return {
+        {"Version", version},
+        {"Routes", json::array({{{"Name", "lookup"},
+                                 {"Host", "h.example"},
+                                 {"Prefix", "/lookup/"},
+                                 {"Kind", "safe"},
+                                 {"TimeoutMs", 1500},
+                                 {"TargetLatencyMs", 200},
+                                 {"Priority", 2},
+                                 {"Service", "app"},
+                                 {"MaxAttempts", 2}},
+                                {{"Name", "slip"},
+                                 {"Host", "h.example"},
+                                 {"Prefix", "/slip/"},
+                                 {"Kind", "unsafe"},
+                                 {"TimeoutMs", 1500},
+                                 {"TargetLatencyMs", 200},
+                                 {"Service", "app"},
+                                 {"MaxAttempts", 2}},
+                                {{"Name", "rollout"},
+                                 {"Host", "h.example"},
+                                 {"Prefix", "/rollout/"},
+                                 {"Kind", "rollout"},
+                                 {"TargetLatencyMs", 400},
+                                 {"ResultTargetMs", 7500},
+                                 {"ItemTtlS", 12},
+                                 {"Service", "model"},
+                                 {"MaxAttempts", 3}}})},
+        {"Services", json::array({{{"Name", "app"}, {"HealthPath", "/healthz"}},
+                                  {{"Name", "model"},
+                                   {"HealthPath", "/healthz"},
+                                   {"Engine", {{"Slots", 4}, {"Models", {{{"Name", "m"}}}}}}}})},
+        {"Limits", {{"MaxHeaderBytes", 16384}, {"IdleTimeoutMs", 15000}}}};
+  }
+
+  fakes::PlatformEngine& AddEngine(const std::string& id) {
+    this->engines.push_back(std::make_unique<fakes::PlatformEngine>(this->runtime, id, "m"));
+    REQUIRE(this->engines.back()->Start());
+    this->store.Put("servers", id, this->engines.back()->Entry("model", "a"));
+    return *this->engines.back();
+  }
+
+  FrontInstance& AddInstance(const std::string& id) {
+    const Endpoint any{"127.0.0.1", 0};
+    const FrontSettings settings = FrontSettings::Builder()
+                                       .SetInstanceId(id)
+                                       .SetZone("a")
+                                       .SetFrontAddress(any)
+                                       .SetDirectoryAddress(any)
+                                       .SetReadyAddress(any)
+                                       .SetMetricsAddress(any)
+                                       .SetStoreAddress(*ParseEndpoint(this->store_address))
+                                       .SetAddressTtl(milliseconds(100))
+                                       .Build();
+    this->instances.push_back(
+        std::make_unique<FrontInstance>(this->runtime, settings, [this] { ++this->stopped; }));
+    REQUIRE(this->instances.back()->Start());
+    return *this->instances.back();
+  }
+
+  // Runs `body` in a task until it returns.
+  void Run(const Runtime::Body& body) {
+    this->runtime.Spawn([&](Task& task) {
+      body(task);
+      this->runtime.Stop();
+    });
+    this->runtime.Run();
+  }
+
+  // Waits until `condition` holds; fails the test after a generous time.
+  void Await(Task& task, const std::string& what, const std::function<bool()>& condition) {
+    const TimePoint limit = SteadyNow() + seconds(30);
+    while (!condition() && SteadyNow() < limit) SleepUntil(task, SteadyNow() + milliseconds(10));
+    INFO("waited for: " << what);
+    REQUIRE(condition());
+  }
+
+  Result<HttpResponse> Send(Task& task, const std::string& address, const std::string& method,
+                            const std::string& target, const std::string& id,
+                            const std::string& body = "", const std::string& deadline_ms = "8000") {
+    const HttpRequest request = HttpRequest::Builder()
+                                    .SetMethod(method)
+                                    .SetTarget(target)
+                                    .SetHeader("Host", "h.example")
+                                    .SetHeader("X-Attempt-Id", id)
+                                    .SetHeader("X-Deadline-Ms", deadline_ms)
+                                    .SetBody(body)
+                                    .Build();
+    return this->http.Call(task, *ParseEndpoint(address), request,
+                           CallOptions(SteadyNow() + seconds(20)).WithFreshConnection());
+  }
+
+  void AwaitReady(Task& task, FrontInstance& instance) {
+    this->Await(task, "the instance is ready", [&] {
+      const auto answer = this->Send(task, instance.ReadyAddress(), "GET", "/api/readyz", "ready");
+      return answer && answer->Status() == 200;
+    });
+  }
+
+  // A training step of `groups` groups of two items, each judged by the app target.
+  static std::string Step(const std::string& prefix, int groups, int64_t min_version = 1) {
+    nlohmann::json items = nlohmann::json::array();
+    for (int i = 0; i < 2 * groups; ++i) {
+      const std::string id = prefix + std::to_string(i);
+      items.push_back({{"Id", id},
+                       {"Path", "/rollout/1"},
+                       {"Headers", {{"X-Model", "m"}, {"X-Token-Counts", "100,400"}}},
+                       {"Body", Base64Encode("prompt of " + id)},
+                       {"Tokens", 500},
+                       {"Group", prefix + "g" + std::to_string(i / 2)},
+                       {"Scorer",
+                        {{"Id", "s" + id},
+                         {"Host", "h.example"},
+                         {"Path", "/lookup/score"},
+                         {"Body", Base64Encode("judge " + id)}}}});
+    }
+    return nlohmann::json{{"Step", 0},
+                          {"Model", "m"},
+                          {"MinVersion", min_version},
+                          {"TargetGroups", groups},
+                          {"Items", items}}
+        .dump();
+  }
+
+  // Reads the results of a job from the start.
+  nlohmann::json Results(Task& task, const std::string& address, const std::string& job) {
+    const auto page = this->Send(task, address, "GET", "/api/lots/" + job + "?After=0", "read");
+    if (!page || page->Status() != 200)
+      return {{"Total", -1}, {"Results", nlohmann::json::array()}};
+    return nlohmann::json::parse(page->Body());
+  }
+
+  nlohmann::json AwaitResults(Task& task, const std::string& address, const std::string& job,
+                              std::size_t count) {
+    nlohmann::json page;
+    this->Await(task, "the results of " + job, [&] {
+      page = this->Results(task, address, job);
+      return page["Results"].size() >= count;
+    });
+    return page;
+  }
+
+  Runtime runtime;
+  HttpClient http;
+  fakes::PlatformStore store;
+  std::string store_address;
+  fakes::PlatformEngine app;
+  std::vector<std::unique_ptr<fakes::PlatformEngine>> engines;
+  std::vector<std::unique_ptr<FrontInstance>> instances;
+  int stopped = 0;
+};
+
+}  // namespace anvilcroft
+
+#endif  // TESTING_PLATFORM_FIXTURE_H_
