--- a/anvilcroft/front_instance.cc
+++ b/anvilcroft/front_instance.cc
@@ -87,6 +87,23 @@
              {"store", this->settings.StoreAddress().ToString()},
              {"version", ANVILCROFT_VERSION}});
     if (!this->StartServers()) return false;
+    this->metrics.CountFrom("anvilcroft_log_lines_left_out_total", {},
+                            [] { return static_cast<double>(LogLinesLeftOut()); });
+    this->metrics.Gauge("anvilcroft_config_version", {}, [this] {
+      const auto routes = this->view.Routes();
+      return routes ? static_cast<double>(routes->Version()) : 0.0;
+    });
+    this->metrics.Gauge("anvilcroft_config_confirmed_age_seconds", {}, [this] {
+      return std::chrono::duration<double>(SteadyNow() - this->view.RoutesConfirmedAt()).count();
+    });
+    this->metrics.Gauge("anvilcroft_targets", {},
+                        [this] { return static_cast<double>(this->pool.All().size()); });
+    this->metrics.Gauge("anvilcroft_live_instances", {},
+                        [this] { return static_cast<double>(this->directory.Fronts().size()); });
+    this->metrics.Gauge("anvilcroft_owns_batch_jobs", {},
+                        [this] { return this->OwnsBatchJobs() ? 1.0 : 0.0; });
+    this->metrics.Gauge("anvilcroft_open_batch_jobs", {},
+                        [this] { return static_cast<double>(this->context.jobs.size()); });
     this->directory.SetAddress(this->front_address);
     this->view.Start();
     this->directory.Start();
@@ -330,6 +347,7 @@
 bool FrontInstance::OwnsBatchJobs() const { return this->impl->OwnsBatchJobs(); }
 
 int RunFrontInstance(const FrontSettings& settings, const std::string& path) {
+  LogToStandardOutput();
   InitLog(settings.MinimumLogLevel());
   Runtime runtime;
   FrontInstance instance(runtime, settings, [&runtime] { runtime.Stop(); });
--- a/anvilcroft/log.cc
+++ b/anvilcroft/log.cc
@@ -1,8 +1,14 @@
 #include "anvilcroft/log.h"
 
 #include <easylogging++.h>
+#include <unistd.h>
 
 #include <algorithm>
+#include <iostream>
+
+#include "anvilcroft/line_sink.h"
+#include "anvilcroft/log_budget.h"
+#include "anvilcroft/time.h"
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -11,6 +17,11 @@
 
 LogLevel minimum_level = LogLevel::kInfo;
 
+// Set by LogToStandardOutput; they live as long as the process, as the streams do.
+LineSink* sink = nullptr;
+LogBudget* budget = nullptr;
+int64_t left_out_by_budget = 0;
+
 bool NeedsQuotes(const std::string& value) {
   return value.empty() || std::any_of(value.begin(), value.end(), [](unsigned char c) {
            return c <= ' ' || c == '"' || c == '=' || c == 0x7f;
@@ -36,6 +47,18 @@
   return quoted + "\"";
 }
 
+// Whether a line may be written. Adds how many lines of the part were left out before it.
+bool Admit(std::string_view part, bool failure, std::string& line) {
+  if (budget == nullptr) return true;
+  const auto before = budget->Admit(part, failure, SteadyNow());
+  if (!before) {
+    ++left_out_by_budget;
+    return false;
+  }
+  if (*before > 0) line += " left_out=" + std::to_string(*before);
+  return true;
+}
+
 std::string Format(std::string_view part, std::string_view sentence, const LogFields& fields) {
   std::string line(part);
   line += ": ";
@@ -62,22 +85,36 @@
   el::Loggers::reconfigureLogger("raw", configurations);
 }
 
+void LogToStandardOutput() {
+  if (sink != nullptr) return;
+  sink = new LineSink(STDOUT_FILENO);
+  budget = new LogBudget();
+  std::cerr.rdbuf(sink);  // the stream that easylogging++ writes to
+}
+
+int64_t LogLinesLeftOut() { return left_out_by_budget + (sink == nullptr ? 0 : sink->Dropped()); }
+
 void LogDebug(std::string_view part, std::string_view sentence, const LogFields& fields) {
-  if (minimum_level <= LogLevel::kDebug) CLOG(DEBUG, "default") << Format(part, sentence, fields);
+  if (minimum_level > LogLevel::kDebug) return;
+  std::string line = Format(part, sentence, fields);
+  if (Admit(part, false, line)) CLOG(DEBUG, "default") << line;
 }
 
 void LogInfo(std::string_view part, std::string_view sentence, const LogFields& fields) {
-  if (minimum_level <= LogLevel::kInfo) CLOG(INFO, "default") << Format(part, sentence, fields);
+  if (minimum_level > LogLevel::kInfo) return;
+  std::string line = Format(part, sentence, fields);
+  if (Admit(part, false, line)) CLOG(INFO, "default") << line;
 }
 
 void LogWarning(std::string_view part, std::string_view sentence, const LogFields& fields) {
-  if (minimum_level <= LogLevel::kWarning) {
-    CLOG(WARNING, "default") << Format(part, sentence, fields);
-  }
+  if (minimum_level > LogLevel::kWarning) return;
+  std::string line = Format(part, sentence, fields);
+  if (Admit(part, true, line)) CLOG(WARNING, "default") << line;
 }
 
 void LogError(std::string_view part, std::string_view sentence, const LogFields& fields) {
-  CLOG(ERROR, "default") << Format(part, sentence, fields);
+  std::string line = Format(part, sentence, fields);
+  if (Admit(part, true, line)) CLOG(ERROR, "default") << line;
 }
 
 void LogRaw(std::string_view line) { CLOG(INFO, "raw") << line; }
--- a/anvilcroft/log.h
+++ b/anvilcroft/log.h
@@ -1,7 +1,8 @@
 #ifndef ANVILCROFT_LOG_H_
 #define ANVILCROFT_LOG_H_
 
-// Structured log lines on standard error.
+// Structured log lines on standard error, or on standard output once LogToStandardOutput was
+// called.
 //
 // A line is: time, level, the part's fixed prefix, a short sentence, then key=value fields.
 //
@@ -9,6 +10,7 @@
 //
 // Parts are named once, in the file that logs, as a constant: constexpr char kPart[] = "config".
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -23,6 +25,12 @@
 // Sets up the library. Call once in main, before the first line. Lines below `level` are dropped.
 void InitLog(LogLevel level);
 
+// Writes to standard output from now on: never blocking, and within the budget of LogBudget.
+void LogToStandardOutput();
+
+// Lines left out because of the budget or because the reader did not keep up.
+int64_t LogLinesLeftOut();
+
 void LogDebug(std::string_view part, std::string_view sentence, const LogFields& fields = {});
 void LogInfo(std::string_view part, std::string_view sentence, const LogFields& fields = {});
 void LogWarning(std::string_view part, std::string_view sentence, const LogFields& fields = {});
--- /dev/null
+++ b/testing/log_limits_test.cc
@@ -0,0 +1,54 @@
+// Guards against a log that blocks the program or floods its reader.
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <ostream>
+#include <string>
+
+#include "anvilcroft/line_sink.h"
+#include "anvilcroft/log_budget.h"
+
+namespace anvilcroft {
+namespace {
+
+TEST_CASE("a reader that stops costs lines and no time", "[log]") {
+  int ends[2];
+  REQUIRE(::pipe(ends) == 0);
+  LineSink sink(ends[1]);
+  std::ostream stream(&sink);
+  // Far more than a pipe holds; a write that blocked would hang the test.
+  for (int i = 0; i < 5000; ++i) stream << "line " << i << std::string(100, 'x') << "\n";
+  CHECK(sink.Dropped() > 3000);
+  std::string read(1 << 20, '\0');
+  const auto size = ::read(ends[0], read.data(), read.size());
+  REQUIRE(size > 0);
+  CHECK(read.substr(0, 7) == "line 0x");
+  // The next line says how many are missing.
+  stream << "after\n";
+  const auto more = ::read(ends[0], read.data(), read.size());
+  REQUIRE(more > 0);
+  CHECK(read.substr(0, static_cast<std::size_t>(more)) ==
+        "after dropped_lines=" + std::to_string(sink.Dropped()) + "\n");
+  ::close(ends[0]);
+  ::close(ends[1]);
+}
+
+TEST_CASE("each part has a budget of lines, and failures one of their own", "[log]") {
+  LogBudget budget;
+  const TimePoint start = TimePoint() + seconds(9);
+  int written = 0;
+  for (int i = 0; i < 1000; ++i) written += budget.Admit("live", false, start) ? 1 : 0;
+  CHECK(written == static_cast<int>(LogBudget::kBurst));
+  CHECK(budget.Admit("live", true, start));
+  CHECK(budget.Admit("lease", false, start));
+  CHECK(budget.Admit("live", false, start + seconds(1)) == 1000 - written);
+  for (int i = 0; i < 1000; ++i) {
+    written += budget.Admit("live", false, start + seconds(1)) ? 1 : 0;
+  }
+  CHECK(written < static_cast<int>(LogBudget::kBurst + LogBudget::kLinesPerSecond) + 1);
+}
+
+}  // namespace
+}  // namespace anvilcroft
