--- a/anvilcroft/batch_service.h
+++ b/anvilcroft/batch_service.h
@@ -23,7 +23,7 @@
 class BatchService {
  public:
   // Time between looks at the store while a caller waits for the next result.
-  static constexpr Duration kPollEvery = milliseconds(150);
+  static constexpr Duration kPollEvery = milliseconds(50);
   // Longest time for the store to answer one of these calls.
   static constexpr Duration kStoreTime = milliseconds(900);
   static constexpr std::size_t kMaxCachedHeads = 512;
