--- a/anvilcroft/exit_code.h
+++ b/anvilcroft/exit_code.h
@@ -1,7 +1,7 @@
 #ifndef ANVILCROFT_EXIT_CODE_H_
 #define ANVILCROFT_EXIT_CODE_H_
 
-// Exit codes of the program, the same for all commands. docs/operators.md lists them.
+// Exit codes of the program, the same for all commands. docs/OPERATIONS.md lists them.
 
 #include "anvilcroft/error.h"
 
--- a/anvilcroft/front_instance.cc
+++ b/anvilcroft/front_instance.cc
@@ -35,6 +35,24 @@
 // Of the bound on items of an ended job: the time between the check and the item's arrival.
 constexpr Duration kCancelMargin = milliseconds(450);
 
+const char* OutcomeName(LiveOutcome::Kind kind) {
+  switch (kind) {
+    case LiveOutcome::Kind::kAnswered:
+      return "answered";
+    case LiveOutcome::Kind::kNoRoute:
+      return "no_route";
+    case LiveOutcome::Kind::kNotRun:
+      return "not_run";
+    case LiveOutcome::Kind::kUnknown:
+      return "unknown";
+    case LiveOutcome::Kind::kTimedOut:
+      return "timed_out";
+    case LiveOutcome::Kind::kCallerGone:
+      return "caller_gone";
+  }
+  return "unknown";
+}
+
 }  // namespace
 
 class FrontInstance::Impl {
@@ -221,9 +239,7 @@
     const Duration limit = request.deadline - started;
     LiveOutcome outcome = this->live.Serve(task, request);
     const Duration took = SteadyNow() - started;
-    static const char* const kNames[] = {"answered", "no_route",  "not_run",
-                                         "unknown",  "timed_out", "caller_gone"};
-    const char* name = kNames[static_cast<int>(outcome.kind)];
+    const char* name = OutcomeName(outcome.kind);
     this->metrics.Count("anvilcroft_live_requests_total", {{"outcome", name}});
     this->metrics.Observe("anvilcroft_live_request_seconds", {{"outcome", name}},
                           std::chrono::duration<double>(took).count());
--- a/anvilcroft/live_forwarder.cc
+++ b/anvilcroft/live_forwarder.cc
@@ -96,8 +96,7 @@
   return ChooseTarget(options[at].second, context, now);
 }
 
-void LiveForwarder::Launch(const std::shared_ptr<Race>& race, const PoolTarget& target,
-                           TimePoint now) {
+void LiveForwarder::Launch(const std::shared_ptr<Race>& race, const PoolTarget& target) {
   const TargetEntry entry = target.entry;
   const std::size_t index = race->attempts.size();
   race->attempts.emplace_back();
@@ -106,7 +105,7 @@
   ++race->active;
   ++race->runs;
   this->pool.Started(entry.id);
-  this->runtime.Spawn([this, race, entry, index, now](Task& task) {
+  this->runtime.Spawn([this, race, entry, index](Task& task) {
     const TimePoint started = SteadyNow();
     const Duration left = race->request.deadline - started;
     CallOptions options = CallOptions(race->request.deadline, left).WithCancellation(race->over);
@@ -214,7 +213,7 @@
     if (may_start && (race->active == 0 || (hedge_due && this->hedges.TryTake()))) {
       if (const PoolTarget* target = this->Choose(*route, *race, now)) {
         hedge_at = now + this->HedgeDelay(*route, target->entry.service);
-        this->Launch(race, *target, now);
+        this->Launch(race, *target);
       } else if (race->active == 0) {
         break;
       } else {
--- a/anvilcroft/live_forwarder.h
+++ b/anvilcroft/live_forwarder.h
@@ -69,7 +69,7 @@
   struct Race;
 
   const PoolTarget* Choose(const ServiceRoute& route, const Race& race, TimePoint now);
-  void Launch(const std::shared_ptr<Race>& race, const PoolTarget& target, TimePoint now);
+  void Launch(const std::shared_ptr<Race>& race, const PoolTarget& target);
   Duration HedgeDelay(const ServiceRoute& route, const std::string& service) const;
   double Random();
 
--- a/anvilcroft/settings_loader.h
+++ b/anvilcroft/settings_loader.h
@@ -10,7 +10,7 @@
 //
 // All problems are reported at once, in the order of the file: malformed YAML (alone), unknown and
 // duplicate keys, missing keys, wrong types, values outside their range, and contradictions
-// between values. docs/operators.md lists the keys with defaults, units and ranges.
+// between values. docs/OPERATIONS.md lists the keys with defaults, units and ranges.
 
 #include <cstddef>
 #include <string>
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -4,6 +4,8 @@
 cd "$(dirname "$0")/.."
 scripts/setup.sh
 scripts/build.sh
+# The platform builds by the deploy file alone.
+sh -c "$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/system.toml)" >/dev/null
 scripts/lint.sh
 ctest --test-dir build --output-on-failure --parallel 8
 models/check.sh
