--- a/anvilcroft/batch_owner.cc
+++ b/anvilcroft/batch_owner.cc
@@ -23,6 +23,9 @@
 constexpr double kUsualEvents = 20;
 // Items expected to go on for this many events may outlast the step.
 constexpr double kLongItemEvents = 60;
+// Texts are saved for the next owner this often, those that would take long to make again.
+constexpr Duration kSaveEvery = milliseconds(700);
+constexpr int64_t kLeastEventsToSave = 12;
 // An item does not return to the engine that it was moved from within this time.
 constexpr Duration kMovePause = milliseconds(800);
 
@@ -38,6 +41,48 @@
 void BatchOwner::Start() {
   this->context.runtime.Spawn([this](Task& task) { this->FollowJobs(task); });
   this->context.runtime.Spawn([this](Task& task) { this->PlanWork(task); });
+  this->context.runtime.Spawn([this](Task& task) { this->SaveRegularly(task); });
+}
+
+void BatchOwner::SaveRegularly(Task& task) {
+  while (!this->handing_over) {
+    SleepUntil(task, SteadyNow() + kSaveEvery);
+    if (!this->context.lease.Held().ValidAt(BootNow())) continue;
+    this->SaveTexts(task, kLeastEventsToSave, SteadyNow() + kCallTimeout);
+  }
+}
+
+void BatchOwner::SaveTexts(Task& task, int64_t least_events, TimePoint deadline) {
+  const auto jobs = this->context.jobs;  // others may change the map while this task waits
+  for (const auto& [id, job] : jobs) {
+    std::vector<std::pair<std::string, ItemText>> texts;
+    for (OwnedItem& item : job->items) {
+      if (item.phase == ItemPhase::kFinished) continue;
+      if (item.text.events - item.saved_events < least_events) continue;
+      texts.emplace_back(item.item.id, item.text);
+      item.saved_events = item.text.events;
+    }
+    if (texts.empty() || job->ended) continue;
+    const auto saved = this->context.store.SaveTexts(task, id, texts, deadline);
+    if (!saved) {
+      LogInfo(kPart, "could not save texts",
+              {{"batch", id},
+               {"texts", std::to_string(texts.size())},
+               {"error", ErrorCodeName(saved.error().code)}});
+      return;
+    }
+  }
+}
+
+void BatchOwner::HandOver(Task& task, TimePoint deadline) {
+  if (this->context.jobs.empty()) return;
+  this->handing_over = true;
+  for (const auto& [id, job] : this->context.jobs) {
+    for (OwnedItem& item : job->items) {
+      if (item.phase == ItemPhase::kRunning && item.run) item.run->Cancel();
+    }
+  }
+  this->SaveTexts(task, 1, deadline);
 }
 
 void BatchOwner::FollowJobs(Task& task) {
@@ -143,6 +188,9 @@
       if (!whole) break;
       for (const ItemResult& result : *results) listed.insert(result.item_id);
     }
+    const auto texts = whole ? this->context.store.ReadTexts(task, head.id, deadline)
+                             : Result<std::map<std::string, ItemText>>();
+    whole = whole && texts;
     if (!whole) {
       SleepUntil(task, SteadyNow() + kRetryPause);
       continue;
@@ -152,6 +200,11 @@
       OwnedItem owned;
       owned.item = std::move(item);
       if (listed.count(owned.item.id) != 0) owned.phase = ItemPhase::kFinished;
+      const auto text = texts->find(owned.item.id);
+      if (text != texts->end()) {
+        owned.text = text->second;
+        owned.saved_events = owned.text.events;
+      }
       job->items.push_back(std::move(owned));
     }
     break;
@@ -231,7 +284,8 @@
     if (this->context.wake.WaitUntil(task, SteadyNow() + kPlanEvery)) {
       SleepUntil(task, SteadyNow() + kGather);
     }
-    if (this->context.lease.Held().ValidAt(BootNow())) this->Plan(SteadyNow());
+    if (this->handing_over || !this->context.lease.Held().ValidAt(BootNow())) continue;
+    this->Plan(SteadyNow());
   }
 }
 
--- a/anvilcroft/batch_owner.h
+++ b/anvilcroft/batch_owner.h
@@ -24,6 +24,10 @@
 
   void Start();
 
+  // Stops all runs and saves what they have generated, for the next owner. Call before the lease
+  // is released.
+  void HandOver(Task& task, TimePoint deadline);
+
  private:
   // Follows the jobs in the metadata store while the lease is held.
   void FollowJobs(Task& task);
@@ -33,6 +37,10 @@
   void EndJob(const std::string& id);
   void DropAll();
 
+  // Saves texts that have grown by `least_events` since they were last saved.
+  void SaveTexts(Task& task, int64_t least_events, TimePoint deadline);
+  void SaveRegularly(Task& task);
+
   // Plans and starts work.
   void PlanWork(Task& task);
   void Plan(TimePoint now);
@@ -46,6 +54,7 @@
   ResultLister lister;
   WeightControl weights;
   CarriedTexts carried;
+  bool handing_over = false;
   std::set<std::string> loading;  // jobs whose items are being read
   std::set<std::string> ended;    // jobs that ended while their items were being read
 };
--- a/anvilcroft/batch_records.cc
+++ b/anvilcroft/batch_records.cc
@@ -112,6 +112,10 @@
       Padded(position, kPositionDigits) + "." + Padded(static_cast<int64_t>(part), kPartDigits)};
 }
 
+RowId TextRow(const std::string& job, const std::string& item) {
+  return {kBatchTextTable, job, item};
+}
+
 int64_t ResultPosition(const std::string& key) {
   int64_t position = -1;
   std::from_chars(key.data(), key.data() + std::min(key.size(), kPositionDigits), position);
@@ -181,6 +185,32 @@
   return items;
 }
 
+std::optional<std::string> EncodeText(const ItemText& text) {
+  std::string value = ToCbor({{"events", text.events},
+                              {"data", Bytes(text.data)},
+                              {"versions", text.versions},
+                              {"last_version", text.last_version},
+                              {"complete", text.complete}});
+  if (value.size() > kMaxRowBytes) return std::nullopt;
+  return value;
+}
+
+Result<ItemText> DecodeText(const std::string& value) {
+  const auto parsed = ParseCbor(value);
+  if (!parsed) return tl::unexpected<Error>(parsed.error());
+  JsonFields fields(*parsed, "batch text");
+  ItemText text;
+  text.events = fields.Integer("events", 0, INT64_MAX);
+  text.last_version = fields.Integer("last_version", 0, INT64_MAX);
+  text.complete = fields.Bool("complete");
+  for (const json& version : fields.Array("versions", 100000)) {
+    if (version.is_number_integer()) text.versions.push_back(version.get<int64_t>());
+  }
+  if (!fields.Ok()) return tl::unexpected<Error>(fields.Finish().error());
+  text.data = TextOf(*parsed, "data");
+  return text;
+}
+
 std::vector<std::string> EncodeResult(const ItemResult& result) {
   const std::string whole = ToCbor({{"item", Bytes(result.item_id)},
                                     {"completed", result.completed},
--- a/anvilcroft/batch_records.h
+++ b/anvilcroft/batch_records.h
@@ -10,6 +10,7 @@
 //   batch-items     0000...      a part of the items
 //   batch-listing   count        number of results; the condition of each new result
 //   batch-results   00000000...  one ItemResult; the key is its position
+//   batch-texts     item         what has been generated of an unfinished item
 
 #include <cstdint>
 #include <optional>
@@ -18,6 +19,7 @@
 
 #include "anvilcroft/batch_job.h"
 #include "anvilcroft/error.h"
+#include "anvilcroft/item_text.h"
 #include "anvilcroft/row_batch.h"
 
 namespace anvilcroft {
@@ -27,6 +29,7 @@
 constexpr char kBatchItemTable[] = "batch-items";
 constexpr char kBatchListingTable[] = "batch-listing";
 constexpr char kBatchResultTable[] = "batch-results";
+constexpr char kBatchTextTable[] = "batch-texts";
 
 // Largest value of one row, bytes: the store takes 64 KiB.
 constexpr std::size_t kMaxRowBytes = 60 << 10;
@@ -38,6 +41,8 @@
 // One row holds one part of a result; most results have one part only.
 RowId ResultRow(const std::string& job, int64_t position, std::size_t part = 0);
 
+RowId TextRow(const std::string& job, const std::string& item);
+
 // The position that a key of the table of results names.
 int64_t ResultPosition(const std::string& key);
 
@@ -48,6 +53,10 @@
 Result<std::vector<std::string>> EncodeItems(const std::vector<BatchItem>& items);
 Result<std::vector<BatchItem>> DecodeItems(const std::string& value);
 
+// nullopt if the text does not fit into one row.
+std::optional<std::string> EncodeText(const ItemText& text);
+Result<ItemText> DecodeText(const std::string& value);
+
 // The values of the rows of one result, each of at most kMaxRowBytes.
 std::vector<std::string> EncodeResult(const ItemResult& result);
 
--- a/anvilcroft/batch_store.cc
+++ b/anvilcroft/batch_store.cc
@@ -184,6 +184,52 @@
   return Listing{position, written->version};
 }
 
+Result<void> BatchStore::SaveTexts(Task& task, const std::string& job,
+                                   const std::vector<std::pair<std::string, ItemText>>& texts,
+                                   TimePoint deadline) {
+  RowBatch::Builder builder;
+  std::size_t bytes = 0;
+  std::size_t rows = 0;
+  const auto write = [&]() -> Result<void> {
+    const auto written =
+        this->store.Commit(task, builder.Build(), CallDeadline(SteadyNow(), deadline));
+    builder = RowBatch::Builder();
+    bytes = rows = 0;
+    if (!written) return tl::unexpected<Error>(written.error());
+    return {};
+  };
+  for (const auto& [item, text] : texts) {
+    const auto value = EncodeText(text);
+    if (!value) continue;
+    if (rows > 0 && (bytes + value->size() > kMaxBatchBytes || rows == kMaxBatchRows)) {
+      if (auto written = write(); !written) return written;
+    }
+    bytes += value->size();
+    ++rows;
+    builder.Put(TextRow(job, item), *value);
+  }
+  return rows == 0 ? Result<void>() : write();
+}
+
+Result<std::map<std::string, ItemText>> BatchStore::ReadTexts(Task& task, const std::string& job,
+                                                              TimePoint deadline) {
+  std::map<std::string, ItemText> texts;
+  RowRange range;
+  range.table = kBatchTextTable;
+  range.partition = job;
+  while (true) {
+    const auto read = this->store.Read(task, range, deadline);
+    if (!read) return tl::unexpected<Error>(read.error());
+    for (const StoredRow& row : read->rows) {
+      const auto text = DecodeText(row.value);
+      if (!text) return tl::unexpected<Error>(text.error());
+      texts[row.id.key] = *text;
+    }
+    if (!read->more || read->rows.empty()) return texts;
+    range.from = read->rows.back().id.key + '\x01';
+  }
+}
+
 Result<bool> BatchStore::End(Task& task, const std::string& job, TimePoint deadline) {
   while (true) {
     RowRange range;
--- a/anvilcroft/batch_store.h
+++ b/anvilcroft/batch_store.h
@@ -7,11 +7,14 @@
 // done.
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "anvilcroft/batch_job.h"
+#include "anvilcroft/item_text.h"
 #include "anvilcroft/metadata_store.h"
 
 namespace anvilcroft {
@@ -44,6 +47,14 @@
   Result<Listing> Append(Task& task, const std::string& job, const Listing& listing,
                          const std::vector<ItemResult>& results, TimePoint deadline);
 
+  // Saves texts of unfinished items, by item, for the next owner. Texts that are saved already are
+  // replaced; a save that is applied late leaves an older text, which is as good a beginning.
+  Result<void> SaveTexts(Task& task, const std::string& job,
+                         const std::vector<std::pair<std::string, ItemText>>& texts,
+                         TimePoint deadline);
+  Result<std::map<std::string, ItemText>> ReadTexts(Task& task, const std::string& job,
+                                                    TimePoint deadline);
+
   // Ends a job. Returns whether there is such a job; ending it again changes nothing.
   Result<bool> End(Task& task, const std::string& job, TimePoint deadline);
 
--- a/anvilcroft/front_instance.cc
+++ b/anvilcroft/front_instance.cc
@@ -23,6 +23,8 @@
 constexpr std::size_t kMaxAddresses = 64;  // callers read no more
 // Callers keep an answer of the directory up to three times as long as it says.
 constexpr int kAddressUse = 3;
+// To save texts for the next owner; longer than that and it is better off without them.
+constexpr Duration kHandOverTime = milliseconds(700);
 // Left of the grace period for the last answers and the exit.
 constexpr Duration kExitMargin = milliseconds(700);
 // Idle connections of callers are kept this much longer than the callers use them.
@@ -305,6 +307,7 @@
     LogInfo(kPart, "stopping",
             {{"grace_ms", std::to_string(ToMillis(this->settings.GracePeriod()))}});
     this->runtime.Spawn([this, end](Task& other) { this->directory.Leave(other, end); });
+    this->owner.HandOver(task, std::min(end, started + kHandOverTime));
     this->lease.Release(task, std::min(end, started + seconds(2)));
     const TimePoint unused_by = started + kAddressUse * this->settings.AddressTtl();
     SleepUntil(task, std::min(end - seconds(1), unused_by));
--- a/anvilcroft/item_text.h
+++ b/anvilcroft/item_text.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace anvilcroft {
@@ -18,6 +19,12 @@
 
   void Add(const std::string& event, int64_t version);
 
+  friend bool operator==(const ItemText& a, const ItemText& b) {
+    return std::tie(a.events, a.data, a.versions, a.last_version, a.complete) ==
+           std::tie(b.events, b.data, b.versions, b.last_version, b.complete);
+  }
+  friend bool operator!=(const ItemText& a, const ItemText& b) { return !(a == b); }
+
   // Whether a job that allows versions from `min_version` on, and only one if `single`, can use it.
   bool Fits(int64_t min_version, bool single) const;
 };
--- a/anvilcroft/owned_job.h
+++ b/anvilcroft/owned_job.h
@@ -31,6 +31,7 @@
   ItemText text;
   bool carried = false;                    // was part of an earlier job
   int failures = 0;                        // answers that the attempt failed
+  int64_t saved_events = 0;                // of the text as it was last saved for the next owner
   std::set<std::string> answered_by;       // engines that refused it or said that it failed
   TimePoint not_before;                    // after a refusal
   std::map<std::string, TimePoint> avoid;  // engines that failed it, and until when they count
--- a/fakes/platform_engine.cc
+++ b/fakes/platform_engine.cc
@@ -109,6 +109,7 @@
                             {"X-Server-Stamp", "stamp." + item}});
   if (!reply.BeginStream(task, 200, answer)) return;
   const std::string after(headers.Find("Last-Event-Id"));
+  if (!after.empty()) ++this->resumed_runs;
   const auto events = Events(item, this->events_per_item);
   int made = 0;
   for (auto i = static_cast<std::size_t>(std::strtoul(after.c_str(), nullptr, 10));
--- a/fakes/platform_engine.h
+++ b/fakes/platform_engine.h
@@ -42,6 +42,7 @@
   std::map<std::string, int> cancelled;  // requests whose caller left, by id
   std::vector<int64_t> fences;           // of accepted orders
   int64_t version = 1;
+  int resumed_runs = 0;  // runs that were asked to go on after an event
 
  private:
   void Handle(Task& task, const HttpRequest& request, HttpReply& reply);
--- a/testing/platform_decisions_test.cc
+++ b/testing/platform_decisions_test.cc
@@ -427,6 +427,12 @@
     read.insert(read.end(), decoded->begin(), decoded->end());
   }
   CHECK(read == items);
+  ItemText text;
+  text.Add("one", 3);
+  text.Add("two", 4);
+  CHECK(DecodeText(*EncodeText(text)) == text);
+  text.Add(std::string(kMaxRowBytes, 'x'), 4);
+  CHECK_FALSE(EncodeText(text));
   ItemResult result;
   result.item_id = "1";
   result.completed = true;
--- a/testing/platform_front_test.cc
+++ b/testing/platform_front_test.cc
@@ -234,6 +234,33 @@
   });
 }
 
+// Guards against a successor that begins texts anew which the former owner had nearly finished.
+TEST_CASE("a successor goes on from the texts of a stopping owner", "[platform]") {
+  PlatformFixture fixture;
+  fakes::PlatformEngine& engine = fixture.AddEngine("i-e1");
+  engine.event_time = milliseconds(50);
+  engine.events_per_item = 40;
+  FrontInstance& one = fixture.AddInstance("one");
+  fixture.Run([&](Task& task) {
+    fixture.AwaitReady(task, one);
+    fixture.Await(task, "the lease is held", [&] { return one.OwnsBatchJobs(); });
+    FrontInstance& two = fixture.AddInstance("two");
+    fixture.AwaitReady(task, two);
+    REQUIRE(fixture.Send(task, two.FrontAddress(), "POST", "/rollout/s", "job1",
+                         PlatformFixture::Step("x", 1)));
+    fixture.Await(task, "both items run", [&] { return engine.started.size() == 2; });
+    SleepUntil(task, SteadyNow() + milliseconds(500));
+    one.ShutDown();
+    const json page = fixture.AwaitResults(task, two.FrontAddress(), "job1", 2);
+    for (const json& result : page["Results"]) {
+      CHECK(result["Text"] == fakes::PlatformEngine::TextOf(result["Id"], 40));
+    }
+    // Every run after the first of an item was asked to go on, none to begin anew.
+    CHECK(engine.started.size() > 2);
+    CHECK(engine.resumed_runs == static_cast<int>(engine.started.size()) - 2);
+  });
+}
+
 // Guards against a configuration that falls back, and against a feed that stops after a 410.
 TEST_CASE("a lost history neither loses nor reverts the configuration", "[platform]") {
   PlatformFixture fixture;
