--- a/anvilcroft/straggler_plan.cc
+++ b/anvilcroft/straggler_plan.cc
@@ -9,7 +9,7 @@
 constexpr double kMoveCostMs = 90;
 // A move has to save this share of the time left, and this much.
 constexpr double kLeastGainShare = 0.5;
-constexpr double kLeastGainMs = 500;
+constexpr double kLeastGainMs = 900;
 constexpr double kMaxFailureShare = 0.3;  // of an engine that an item moves to
 
 const PlacementEngine* FindEngine(const std::vector<PlacementEngine>& engines,
