--- a/anvilcroft/item_runner.cc
+++ b/anvilcroft/item_runner.cc
@@ -16,7 +16,7 @@
 constexpr Duration kAvoidTime = seconds(3);  // troubles of an engine last seconds
 constexpr Duration kScoreTimeout = milliseconds(2500);
 constexpr Duration kScorePause = milliseconds(60);
-constexpr Duration kMinRunTime = seconds(60);  // no run is longer; the end of the job ends it
+constexpr Duration kMaxRunTime = seconds(60);  // no run is longer; the end of the job ends it
 
 // The run's place in the order of an engine's queue: texts that a group waits for go first.
 constexpr int kUrgency = 5;
@@ -61,7 +61,7 @@
   request.expected_version = version;
   request.urgency = kUrgency;
   const CallOptions options =
-      CallOptions(started + kMinRunTime, kSilence).WithCancellation(run).WithSendGuard([this, job] {
+      CallOptions(started + kMaxRunTime, kSilence).WithCancellation(run).WithSendGuard([this, job] {
         return this->MaySend(*job);
       });
   TimePoint last_event = started;
--- a/anvilcroft/weight_control.cc
+++ b/anvilcroft/weight_control.cc
@@ -15,7 +15,9 @@
 constexpr Duration kReportTimeout = milliseconds(700);
 constexpr Duration kBusyPause = milliseconds(400);  // a load takes about 900 ms
 constexpr Duration kRefusedPause = milliseconds(1000);
-constexpr Duration kUnknownPause = milliseconds(1500);  // most late orders are carried out by then
+// Before an order without an answer is repeated. Both name the same number of accepted orders, so
+// the engine carries out one of them, however late the first one comes.
+constexpr Duration kUnknownPause = milliseconds(1500);
 // The version before the named one serves the next step too.
 constexpr int64_t kUsableLag = 1;
 // An engine keeps its model while the model has at most this many engines beyond its share, so
