Blame requests for deaths of targets only when nothing else explains them

Cause: a death was counted once a target refused a connection, for each request that ran there, and never taken back; suspects of different instances could share their next target with the crashing request.

--- a/anvilcroft/crash_guard.cc
+++ b/anvilcroft/crash_guard.cc
@@ -1,6 +1,7 @@
 #include "anvilcroft/crash_guard.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include "anvilcroft/hash.h"
 
@@ -20,20 +21,30 @@
     this->entries.erase(found);
     return {};
   }
-  if (found->second.deaths < kMaxDeaths) return {};
+  if (found->second.Deaths() < kMaxDeaths) return {};
   return Fail(ErrorCode::kCrashesTargets,
               "targets died while they ran this request; it is refused for a while", "body");
 }
 
-int64_t CrashGuard::Deaths(const std::string& fingerprint, TimePoint now) const {
+const CrashGuard::Entry* CrashGuard::Find(const std::string& fingerprint, TimePoint now) const {
   const auto found = this->entries.find(fingerprint);
-  return found == this->entries.end() || found->second.expires <= now ? 0 : found->second.deaths;
+  return found == this->entries.end() || found->second.expires <= now ? nullptr : &found->second;
+}
+
+int64_t CrashGuard::Deaths(const std::string& fingerprint, TimePoint now) const {
+  const Entry* entry = this->Find(fingerprint, now);
+  return entry ? entry->Deaths() : 0;
+}
+
+bool CrashGuard::Unsettled(const std::string& fingerprint, TimePoint now) const {
+  const Entry* entry = this->Find(fingerprint, now);
+  return entry && entry->Deaths() >= kMaxDeaths && now - entry->last_death < kSettle;
 }
 
 CrashGuard::Entry& CrashGuard::Obtain(const std::string& fingerprint, TimePoint now) {
   const auto found = this->entries.find(fingerprint);
   if (found != this->entries.end()) {
-    if (found->second.expires <= now) found->second.deaths = 0;
+    if (found->second.expires <= now) found->second = Entry();
     return found->second;
   }
   if (this->entries.size() >= kMaxEntries) {
@@ -44,19 +55,49 @@
   return this->entries[fingerprint];
 }
 
-void CrashGuard::AddDeath(const std::string& fingerprint, TimePoint now) {
+void CrashGuard::AddDeath(const std::string& fingerprint, const std::string& run, TimePoint now) {
   Entry& entry = this->Obtain(fingerprint, now);
-  ++entry.deaths;
+  if (!entry.runs.insert(run).second) return;
+  entry.last_death = now;
   entry.expires = now + kTtl;
-  if (this->broadcast) this->broadcast(fingerprint, entry.deaths, ToMillis(kTtl));
+  if (this->broadcast) {
+    this->broadcast(fingerprint, static_cast<int64_t>(entry.runs.size()), ToMillis(kTtl));
+  }
+}
+
+CrashGuard::Entries::iterator CrashGuard::AfterWithdrawal(Entries::iterator at) {
+  const Entry& entry = at->second;
+  if (this->broadcast && entry.runs.empty()) this->broadcast(at->first, 0, ToMillis(kTtl));
+  return entry.Deaths() == 0 ? this->entries.erase(at) : std::next(at);
+}
+
+void CrashGuard::Withdraw(const std::string& run) {
+  for (auto at = this->entries.begin(); at != this->entries.end();) {
+    at = at->second.runs.erase(run) > 0 ? this->AfterWithdrawal(at) : std::next(at);
+  }
+}
+
+void CrashGuard::Acquit(const std::string& fingerprint) {
+  const auto found = this->entries.find(fingerprint);
+  if (found == this->entries.end() || found->second.runs.empty()) return;
+  found->second.runs.clear();
+  this->AfterWithdrawal(found);
 }
 
 void CrashGuard::Merge(const std::string& fingerprint, int64_t deaths, int64_t ttl_ms,
                        TimePoint now) {
-  if (deaths <= 0 || ttl_ms <= 0) return;
+  if (deaths == 0) {
+    const auto found = this->entries.find(fingerprint);
+    if (found == this->entries.end()) return;
+    found->second.reported = 0;
+    if (found->second.Deaths() == 0) this->entries.erase(found);
+    return;
+  }
+  if (deaths < 0 || ttl_ms <= 0) return;
   const Duration ttl = std::min<Duration>(kTtl, milliseconds(std::min(ttl_ms, ToMillis(kTtl))));
   Entry& entry = this->Obtain(fingerprint, now);
-  entry.deaths = std::max(entry.deaths, std::min(deaths, kMaxDeaths));
+  entry.reported = std::max(entry.reported, std::min(deaths, kMaxDeaths));
+  entry.last_death = std::max(entry.last_death, now);
   entry.expires = std::max(entry.expires, now + ttl);
 }
 
--- a/anvilcroft/dispatcher.cc
+++ b/anvilcroft/dispatcher.cc
@@ -35,6 +35,8 @@
   std::string current;            // the target of the attempt under way
   bool popular = false;           // whether the prompt's prefix is popular
   bool sent = false;              // whether a target may have run any part
+  TimePoint waiting_since;        // begin of the wait for the next target
+  bool acquitted = false;         // whether its output has passed the point of a death
   std::shared_ptr<void> suspect;  // held while the work is a suspect without progress
   EngineOutput output;
 
@@ -60,6 +62,8 @@
       metrics(builder.metrics),
       zone(builder.zone),
       pick(builder.pick),
+      suspect_target(builder.suspect_target),
+      suspect_turn(builder.suspect_turn),
       random(builder.seed),
       judge(builder.http, builder.targets, builder.crashes) {}
 
@@ -168,7 +172,10 @@
     leg.current = (*target)->Description().Id();
     const std::string start_before = (*target)->InstanceStart();
     auto result = this->CallTarget(task, item, sink, leg, *target);
-    if (result) return result;
+    if (result) {
+      this->crashes.Acquit(item.fingerprint);
+      return result;
+    }
 
     error = result.error();
     leg.sent = leg.sent || error.ran != Ran::kNo;
@@ -182,6 +189,7 @@
     // Work that may not be repeated goes elsewhere only if no byte of it was sent.
     if (!repeatable && error.code != ErrorCode::kConnectFailed) break;
     if (verdict == Verdict::kGiveUp) break;
+    this->WaitForBlame(task, item, leg);
     if (const auto allowed = this->crashes.Check(item.fingerprint, SteadyNow()); !allowed) {
       error = allowed.error();
       break;
@@ -194,10 +202,18 @@
   return tl::unexpected<Error>(leg.Final(error));
 }
 
+void Dispatcher::WaitForBlame(Task& task, const WorkItem& item, const Leg& leg) {
+  while (!leg.cancel->Cancelled() && SteadyNow() < item.request.Deadline() &&
+         this->crashes.Unsettled(item.fingerprint, SteadyNow())) {
+    SleepUntil(task, SteadyNow() + kTargetPoll);
+  }
+}
+
 Result<std::shared_ptr<TargetState>> Dispatcher::WaitForTarget(Task& task, const WorkItem& item,
-                                                               const Leg& leg) {
+                                                               Leg& leg) {
   const TimePoint deadline = item.request.Deadline();
-  const TimePoint until = std::min(deadline, SteadyNow() + kMaxTargetWait);
+  leg.waiting_since = SteadyNow();
+  const TimePoint until = std::min(deadline, leg.waiting_since + kMaxTargetWait);
   while (true) {
     const TimePoint now = SteadyNow();
     if (now >= deadline) {
@@ -218,15 +234,18 @@
 std::shared_ptr<TargetState> Dispatcher::Pick(const WorkItem& item, const Leg& leg, bool repeat,
                                               TimePoint now) {
   Candidates eligible;
-  const bool suspected = this->crashes.Deaths(item.fingerprint, now) > 0;
-  for (auto& state : this->targets.Working(item.request.Service())) {
+  const auto working = this->targets.Working(item.request.Service());
+  for (const auto& state : working) {
     const std::string& id = state->Description().Id();
     if (!state->Eligible(now) || item.request.Excluded().count(id) != 0 ||
-        (suspected && state->Suspects() > 0) || leg.avoided.count(id) != 0 ||
-        (!repeat && leg.tried.count(id) != 0)) {
+        leg.avoided.count(id) != 0 || (!repeat && leg.tried.count(id) != 0)) {
       continue;
     }
-    eligible.push_back(std::move(state));
+    eligible.push_back(state);
+  }
+  if (this->crashes.Deaths(item.fingerprint, now) > 0) {
+    const Duration own_only = kSuspectWait * (1 + this->suspect_turn());
+    this->KeepApart(working, now - leg.waiting_since >= own_only, eligible);
   }
   if (eligible.empty()) return nullptr;
   PickContext context{this->zone, TypicalLatency(eligible)};
@@ -234,6 +253,22 @@
   return this->pick(eligible, context, this->random, now);
 }
 
+// Leaves the targets of `eligible` on which no other suspect can be: those of this instance without
+// a suspect of its own. Lost targets keep their place in the division, because not all instances
+// know at once that they are lost. With `share`, an instance whose targets are all out of service
+// takes those of the others.
+void Dispatcher::KeepApart(const Candidates& working, bool share, Candidates& eligible) const {
+  std::vector<std::string> ids;
+  for (const auto& state : working) ids.push_back(state->Description().Id());
+  const auto foreign = [&](const auto& state) {
+    return !this->suspect_target(ids, state->Description().Id());
+  };
+  const auto end = std::remove_if(eligible.begin(), eligible.end(), foreign);
+  if (end != eligible.begin() || !share) eligible.erase(end, eligible.end());
+  const auto taken = [](const auto& state) { return state->Suspects() > 0; };
+  eligible.erase(std::remove_if(eligible.begin(), eligible.end(), taken), eligible.end());
+}
+
 Result<WorkResult> Dispatcher::CallTarget(Task& task, const WorkItem& item, const StreamSink& sink,
                                           Leg& leg, const std::shared_ptr<TargetState>& target) {
   if (item.request.OnDispatch()) item.request.OnDispatch()(target->Description().Id());
@@ -262,11 +297,16 @@
   // One id for each call: a cancel must not end another copy of the same request.
   const std::string call_id = request.RequestId() + "." + RandomHex(this->random, 8);
   TimePoint last_event = SteadyNow();
+  int events = 0;
   const auto on_event = [&](Task& inner, const nlohmann::json& event) -> Result<void> {
     const TimePoint now = SteadyNow();
     target->ObserveLatency(Seconds(now - last_event), now);
     last_event = now;
     leg.suspect.reset();
+    if (++events == kEventsPastDeath && !leg.acquitted && !leg.tried.empty()) {
+      leg.acquitted = true;  // once, so that a request that crashes targets late is found out
+      this->crashes.Acquit(item.fingerprint);
+    }
     if (!sink) return {};
     nlohmann::json passed = event;
     passed["request_id"] = request.RequestId();
@@ -367,6 +407,13 @@
   return *this;
 }
 
+Dispatcher::Builder& Dispatcher::Builder::SetSuspects(SuspectTargetHook target,
+                                                      SuspectTurnHook turn) {
+  this->suspect_target = std::move(target);
+  this->suspect_turn = std::move(turn);
+  return *this;
+}
+
 Dispatcher::Builder& Dispatcher::Builder::SetSeed(uint64_t value) {
   this->seed = value;
   return *this;
--- a/anvilcroft/dispatcher.h
+++ b/anvilcroft/dispatcher.h
@@ -10,11 +10,12 @@
 // target, the first whole answer wins and the other copy is cancelled.
 //
 // All requests that run on a target when it dies are suspected of it. Suspects run on separate
-// targets until their first sign of progress, so that the one that crashes targets does not take
-// the others with it a second time and get them refused.
+// targets until their first sign of progress, also across instances, so that the one that crashes
+// targets does not take the others with it a second time and get them refused. A suspect whose
+// output grows past the point where its target died is no longer one.
 //
-// Work that may not be
-// repeated is dispatched once; another target is tried only if no connection was made.
+// Work that may not be repeated is dispatched once; another target is tried only if no connection
+// was made.
 
 #include <cstdint>
 #include <functional>
@@ -23,6 +24,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "anvilcroft/crash_guard.h"
 #include "anvilcroft/error.h"
@@ -45,6 +47,14 @@
  public:
   class Builder;
 
+  // Whether this instance runs suspects on `target`, one of the `targets` of its service.
+  using SuspectTargetHook =
+      std::function<bool(const std::vector<std::string>& targets, const std::string& target)>;
+
+  // Which of the turns of kSuspectWait this instance has to run suspects on others' targets, from
+  // 0.
+  using SuspectTurnHook = std::function<int()>;
+
   // Extra work allowed for each request, and how much of it can be saved up. The saved retries
   // cover a service's default window of requests in flight, should the links to a target fail.
   static constexpr double kRetryFraction = 0.1;
@@ -53,6 +63,12 @@
   static constexpr double kHedgeBurst = 5;
   // Most attempts of one piece of work.
   static constexpr int kMaxAttempts = 12;
+  // Wait of a suspect for a target of its own instance before the first turn to share one, and
+  // length of a turn: an engine that a request crashes dies within tens of milliseconds.
+  static constexpr Duration kSuspectWait = milliseconds(500);
+  // Events after which resumed output has passed the point where its target died: an engine may
+  // have made several that did not arrive.
+  static constexpr int kEventsPastDeath = 8;
   // Longest wait for a target to become eligible.
   static constexpr Duration kMaxTargetWait = seconds(5);
   // Longest silence of a target before the call is given up; shorter deadlines allow less.
@@ -78,10 +94,12 @@
   void StartLeg(const std::shared_ptr<const WorkItem>& item, const std::shared_ptr<Race>& race,
                 std::size_t index);
   Result<WorkResult> RunLeg(Task& task, const WorkItem& item, const StreamSink& sink, Leg& leg);
-  Result<std::shared_ptr<TargetState>> WaitForTarget(Task& task, const WorkItem& item,
-                                                     const Leg& leg);
+  // Waits until a refusal of the work is certain, withdrawn, or no longer of use.
+  void WaitForBlame(Task& task, const WorkItem& item, const Leg& leg);
+  Result<std::shared_ptr<TargetState>> WaitForTarget(Task& task, const WorkItem& item, Leg& leg);
   std::shared_ptr<TargetState> Pick(const WorkItem& item, const Leg& leg, bool repeat,
                                     TimePoint now);
+  void KeepApart(const Candidates& working, bool share, Candidates& eligible) const;
   Result<WorkResult> CallTarget(Task& task, const WorkItem& item, const StreamSink& sink, Leg& leg,
                                 const std::shared_ptr<TargetState>& target);
   Result<WorkResult> CallModel(Task& task, const WorkItem& item, const StreamSink& sink, Leg& leg,
@@ -98,6 +116,8 @@
   Metrics& metrics;
   std::string zone;
   PickHook pick;
+  SuspectTargetHook suspect_target;
+  SuspectTurnHook suspect_turn;
   std::mt19937_64 random;
   TargetJudge judge;
   PrefixHomes prefixes;
@@ -121,6 +141,8 @@
   Builder& SetZone(std::string value);
   // Default: TwoChoicesPick.
   Builder& SetPick(PickHook value);
+  // Default: suspects run on all targets.
+  Builder& SetSuspects(SuspectTargetHook target, SuspectTurnHook turn);
   Builder& SetSeed(uint64_t value);
   std::unique_ptr<Dispatcher> Build() const;
 
@@ -135,6 +157,8 @@
   Metrics& metrics;
   std::string zone;
   PickHook pick = TwoChoicesPick();
+  SuspectTargetHook suspect_target = [](const auto&, const auto&) { return true; };
+  SuspectTurnHook suspect_turn = [] { return 0; };
   uint64_t seed = 1;
 };
 
--- a/anvilcroft/routing_node.cc
+++ b/anvilcroft/routing_node.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "anvilcroft/suspect_target.h"
+
 namespace anvilcroft {
 namespace {
 
@@ -27,6 +29,14 @@
                                      *builder.tracer, *builder.metrics)
                      .SetZone(builder.view.zone)
                      .SetPick(builder.pick)
+                     .SetSuspects(
+                         [view = builder.view](const auto& targets, const auto& target) {
+                           return RunsSuspectsOn(view.roster()->Serving(), view.self, targets,
+                                                 target);
+                         },
+                         [view = builder.view] {
+                           return SuspectTurn(view.roster()->Serving(), view.self);
+                         })
                      .SetSeed(builder.seed)
                      .Build()),
       at_most_once(builder.runtime, builder.view, builder.commit, builder.read, builder.seed + 1),
@@ -41,7 +51,10 @@
                       [count = this->in_flight] { return static_cast<double>(*count); });
 }
 
-void RoutingNode::Start() { this->targets.Start(); }
+void RoutingNode::Start() {
+  this->targets.OnBack([this](const std::string& run) { this->crashes.Withdraw(run); });
+  this->targets.Start();
+}
 
 void RoutingNode::RegisterRoutes(HttpRouter& router) {
   this->caller_api.RegisterRoutes(router);
--- a/anvilcroft/target_judge.cc
+++ b/anvilcroft/target_judge.cc
@@ -9,6 +9,14 @@
 
 constexpr char kPart[] = "routing";
 
+// Names the run that died. A target that does not identify its runs gets a name of its own for
+// each death.
+std::string RunName(const TargetState& target, const std::string& start, TimePoint now) {
+  if (!start.empty()) return TargetTable::RunName(target.Description().Id(), start);
+  return TargetTable::RunName(target.Description().Id(),
+                              "lost " + std::to_string(ToMillis(now.time_since_epoch())));
+}
+
 }  // namespace
 
 TargetJudge::TargetJudge(HttpClient& http, TargetTable& targets, CrashGuard& crashes)
@@ -81,7 +89,7 @@
   }
   LogWarning(kPart, "a target died while it ran a request",
              {{"target", target->Description().Id()}, {"fingerprint", fingerprint}});
-  this->crashes.AddDeath(fingerprint, SteadyNow());
+  this->crashes.AddDeath(fingerprint, RunName(*target, start_before, SteadyNow()), SteadyNow());
   return Verdict::kRetryFree;
 }
 
--- a/anvilcroft/target_table.cc
+++ b/anvilcroft/target_table.cc
@@ -20,13 +20,6 @@
   return HttpRequest::Builder().SetTarget(target).Build();
 }
 
-void LogPhase(const TargetState& state, TargetPhase from, TargetPhase to) {
-  LogInfo(kPart, "a target changed its phase",
-          {{"target", state.Description().Id()},
-           {"from", TargetPhaseName(from)},
-           {"to", TargetPhaseName(to)}});
-}
-
 }  // namespace
 
 TargetTable::TargetTable(Runtime& runtime, HttpClient& http, Endpoint instance_list,
@@ -37,6 +30,16 @@
       view(std::move(view)),
       poll(poll) {}
 
+void TargetTable::NotePhase(const TargetState& state, TargetPhase from, TargetPhase to) const {
+  LogInfo(kPart, "a target changed its phase",
+          {{"target", state.Description().Id()},
+           {"from", TargetPhaseName(from)},
+           {"to", TargetPhaseName(to)}});
+  if (from == TargetPhase::kLost && this->on_back && !state.InstanceStart().empty()) {
+    this->on_back(RunName(state.Description().Id(), state.InstanceStart()));
+  }
+}
+
 void TargetTable::Start() {
   this->runtime.Spawn([this](Task& task) {
     while (true) {
@@ -109,7 +112,11 @@
                       found->second->Description().Address() == target.Address() &&
                       found->second->Description().Service() == target.Service() &&
                       found->second->Description().Kind() == target.Kind();
-    const auto state = same ? found->second : std::make_shared<TargetState>(target, LogPhase);
+    const auto state = same ? found->second
+                            : std::make_shared<TargetState>(
+                                  target, [this](const auto& changed, auto from, auto to) {
+                                    this->NotePhase(changed, from, to);
+                                  });
     state->Update(target, config->Drained(id));
     kept.emplace(id, state);
     this->by_service[target.Service()].push_back(state);
--- a/anvilcroft/target_table.h
+++ b/anvilcroft/target_table.h
@@ -6,6 +6,7 @@
 // probes targets that are new, lost, swapping or leaving.
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -34,6 +35,15 @@
   TargetTable(Runtime& runtime, HttpClient& http, Endpoint instance_list, ClusterView view,
               Duration poll);
 
+  // Called with the RunName of an engine that had refused connections and answers again.
+  using BackHook = std::function<void(const std::string& run)>;
+  void OnBack(BackHook hook) { this->on_back = std::move(hook); }
+
+  // Name of the run of a target that began as `start`.
+  static std::string RunName(const std::string& target_id, const std::string& start) {
+    return target_id + "@" + start;
+  }
+
   // Starts polling and probing.
   void Start();
 
@@ -69,6 +79,8 @@
   void Probe(Task& task, const std::shared_ptr<TargetState>& state);
 
  private:
+  void NotePhase(const TargetState& state, TargetPhase from, TargetPhase to) const;
+
   void Poll(Task& task);
   void ProbeDueTargets();
   std::string Render() const;
@@ -77,6 +89,7 @@
   HttpClient& http;
   Endpoint instance_list;
   ClusterView view;
+  BackHook on_back;
   Duration poll;
   int64_t revision = 0;
   bool list_failed = false;
--- a/testing/dispatch_test.cc
+++ b/testing/dispatch_test.cc
@@ -1,6 +1,8 @@
 // Guards the path of repeatable work: whole answers whatever targets and connections do.
 
 #include <catch2/catch.hpp>
+#include <optional>
+#include <set>
 
 #include "anvilcroft/json.h"
 #include "anvilcroft/sse_parser.h"
@@ -250,6 +252,54 @@
   });
 }
 
+// Guards against refusing a request for two targets that were cut off one after the other: with two
+// targets there are no others to ask whether the network is cut.
+TEST_CASE("deaths are withdrawn when the targets answer again as the same run", "[routing]") {
+  Engines engines(2);
+  for (auto& engine : engines.engine) engine->token_time = milliseconds(30);
+  engines.Run([&](Task& task) {
+    std::optional<Result<HttpResponse>> response;
+    const auto held = engines.PreferFirst();
+    engines.runtime.Spawn(
+        [&](Task& other) { response = engines.Generate(other, 40, false, "innocent"); });
+    REQUIRE(WaitUntil(task, [&] { return engines.engine[0]->calls.size() == 1; }));
+    engines.engine[0]->Die();
+    REQUIRE(WaitUntil(task, [&] { return engines.engine[1]->calls.size() == 1; }));
+    engines.engine[1]->Die();
+    REQUIRE(WaitUntil(task, [&] { return engines.instance->suspects.size() >= 2; }));
+    for (auto& engine : engines.engine) engine->Return();
+    REQUIRE(WaitUntil(task, [&] { return response.has_value(); }));
+    CheckWhole(*response, 40);
+  });
+}
+
+// Guards against refusing a stream that two unrelated crashes hit: it went on past the point where
+// the first engine died.
+TEST_CASE("output that grows past a death is not blamed for it", "[routing]") {
+  Engines engines(3);
+  for (auto& engine : engines.engine) engine->token_time = milliseconds(10);
+  engines.Run([&](Task& task) {
+    std::optional<Result<HttpResponse>> response;
+    engines.runtime.Spawn(
+        [&](Task& other) { response = engines.Generate(other, 100, false, "innocent"); });
+    std::set<StubTarget*> dead;
+    while (dead.size() < 2) {
+      StubTarget* running = nullptr;
+      REQUIRE(WaitUntil(task, [&] {
+        for (const auto& engine : engines.engine) {
+          if (engine->calls.size() == 1 && dead.count(engine.get()) == 0) running = engine.get();
+        }
+        return running != nullptr;
+      }));
+      SleepUntil(task, SteadyNow() + milliseconds(250));
+      running->Die();
+      dead.insert(running);
+    }
+    REQUIRE(WaitUntil(task, [&] { return response.has_value(); }));
+    CheckWhole(*response, 100);
+  });
+}
+
 // Guards tail latency: one slow target must not hold short work back, and the loser is cancelled.
 TEST_CASE("short work on a slow target is hedged within the budget", "[routing]") {
   Engines engines(2);
--- a/testing/routing_fixture.cc
+++ b/testing/routing_fixture.cc
@@ -33,18 +33,29 @@
 }
 
 StubTarget::StubTarget(Runtime& runtime, std::string id, TargetKind kind, std::string service)
-    : id(std::move(id)), kind(kind), service(std::move(service)) {
-  this->server = HttpServer::Builder(runtime)
-                     .SetHandler([this](Task& task, const HttpRequest& request, HttpReply& reply) {
-                       this->Handle(task, request, reply);
-                     })
-                     .Build();
-  this->address = *this->server->Start();
+    : id(std::move(id)), kind(kind), service(std::move(service)), runtime(runtime) {
+  this->Listen("127.0.0.1:0");
+}
+
+void StubTarget::Listen(const std::string& at) {
+  this->servers.push_back(
+      HttpServer::Builder(this->runtime)
+          .SetAddress(at)
+          .SetHandler([this](Task& task, const HttpRequest& request, HttpReply& reply) {
+            this->Handle(task, request, reply);
+          })
+          .Build());
+  this->address = *this->servers.back()->Start();
 }
 
 void StubTarget::Die() {
   this->dead = true;
-  this->server->StopAccepting();
+  this->servers.back()->StopAccepting();
+}
+
+void StubTarget::Return() {
+  this->dead = false;
+  this->Listen(this->address);
 }
 
 json StubTarget::ListEntry() const {
--- a/testing/routing_fixture.h
+++ b/testing/routing_fixture.h
@@ -30,6 +30,8 @@
 
   // Closes the listener and resets every request under way.
   void Die();
+  // Accepts connections again at the same address, as the same run: it was cut off, not dead.
+  void Return();
 
   nlohmann::json ListEntry() const;
   const std::string& Id() const { return this->id; }
@@ -61,7 +63,10 @@
   std::string id;
   TargetKind kind;
   std::string service;
-  std::unique_ptr<HttpServer> server;
+  void Listen(const std::string& at);
+
+  Runtime& runtime;
+  std::vector<std::unique_ptr<HttpServer>> servers;  // the last one listens
   std::string address;
   bool dead = false;
 };
