Pass callers' streams on event by event, resumable ones across engines

Before: requests on stream routes were refused with 503, not run. Now whole events are passed on unchanged; a resumable stream goes on at another engine after its last event within the same response, any other one runs once. Test: 'a caller's stream is passed on and goes on at another engine', 'events are cut out ...'.

--- /dev/null
+++ b/anvilcroft/event_splitter.h
@@ -0,0 +1,41 @@
+#ifndef ANVILCROFT_EVENT_SPLITTER_H_
+#define ANVILCROFT_EVENT_SPLITTER_H_
+
+// Cuts a stream of server-sent events into whole events without changing a byte of them, so that
+// they can be passed on and a broken stream ends between two events.
+//
+// SseParser reads the same stream into its fields.
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "anvilcroft/error.h"
+#include "anvilcroft/sse_parser.h"
+
+namespace anvilcroft {
+
+class EventSplitter {
+ public:
+  struct Part {
+    std::string bytes;  // of the whole event, with the empty line that ends it
+    SseEvent event;
+  };
+
+  // Takes the next piece and returns the events that it completes. Blocks without an event, such
+  // as comments, are left out. Fails with kTooLarge beyond SseParser::kMaxEventBytes; the stream is
+  // then of no further use.
+  Result<std::vector<Part>> Feed(std::string_view piece);
+
+  // Whether the input ended between two events.
+  bool AtBoundary() const { return this->block.empty(); }
+
+ private:
+  std::string block;           // bytes since the last event
+  std::size_t line_begin = 0;  // of the line under way, in `block`
+};
+
+}  // namespace anvilcroft
+
+#endif  // ANVILCROFT_EVENT_SPLITTER_H_
--- a/anvilcroft/front_instance.cc
+++ b/anvilcroft/front_instance.cc
@@ -10,6 +10,7 @@
 #include "anvilcroft/front_directory.h"
 #include "anvilcroft/hash.h"
 #include "anvilcroft/http_server.h"
+#include "anvilcroft/live_streamer.h"
 #include "anvilcroft/log.h"
 #include "anvilcroft/platform_view.h"
 #include "anvilcroft/process_stats.h"
@@ -51,6 +52,10 @@
       return "timed_out";
     case LiveOutcome::Kind::kCallerGone:
       return "caller_gone";
+    case LiveOutcome::Kind::kStreamed:
+      return "streamed";
+    case LiveOutcome::Kind::kCutOff:
+      return "cut_off";
   }
   return "unknown";
 }
@@ -73,6 +78,9 @@
         live(
             this->runtime, this->engines, this->pool, [this] { return this->view.Routes(); },
             settings.Zone(), StableHash(settings.InstanceId())),
+        streams(
+            this->engines, this->pool, [this] { return this->view.Routes(); }, settings.Zone(),
+            StableHash(settings.InstanceId()) + 1),
         batches(this->store),
         batch_service(this->batches, this->store, [this] { return this->view.Routes(); }),
         lease(
@@ -198,11 +206,12 @@
     hooks.route = [this](const std::string& host, const std::string& path) {
       return this->RouteOf(host, path);
     };
-    hooks.forward = [this](Task& task, LiveRequest request) {
-      return this->Forward(task, std::move(request));
+    hooks.forward = [this](Task& task, const LiveRequest& request) {
+      return this->Logged(request, "short", [&] { return this->live.Serve(task, request); });
     };
-    hooks.stream = [](Task&, const LiveRequest&, HttpReply&) -> Result<void> {
-      return Fail(ErrorCode::kNoTarget, "streams are not served yet");
+    hooks.stream = [this](Task& task, const LiveRequest& request, HttpReply& reply) {
+      return this->Logged(request, "stream",
+                          [&] { return this->streams.Serve(task, request, reply); });
     };
     hooks.submit = [this](Task& task, BatchJob job, TimePoint deadline) {
       return this->batch_service.Submit(task, std::move(job), deadline);
@@ -235,15 +244,17 @@
     return *route;
   }
 
-  LiveOutcome Forward(Task& task, LiveRequest request) {
+  // Serves a request by `serve`, counts it and logs how it ended.
+  LiveOutcome Logged(const LiveRequest& request, const char* kind,
+                     const std::function<LiveOutcome()>& serve) {
     const TimePoint started = SteadyNow();
     const std::string id = request.message.id;
     const Duration limit = request.deadline - started;
-    LiveOutcome outcome = this->live.Serve(task, request);
+    LiveOutcome outcome = serve();
     const Duration took = SteadyNow() - started;
     const char* name = OutcomeName(outcome.kind);
-    this->metrics.Count("anvilcroft_live_requests_total", {{"outcome", name}});
-    this->metrics.Observe("anvilcroft_live_request_seconds", {{"outcome", name}},
+    this->metrics.Count("anvilcroft_live_requests_total", {{"kind", kind}, {"outcome", name}});
+    this->metrics.Observe("anvilcroft_live_request_seconds", {{"kind", kind}, {"outcome", name}},
                           std::chrono::duration<double>(took).count());
     LogInfo("live", name,
             {{"request", id},
@@ -332,6 +343,7 @@
   PlatformView view;
   FrontDirectory directory;
   LiveForwarder live;
+  LiveStreamer streams;
   BatchStore batches;
   BatchService batch_service;
   LeaseKeeper lease;
--- a/anvilcroft/live_forwarder.cc
+++ b/anvilcroft/live_forwarder.cc
@@ -7,13 +7,11 @@
 
 #include "anvilcroft/event.h"
 #include "anvilcroft/log.h"
-#include "anvilcroft/target_choice.h"
 
 namespace anvilcroft {
 namespace {
 
 constexpr int kTargetFailed = 500;  // the only status by which a target says that it failed
-constexpr Duration kUsualLatency = milliseconds(30);  // before a service has answered often enough
 // Bounds of the wait before a second attempt: below the lower one most second attempts are in
 // vain, and half of the target latency leaves the second attempt its chance.
 constexpr Duration kMinHedgeDelay = milliseconds(40);
@@ -51,12 +49,7 @@
       engines(engines),
       pool(pool),
       routes(std::move(routes)),
-      zone(std::move(zone)),
-      generator(seed) {}
-
-double LiveForwarder::Random() {
-  return std::uniform_real_distribution<double>(0, 1)(this->generator);
-}
+      chooser(pool, std::move(zone), seed) {}
 
 Duration LiveForwarder::HedgeDelay(const ServiceRoute& route, const std::string& service) const {
   const Duration most =
@@ -68,34 +61,6 @@
   return std::max(kMinHedgeDelay, std::min(most, *usual));
 }
 
-const PoolTarget* LiveForwarder::Choose(const ServiceRoute& route, const Race& race,
-                                        TimePoint now) {
-  // Draws the service by weight among those that have a target left.
-  std::vector<std::pair<double, std::vector<const PoolTarget*>>> options;
-  double total = 0;
-  for (const auto& [service, weight] : route.split) {
-    auto candidates = this->pool.OfService(service);
-    candidates.erase(std::remove_if(candidates.begin(), candidates.end(),
-                                    [&race](const PoolTarget* target) {
-                                      return race.tried.count(target->entry.id) != 0;
-                                    }),
-                     candidates.end());
-    if (candidates.empty() || weight <= 0) continue;
-    total += weight;
-    options.emplace_back(weight, std::move(candidates));
-  }
-  if (options.empty()) return nullptr;
-  double draw = this->Random() * total;
-  std::size_t at = 0;
-  while (at + 1 < options.size() && draw >= options[at].first) draw -= options[at++].first;
-  ChoiceContext context;
-  context.zone = this->zone;
-  context.usual_latency = kUsualLatency;
-  context.failure_cost = std::max<Duration>(route.target_latency, milliseconds(100));
-  context.random = this->Random();
-  return ChooseTarget(options[at].second, context, now);
-}
-
 void LiveForwarder::Launch(const std::shared_ptr<Race>& race, const PoolTarget& target) {
   const TargetEntry entry = target.entry;
   const std::size_t index = race->attempts.size();
@@ -211,7 +176,7 @@
                            (repeatable || (!race->may_have_run && race->active == 0));
     const bool hedge_due = race->active > 0 && now >= hedge_at;
     if (may_start && (race->active == 0 || (hedge_due && this->hedges.TryTake()))) {
-      if (const PoolTarget* target = this->Choose(*route, *race, now)) {
+      if (const PoolTarget* target = this->chooser.Choose(*route, race->tried, now)) {
         hedge_at = now + this->HedgeDelay(*route, target->entry.service);
         this->Launch(race, *target);
       } else if (race->active == 0) {
--- a/anvilcroft/live_forwarder.h
+++ b/anvilcroft/live_forwarder.h
@@ -11,45 +11,18 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <random>
 #include <string>
 
 #include "anvilcroft/latency_window.h"
+#include "anvilcroft/live_request.h"
 #include "anvilcroft/retry_budget.h"
+#include "anvilcroft/route_chooser.h"
 #include "anvilcroft/route_table.h"
 #include "anvilcroft/target_pool.h"
 #include "platform/engine_client.h"
 
 namespace anvilcroft {
 
-struct LiveRequest {
-  platform::ForwardRequest message;
-  std::string host;
-  std::string path;  // without the query
-  TimePoint deadline;
-  std::shared_ptr<Cancellation> caller_gone;  // may be null
-  // A request of this id has been sent before. A connection that carried it may still deliver a
-  // second copy of the former answer, so new ones are made.
-  bool sent_before = false;
-};
-
-struct LiveOutcome {
-  enum class Kind {
-    kAnswered,    // `reply` holds a target's answer
-    kNoRoute,     // the configuration has no route for it
-    kNotRun,      // no target ran it, and none will
-    kUnknown,     // it may have run
-    kTimedOut,    // the deadline passed; it may have run
-    kCallerGone,  // the caller has left
-  };
-  Kind kind = Kind::kNotRun;
-  platform::ForwardReply reply;
-  std::string reason;
-  std::string target;  // the last one tried
-  int attempts = 0;
-  int failures = 0;  // answers by which a target says that it failed
-};
-
 class LiveForwarder {
  public:
   using Routes = std::function<std::shared_ptr<const RouteTable>()>;
@@ -68,17 +41,14 @@
  private:
   struct Race;
 
-  const PoolTarget* Choose(const ServiceRoute& route, const Race& race, TimePoint now);
   void Launch(const std::shared_ptr<Race>& race, const PoolTarget& target);
   Duration HedgeDelay(const ServiceRoute& route, const std::string& service) const;
-  double Random();
 
   Runtime& runtime;
   platform::EngineClient& engines;
   TargetPool& pool;
   Routes routes;
-  std::string zone;
-  std::mt19937_64 generator;
+  RouteChooser chooser;
   RetryBudget hedges{kHedgeShare, kHedgeBurst};
   std::map<std::string, LatencyWindow> latencies;  // by service
 };
--- /dev/null
+++ b/anvilcroft/route_chooser.cc
@@ -0,0 +1,48 @@
+#include "anvilcroft/route_chooser.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "anvilcroft/target_choice.h"
+
+namespace anvilcroft {
+namespace {
+
+constexpr Duration kUsualLatency = milliseconds(30);  // before a service has answered often enough
+constexpr Duration kLeastFailureCost = milliseconds(100);  // for routes that aim for less
+
+}  // namespace
+
+double RouteChooser::Random() {
+  return std::uniform_real_distribution<double>(0, 1)(this->generator);
+}
+
+const PoolTarget* RouteChooser::Choose(const ServiceRoute& route,
+                                       const std::set<std::string>& tried, TimePoint now) {
+  std::vector<std::pair<double, std::vector<const PoolTarget*>>> options;
+  double total = 0;
+  for (const auto& [service, weight] : route.split) {
+    auto candidates = this->pool.OfService(service);
+    candidates.erase(std::remove_if(candidates.begin(), candidates.end(),
+                                    [&tried](const PoolTarget* target) {
+                                      return tried.count(target->entry.id) != 0;
+                                    }),
+                     candidates.end());
+    if (candidates.empty() || weight <= 0) continue;
+    total += weight;
+    options.emplace_back(weight, std::move(candidates));
+  }
+  if (options.empty()) return nullptr;
+  double draw = this->Random() * total;
+  std::size_t at = 0;
+  while (at + 1 < options.size() && draw >= options[at].first) draw -= options[at++].first;
+  ChoiceContext context;
+  context.zone = this->zone;
+  context.usual_latency = kUsualLatency;
+  context.failure_cost = std::max<Duration>(route.target_latency, kLeastFailureCost);
+  context.random = this->Random();
+  return ChooseTarget(options[at].second, context, now);
+}
+
+}  // namespace anvilcroft
--- a/testing/platform_codec_test.cc
+++ b/testing/platform_codec_test.cc
@@ -7,6 +7,7 @@
 #include "anvilcroft/base64.h"
 #include "anvilcroft/batch_records.h"
 #include "anvilcroft/batch_store.h"
+#include "anvilcroft/event_splitter.h"
 #include "anvilcroft/front_settings.h"
 #include "platform/batch_wire.h"
 #include "platform/engine_client.h"
@@ -295,5 +296,33 @@
   for (int round = 0; round < 2000; ++round) ParseFrontSettings(Damage(text, random), "f.yaml");
 }
 
+// Guards the cutting of events against pieces of any size; the parser of fields is the oracle.
+TEST_CASE("events are cut out of a stream byte for byte", "[platform]") {
+  const std::string text =
+      ": comment\n\nx-weight-versions: 7\nid: 1\ndata: a\n\nid: 2\r\ndata: b\r\ndata: c\r\n\r\n"
+      "id: 3\nevent: end\n\nid: 4\ndata: cut";
+  SseParser oracle;
+  const auto fields = oracle.Feed(text);
+  REQUIRE(fields);
+  for (std::size_t size = 1; size < text.size(); ++size) {
+    EventSplitter splitter;
+    std::vector<SseEvent> events;
+    std::string bytes;
+    for (std::size_t at = 0; at < text.size(); at += size) {
+      const auto parts = splitter.Feed(std::string_view(text).substr(at, size));
+      REQUIRE(parts);
+      for (const auto& part : *parts) {
+        events.push_back(part.event);
+        bytes += part.bytes;
+      }
+    }
+    CHECK(events == *fields);
+    CHECK(": comment\n\n" + bytes + "id: 4\ndata: cut" == text);
+    CHECK_FALSE(splitter.AtBoundary());
+  }
+  EventSplitter endless;
+  CHECK_FALSE(endless.Feed(std::string(SseParser::kMaxEventBytes + 1, 'x')));
+}
+
 }  // namespace
 }  // namespace anvilcroft
--- a/testing/platform_front_test.cc
+++ b/testing/platform_front_test.cc
@@ -283,5 +283,45 @@
   });
 }
 
+// Guards against events that are lost, repeated or joined when an engine breaks off, and against a
+// second run of a stream that may run once only.
+TEST_CASE("a caller's stream is passed on and goes on at another engine", "[platform]") {
+  PlatformFixture platform;
+  platform.AddEngine("i-1");
+  platform.AddEngine("i-2");
+  FrontInstance& front = platform.AddInstance("n-1");
+  platform.Run([&](Task& task) {
+    platform.AwaitReady(task, front);
+    const auto whole = [&](const std::string& id, const std::string& path) {
+      return platform.Send(task, front.FrontAddress(), "POST", path, id, "prompt");
+    };
+    std::string expected;
+    for (int i = 1; i <= 6; ++i) {
+      expected += "id: " + std::to_string(i) + "\ndata: s1-" + std::to_string(i) + "\n\n";
+    }
+    for (auto& engine : platform.engines) engine->break_after = 2;
+    const auto resumed = whole("s1", "/draft/1");
+    REQUIRE(resumed);
+    CHECK(resumed->Status() == 200);
+    CHECK(resumed->Body() == expected);
+    CHECK(resumed->Headers().Find("X-Server-Stamp") == "stamp.s1");
+    CHECK(platform.engines[0]->resumed_runs + platform.engines[1]->resumed_runs >= 1);
+
+    for (auto& engine : platform.engines) engine->break_after = 2;
+    for (auto& engine : platform.engines) engine->started.clear();
+    CHECK_FALSE(whole("s2", "/dictation/1"));  // broken off, so that it does not look complete
+    CHECK(platform.engines[0]->started.size() + platform.engines[1]->started.size() == 1);
+
+    for (auto& engine : platform.engines) engine->break_after = 0;
+    for (auto& engine : platform.engines) engine->answers["s3"] = {503};
+    const auto refused = whole("s3", "/dictation/1");
+    REQUIRE(refused);
+    CHECK(refused->Status() == 503);
+    const auto again = whole("s4", "/dictation/1");
+    REQUIRE(again);
+    CHECK(again->Status() == 200);
+  });
+}
+
 }  // namespace
 }  // namespace anvilcroft
