Judge an item's engine only after two events or 350 ms of silence

Change: RunningItem counts the events of the run; PlanMoves leaves runs with fewer than two alone until they have been silent for 350 ms.

--- a/anvilcroft/batch_owner.cc
+++ b/anvilcroft/batch_owner.cc
@@ -430,6 +430,7 @@
       entry.model = job->head.model;
       entry.min_version = job->head.min_version;
       entry.events_left = ExpectedEventsLeft(ExpectedEvents(item.item), item.text.events);
+      entry.events_here = item.text.events - item.events_before_run;
       entry.since_event = now - item.last_event;
       entry.moves = item.moves;
       of_key.push_back(&item);
--- a/anvilcroft/item_runner.cc
+++ b/anvilcroft/item_runner.cc
@@ -37,6 +37,7 @@
   item.phase = ItemPhase::kRunning;
   item.engine = engine;
   item.last_event = SteadyNow();
+  item.events_before_run = item.text.events;
   item.run = std::make_shared<Cancellation>();
   ++state->running[job->head.model];
   this->context.pool.Started(engine);
--- a/anvilcroft/owned_job.h
+++ b/anvilcroft/owned_job.h
@@ -37,6 +37,7 @@
   std::map<std::string, TimePoint> avoid;  // engines that failed it, and until when they count
   std::string engine;                      // that runs it
   TimePoint last_event;                    // of the run, or its start
+  int64_t events_before_run = 0;           // of the text when the run began
   int moves = 0;                           // runs that were ended for a faster engine
   std::shared_ptr<Cancellation> run;       // ends the run
 };
--- a/anvilcroft/straggler_plan.cc
+++ b/anvilcroft/straggler_plan.cc
@@ -42,6 +42,7 @@
   std::vector<Candidate> candidates;
   for (const RunningItem& item : items) {
     if (item.moves >= kMaxMoves) continue;
+    if (item.events_here < kEventsToJudge && item.since_event < kLongSilence) continue;
     const PlacementEngine* engine = FindEngine(engines, item.engine);
     if (engine == nullptr) continue;
     const double waited_ms = std::chrono::duration<double, std::milli>(item.since_event).count();
--- a/testing/platform_decisions_test.cc
+++ b/testing/platform_decisions_test.cc
@@ -115,6 +115,7 @@
   item.service = "model";
   item.model = "m";
   item.events_left = left;
+  item.events_here = kEventsToJudge;
   return item;
 }
 
@@ -133,8 +134,22 @@
   CHECK(PlanMoves({moved}, engines).empty());
 }
 
+// Load pattern: a step of many items arrives, and all engines read prompts for some tens of ms.
+TEST_CASE("an item that has just started is not moved for the pace of its engine", "[stragglers]") {
+  PlacementEngine reading = Engine("reading", 1, 4);
+  reading.event_ms = 100;
+  const std::vector<PlacementEngine> engines = {reading, Engine("idle", 1)};
+  RunningItem item = Running(0, "reading", 60);
+  item.events_here = 0;
+  item.since_event = milliseconds(100);
+  CHECK(PlanMoves({item}, engines).empty());
+  item.since_event = kLongSilence;
+  CHECK(PlanMoves({item}, engines).size() == 1);
+}
+
 TEST_CASE("an item on a silent engine moves before its run times out", "[stragglers]") {
   RunningItem item = Running(0, "dark", 20);
+  item.events_here = 0;
   item.since_event = milliseconds(400);
   CHECK(PlanMoves({item}, {Engine("dark", 1, 1), Engine("fast", 1)}).size() == 1);
 }
