Bound estimates of an item's length; one line for each finished item

Cause: length hints reach 500 events where the submitter's own bound is 128, so the gain of moving an item was overestimated several times (the longest items were moved up to 8 times; each lost 0.1 to 1 s). Change: ExpectedEventsLeft ends at the bound. The owner logs each finished or expired item with its events, runs, moves and times, by which this was found.

--- a/anvilcroft/batch_owner.cc
+++ b/anvilcroft/batch_owner.cc
@@ -29,8 +29,12 @@
 // An item does not return to the engine that it was moved from within this time.
 constexpr Duration kMovePause = milliseconds(800);
 
-double ExpectedEvents(const BatchItem& item) {
-  return item.expected_tokens > 0 ? item.expected_tokens / kTokensPerEvent : kUsualEvents;
+// Events that `item` is expected to go on for.
+double EventsLeft(const OwnedItem& item) {
+  const double expected =
+      item.item.expected_tokens > 0 ? item.item.expected_tokens / kTokensPerEvent : kUsualEvents;
+  return ExpectedEventsLeft(expected, item.item.max_output_tokens / kTokensPerEvent,
+                            item.text.events);
 }
 
 }  // namespace
@@ -337,8 +341,7 @@
       double& left = longest[item.item.group];
       if (item.carried) carried_groups.insert(item.item.group);
       if (item.phase == ItemPhase::kFinished || item.text.complete) continue;
-      const double expected = ExpectedEvents(item.item);
-      left = std::max(left, ExpectedEventsLeft(expected, item.text.events));
+      left = std::max(left, EventsLeft(item));
     }
     std::vector<std::pair<double, std::string>> order;
     for (const auto& [group, left] : longest) {
@@ -373,8 +376,7 @@
       entry.rank = item.carried                              ? ItemRank::kRequired
                    : dispensable.count(item.item.group) != 0 ? ItemRank::kDispensable
                                                              : ItemRank::kUsual;
-      const double expected = ExpectedEvents(item.item);
-      entry.events_left = ExpectedEventsLeft(expected, item.text.events);
+      entry.events_left = EventsLeft(item);
       entry.prefer_newest = entry.events_left > kLongItemEvents;
       for (auto it = item.avoid.begin(); it != item.avoid.end();) {
         if (it->second <= now) {
@@ -429,7 +431,7 @@
       entry.service = engine->entry.service;
       entry.model = job->head.model;
       entry.min_version = job->head.min_version;
-      entry.events_left = ExpectedEventsLeft(ExpectedEvents(item.item), item.text.events);
+      entry.events_left = EventsLeft(item);
       entry.events_here = item.text.events - item.events_before_run;
       entry.since_event = now - item.last_event;
       entry.moves = item.moves;
--- a/anvilcroft/item_runner.cc
+++ b/anvilcroft/item_runner.cc
@@ -38,6 +38,7 @@
   item.engine = engine;
   item.last_event = SteadyNow();
   item.events_before_run = item.text.events;
+  if (item.runs++ == 0) item.first_run = item.last_event;
   item.run = std::make_shared<Cancellation>();
   ++state->running[job->head.model];
   this->context.pool.Started(engine);
@@ -111,7 +112,10 @@
   item.run = nullptr;
   this->context.wake.NotifyAll();
   if (item.phase != ItemPhase::kRunning) return;  // listed by another owner meanwhile
-  if (outcome.kind == Kind::kComplete && !cancelled) item.text.complete = true;
+  if (outcome.kind == Kind::kComplete && !cancelled) {
+    item.text.complete = true;
+    item.text_done = now;
+  }
   if (job->ended) {
     item.phase = ItemPhase::kWaiting;
     return;
@@ -233,7 +237,19 @@
 
 void ItemRunner::Finish(const std::shared_ptr<OwnedJob>& job, std::size_t index,
                         ItemResult result) {
-  job->items[index].phase = ItemPhase::kFinished;
+  OwnedItem& item = job->items[index];
+  item.phase = ItemPhase::kFinished;
+  const TimePoint now = SteadyNow();
+  LogInfo(kPart, result.completed ? "finished" : "expired",
+          {{"item", item.item.id},
+           {"batch", job->head.id},
+           {"events", std::to_string(item.text.events)},
+           {"expected_tokens", std::to_string(static_cast<int64_t>(item.item.expected_tokens))},
+           {"runs", std::to_string(item.runs)},
+           {"moves", std::to_string(item.moves)},
+           {"began_ms", std::to_string(ToMillis(item.first_run - job->taken_at))},
+           {"text_ms", std::to_string(ToMillis(item.text_done - job->taken_at))},
+           {"age_ms", std::to_string(ToMillis(now - job->taken_at))}});
   this->context.metrics.Count("anvilcroft_batch_items_total",
                               {{"outcome", result.completed ? "completed" : "expired"}});
   job->finished.push_back(std::move(result));
--- a/anvilcroft/item_text.h
+++ b/anvilcroft/item_text.h
@@ -31,8 +31,9 @@
 
 // How many events are still to come, given the submitter's estimate of the whole and the number
 // made so far. The estimate is right at the median and often far off, so an item that has outlived
-// it is expected to go on for a share of what it has made.
-double ExpectedEventsLeft(double expected_events, int64_t made);
+// it is expected to go on for a share of what it has made. No estimate exceeds `most_events`, the
+// bound that the submitter sets; 0: none.
+double ExpectedEventsLeft(double expected_events, double most_events, int64_t made);
 
 }  // namespace anvilcroft
 
--- a/anvilcroft/owned_job.h
+++ b/anvilcroft/owned_job.h
@@ -38,6 +38,9 @@
   std::string engine;                      // that runs it
   TimePoint last_event;                    // of the run, or its start
   int64_t events_before_run = 0;           // of the text when the run began
+  int runs = 0;                            // begun by this owner
+  TimePoint first_run;                     // begin of the first one
+  TimePoint text_done;                     // when the text was complete
   int moves = 0;                           // runs that were ended for a faster engine
   std::shared_ptr<Cancellation> run;       // ends the run
 };
--- a/testing/platform_decisions_test.cc
+++ b/testing/platform_decisions_test.cc
@@ -242,9 +242,13 @@
 }
 
 TEST_CASE("the expected rest falls with each event and grows beyond the estimate", "[item_text]") {
-  CHECK(ExpectedEventsLeft(20, 5) == Approx(15));
-  CHECK(ExpectedEventsLeft(20, 100) > ExpectedEventsLeft(20, 40));
-  CHECK(ExpectedEventsLeft(20, 20) > 0);
+  CHECK(ExpectedEventsLeft(20, 0, 5) == Approx(15));
+  CHECK(ExpectedEventsLeft(20, 0, 100) > ExpectedEventsLeft(20, 0, 40));
+  CHECK(ExpectedEventsLeft(20, 0, 20) > 0);
+  // Estimates exceed the bound by several times.
+  CHECK(ExpectedEventsLeft(500, 128, 28) == Approx(100));
+  CHECK(ExpectedEventsLeft(20, 128, 120) == Approx(8));
+  CHECK(ExpectedEventsLeft(20, 128, 129) == Approx(1));
 }
 
 TEST_CASE("texts of incomplete groups are kept for a later job, once", "[carried]") {
