Ask other instances for a later owner while the store cannot be reached

Change: after the takeover time without a renewal the holder asks up to four instances, those next in line first, for the record of the lease that they have read; a later term ends its ownership. A store that is away for all reports no later term, so that runs go on through an outage. Also: the bound of an item's length counts for times only, not for the order of items; Drop resets 'lapsed'. Test 'a cut-off owner learns of its successor ...' fails without the question.

--- a/anvilcroft/batch_owner.cc
+++ b/anvilcroft/batch_owner.cc
@@ -29,12 +29,20 @@
 // An item does not return to the engine that it was moved from within this time.
 constexpr Duration kMovePause = milliseconds(800);
 
-// Events that `item` is expected to go on for.
+double ExpectedEvents(const BatchItem& item) {
+  return item.expected_tokens > 0 ? item.expected_tokens / kTokensPerEvent : kUsualEvents;
+}
+
+// How long `item` is expected to go on, to compare it with others. Estimates beyond the bound of
+// the output are not cut: the higher they are, the more likely the item reaches the bound.
+double OrderingEventsLeft(const OwnedItem& item) {
+  return ExpectedEventsLeft(ExpectedEvents(item.item), 0, item.text.events);
+}
+
+// Events that `item` is expected to go on for, to compute a time from.
 double EventsLeft(const OwnedItem& item) {
-  const double expected =
-      item.item.expected_tokens > 0 ? item.item.expected_tokens / kTokensPerEvent : kUsualEvents;
-  return ExpectedEventsLeft(expected, item.item.max_output_tokens / kTokensPerEvent,
-                            item.text.events);
+  return ExpectedEventsLeft(ExpectedEvents(item.item),
+                            item.item.max_output_tokens / kTokensPerEvent, item.text.events);
 }
 
 }  // namespace
@@ -341,7 +349,7 @@
       double& left = longest[item.item.group];
       if (item.carried) carried_groups.insert(item.item.group);
       if (item.phase == ItemPhase::kFinished || item.text.complete) continue;
-      left = std::max(left, EventsLeft(item));
+      left = std::max(left, OrderingEventsLeft(item));
     }
     std::vector<std::pair<double, std::string>> order;
     for (const auto& [group, left] : longest) {
@@ -376,7 +384,7 @@
       entry.rank = item.carried                              ? ItemRank::kRequired
                    : dispensable.count(item.item.group) != 0 ? ItemRank::kDispensable
                                                              : ItemRank::kUsual;
-      entry.events_left = EventsLeft(item);
+      entry.events_left = OrderingEventsLeft(item);
       entry.prefer_newest = entry.events_left > kLongItemEvents;
       for (auto it = item.avoid.begin(); it != item.avoid.end();) {
         if (it->second <= now) {
--- a/anvilcroft/front_directory.cc
+++ b/anvilcroft/front_directory.cc
@@ -15,6 +15,11 @@
 // Rows of dead instances are removed after this long, by any instance that reads them.
 constexpr int64_t kForgetAfterMs = 60000;
 
+// Order in which instances take duties: larger machines first.
+std::pair<double, uint64_t> DutyOrder(const FrontRecord& front) {
+  return {-front.cpu_share, StableHash("owner" + front.instance)};
+}
+
 }  // namespace
 
 std::vector<FrontRecord> LiveFronts(const std::vector<FrontRecord>& rows, StoreMillis store_time,
@@ -144,13 +149,24 @@
 
 int FrontDirectory::Rank() const {
   int before = 0;
-  const auto order = [](const FrontRecord& front) {
-    return std::make_pair(-front.cpu_share, StableHash("owner" + front.instance));
-  };
   for (const FrontRecord& front : this->live) {
-    if (front.instance != this->self.instance && order(front) < order(this->self)) ++before;
+    if (front.instance != this->self.instance && DutyOrder(front) < DutyOrder(this->self)) ++before;
   }
   return before;
 }
 
+std::vector<std::string> FrontDirectory::Candidates(std::size_t most) const {
+  std::vector<std::pair<std::pair<double, uint64_t>, std::string>> ordered;
+  for (const FrontRecord& front : this->live) {
+    if (front.instance == this->self.instance || front.internal.empty()) continue;
+    ordered.emplace_back(DutyOrder(front), front.internal);
+  }
+  std::sort(ordered.begin(), ordered.end());
+  std::vector<std::string> addresses;
+  for (std::size_t i = 0; i < std::min(most, ordered.size()); ++i) {
+    addresses.push_back(std::move(ordered[i].second));
+  }
+  return addresses;
+}
+
 }  // namespace anvilcroft
--- a/anvilcroft/front_directory.h
+++ b/anvilcroft/front_directory.h
@@ -44,8 +44,11 @@
 
   FrontDirectory(Runtime& runtime, MetadataStore& store, FrontRecord self);
 
-  // The address for callers, once it is known. Call before Start.
-  void SetAddress(std::string address) { this->self.address = std::move(address); }
+  // The addresses for callers and for other instances, once they are known. Call before Start.
+  void SetAddresses(std::string callers, std::string internal) {
+    this->self.address = std::move(callers);
+    this->self.internal = std::move(internal);
+  }
 
   void Start();
 
@@ -58,6 +61,9 @@
   // How many live instances are to take a duty before this one: larger machines go first.
   int Rank() const;
 
+  // Internal addresses of up to `most` other live instances, in the order of Rank.
+  std::vector<std::string> Candidates(std::size_t most) const;
+
  private:
   void Renew(Task& task);
   void Read(Task& task);
--- a/anvilcroft/front_instance.cc
+++ b/anvilcroft/front_instance.cc
@@ -10,6 +10,7 @@
 #include "anvilcroft/front_directory.h"
 #include "anvilcroft/hash.h"
 #include "anvilcroft/http_server.h"
+#include "anvilcroft/lease_peers.h"
 #include "anvilcroft/live_streamer.h"
 #include "anvilcroft/log.h"
 #include "anvilcroft/platform_view.h"
@@ -31,6 +32,8 @@
 // Idle connections of callers are kept this much longer than the callers use them.
 constexpr Duration kIdleMargin = seconds(2);
 // When callers are to come back after a refusal.
+// Instances that a cut-off owner asks for its successor: those that watch the lease, and one more.
+constexpr std::size_t kLeasePeers = 4;
 constexpr Duration kShortRetry = milliseconds(100);  // another target or instance may serve it
 constexpr Duration kStoreRetry = milliseconds(300);  // the store is away for seconds
 // Changed settings are noticed without a signal within this time.
@@ -86,6 +89,7 @@
         lease(
             this->runtime, this->store, OwnerLeaseSettings(settings),
             [this] { return this->directory.Rank(); }, [this] { this->context.wake.NotifyAll(); }),
+        lease_peers(this->runtime, [this] { return this->directory.Candidates(kLeasePeers); }),
         context{this->runtime,
                 this->store,
                 this->batches,
@@ -132,7 +136,9 @@
                         [this] { return this->OwnsBatchJobs() ? 1.0 : 0.0; });
     this->metrics.Gauge("anvilcroft_open_batch_jobs", {},
                         [this] { return static_cast<double>(this->context.jobs.size()); });
-    this->directory.SetAddress(this->front_address);
+    this->directory.SetAddresses(this->front_address, this->metrics_address);
+    this->lease.AskPeersWith(
+        [this](Task& task, int64_t term) { return this->lease_peers.LaterThan(task, term); });
     this->view.Start();
     this->directory.Start();
     this->lease.Start();
@@ -158,6 +164,7 @@
   std::string metrics_address;
 
   bool OwnsBatchJobs() const { return this->lease.Held().ValidAt(BootNow()); }
+  bool HoldsLease() const { return this->lease.Held().fencing != 0; }
 
  private:
   static FrontRecord SelfRecord(const FrontSettings& settings) {
@@ -299,7 +306,11 @@
                                });
     this->metrics_server =
         start(this->settings.MetricsAddress(), this->metrics_address,
-              [this](Task& task, const HttpRequest&, HttpReply& reply) {
+              [this](Task& task, const HttpRequest& request, HttpReply& reply) {
+                if (request.Path() == LeasePeers::kPath) {
+                  reply.Send(task, JsonResponse(200, EncodeOwner(this->lease.LastRecord())));
+                  return;
+                }
                 reply.Send(task, HttpResponse::Builder()
                                      .SetHeader("Content-Type", "text/plain; version=0.0.4")
                                      .SetBody(this->metrics.Render() + ReadProcessStats().Render())
@@ -347,6 +358,7 @@
   BatchStore batches;
   BatchService batch_service;
   LeaseKeeper lease;
+  LeasePeers lease_peers;
   BatchContext context;
   BatchOwner owner;
   platform::Ingress ingress;
@@ -375,6 +387,7 @@
 const std::string& FrontInstance::DirectoryAddress() const { return this->impl->directory_address; }
 const std::string& FrontInstance::ReadyAddress() const { return this->impl->ready_address; }
 const std::string& FrontInstance::MetricsAddress() const { return this->impl->metrics_address; }
+bool FrontInstance::HoldsLease() const { return this->impl->HoldsLease(); }
 bool FrontInstance::OwnsBatchJobs() const { return this->impl->OwnsBatchJobs(); }
 
 int RunFrontInstance(const FrontSettings& settings, const std::string& path) {
--- a/anvilcroft/front_instance.h
+++ b/anvilcroft/front_instance.h
@@ -44,6 +44,8 @@
 
   // Whether this instance holds the lease on the batch jobs.
   bool OwnsBatchJobs() const;
+  // Whether it takes itself for the owner, with a lease that may have run out.
+  bool HoldsLease() const;
 
  private:
   class Impl;
--- a/anvilcroft/lease_keeper.cc
+++ b/anvilcroft/lease_keeper.cc
@@ -132,11 +132,25 @@
     this->Drop("another instance holds it");
     return;
   }
-  // Without an answer of the store the lease runs out, but the row may still be ours: whoever takes
-  // it makes the next renewal fail. The state that the lease covers is kept until then.
+  this->HandleUnanswered(task);
+}
+
+// Without an answer of the store the lease runs out, but the row may still be ours: whoever takes
+// it makes the next renewal fail. The state that the lease covers is kept until then, or until
+// another instance knows of a later holder.
+void LeaseKeeper::HandleUnanswered(Task& task) {
   if (!this->held.ValidAt(BootNow()) && !std::exchange(this->lapsed, true)) {
     LogWarning(kPart, "the lease ran out; trying to renew it", {{"key", this->settings.key}});
   }
+  if (BootNow() - this->view.changed_at < this->settings.takeover_after) return;
+  const auto later = this->ask_peers(task, this->view.record.term);
+  if (!later || this->released) return;
+  LogInfo(kPart, "an instance reports a later holder",
+          {{"key", this->settings.key},
+           {"holder", later->holder},
+           {"term", std::to_string(later->term)}});
+  this->view.read = false;
+  this->Drop("another instance holds it");
 }
 
 void LeaseKeeper::Drop(const char* reason) {
@@ -145,6 +159,7 @@
               {"reason", reason},
               {"fencing", std::to_string(this->held.fencing)}});
   this->held = HeldLease();
+  this->lapsed = false;
   this->on_change();
 }
 
--- a/fakes/fake_server.cc
+++ b/fakes/fake_server.cc
@@ -45,10 +45,11 @@
   return bound;
 }
 
-void FakeServer::Reopen() {
-  this->crashed = false;
+bool FakeServer::Reopen() {
   const auto bound = this->Listen(this->address);
   if (!bound) LogError(kPart, "cannot listen again", {{"error", bound.error().message}});
+  if (bound) this->crashed = false;
+  return bound.has_value();
 }
 
 void FakeServer::Crash() {
--- /dev/null
+++ b/soak/clients.cc
@@ -0,0 +1,271 @@
+#include "soak/clients.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "anvilcroft/base64.h"
+#include "anvilcroft/json.h"
+
+namespace anvilcroft::soak {
+namespace {
+
+using nlohmann::json;
+
+constexpr Duration kCallLimit = seconds(4);       // of one call; routes allow 3 s
+constexpr Duration kStepLimit = seconds(20);      // a trainer ends a step after this long
+constexpr Duration kRecoveryLimit = seconds(30);  // after the last fault
+constexpr Duration kPause = milliseconds(40);     // between two calls of a caller
+constexpr int kGroups = 4;
+constexpr int kItemsPerGroup = 3;
+constexpr std::size_t kMaxViolations = 20;
+
+}  // namespace
+
+Clients::Clients(Runtime& runtime, Site& site, uint64_t seed)
+    : runtime(runtime), site(site), http(runtime), random(seed) {}
+
+void Clients::Start() {
+  for (int i = 0; i < 3; ++i) this->Spawn(&Clients::CallLookups);
+  this->Spawn(&Clients::CallSlips);
+  this->Spawn(&Clients::CallStreams);
+  this->Spawn(&Clients::Train);
+}
+
+void Clients::Spawn(void (Clients::*body)(Task&)) {
+  ++this->running;
+  this->runtime.Spawn([this, body](Task& task) {
+    (this->*body)(task);
+    --this->running;
+  });
+}
+
+void Clients::Violate(const std::string& what) {
+  if (this->violations.size() < kMaxViolations) this->violations.push_back(what);
+}
+
+const std::string& Clients::AnyFront() {
+  auto& instances = this->site.Instances();
+  return instances[this->random() % instances.size()].front;
+}
+
+Result<HttpResponse> Clients::Send(Task& task, const std::string& address,
+                                   const std::string& method, const std::string& target,
+                                   const std::string& id, const std::string& body, Duration limit) {
+  const HttpRequest request = HttpRequest::Builder()
+                                  .SetMethod(method)
+                                  .SetTarget(target)
+                                  .SetHeader("Host", Site::kHost)
+                                  .SetHeader("X-Attempt-Id", id)
+                                  .SetHeader("X-Deadline-Ms", std::to_string(ToMillis(limit)))
+                                  .SetBody(body)
+                                  .Build();
+  return this->http.Call(task, *ParseEndpoint(address), request,
+                         CallOptions(SteadyNow() + limit).WithFreshConnection());
+}
+
+void Clients::CallLookups(Task& task) {
+  while (!this->stopping) {
+    const std::string id = "l" + std::to_string(this->random() % 1'000'000'000);
+    const auto answer =
+        this->Send(task, this->AnyFront(), "POST", "/lookup/1", id, "q", kCallLimit);
+    ++this->counts[answer && answer->Status() == 200 ? "lookups_served" : "lookups_failed"];
+    if (answer && answer->Status() == 200 && answer->Body() != "body of " + id) {
+      this->Violate("lookup " + id + " got another answer: " + answer->Body());
+    }
+    if (answer && answer->Status() == 404) this->Violate("lookup " + id + " got 404");
+    SleepUntil(task, SteadyNow() + kPause);
+  }
+}
+
+void Clients::CallSlips(Task& task) {
+  std::map<std::string, int> answers;
+  while (!this->stopping) {
+    const std::string id = "u" + std::to_string(this->random() % 1'000'000'000);
+    const auto answer = this->Send(task, this->AnyFront(), "POST", "/slip/1", id, "q", kCallLimit);
+    answers[id] = answer ? answer->Status() : 0;
+    ++this->counts[answer && answer->Status() == 200 ? "slips_served" : "slips_failed"];
+    SleepUntil(task, SteadyNow() + kPause);
+  }
+  for (const auto& [id, status] : answers) {
+    const int runs = this->site.Runs(id);
+    if (runs > 1) this->Violate("slip " + id + " ran " + std::to_string(runs) + " times");
+    if (runs > 0 && (status == 503 || status == 429)) {
+      this->Violate("slip " + id + " was refused as not run, and ran");
+    }
+    if (runs == 0 && status == 200) this->Violate("slip " + id + " was answered and did not run");
+  }
+}
+
+void Clients::CallStreams(Task& task) {
+  const int events = this->site.Engines().front()->events_per_item;
+  while (!this->stopping) {
+    const std::string id = "d" + std::to_string(this->random() % 1'000'000'000);
+    std::string expected;
+    int number = 0;
+    for (const std::string& event : fakes::PlatformEngine::Events(id, events)) {
+      expected += "id: " + std::to_string(++number) + "\ndata: " + event + "\n\n";
+    }
+    const auto answer = this->Send(task, this->AnyFront(), "POST", "/draft/1", id, "q", kCallLimit);
+    const bool served = answer && answer->Status() == 200;
+    ++this->counts[served ? "streams_served" : "streams_failed"];
+    if (served && answer->Body() != expected) {
+      this->Violate("stream " + id + " ended as complete with other events");
+    }
+    SleepUntil(task, SteadyNow() + kPause);
+  }
+}
+
+bool Clients::Submit(Task& task, const std::string& id, const std::string& body) {
+  bool only_refused = true;
+  while (!this->stopping || !only_refused) {
+    const auto answer =
+        this->Send(task, this->AnyFront(), "POST", "/rollout/1", id, body, seconds(2));
+    if (answer && answer->Status() == 202) return true;
+    if (answer && answer->Status() == 404) this->Violate("submission " + id + " got 404");
+    only_refused = only_refused && answer && (answer->Status() == 503 || answer->Status() == 429);
+    SleepUntil(task, SteadyNow() + milliseconds(100));
+  }
+  for (int item = 0; only_refused && item < kGroups * kItemsPerGroup; ++item) {
+    if (this->site.Runs(id + "i" + std::to_string(item)) > 0) {
+      this->Violate("job " + id + " was refused at each attempt, and ran");
+    }
+  }
+  return false;
+}
+
+void Clients::Train(Task& task) {
+  for (int step = 0; !this->stopping; ++step) {
+    const std::string id = "j" + std::to_string(step);
+    Job job;
+    job.min_version = std::max<int64_t>(1, this->version - 1);
+    json items = json::array();
+    for (int i = 0; i < kGroups * kItemsPerGroup; ++i) {
+      const std::string item = id + "i" + std::to_string(i);
+      job.items.insert(item);
+      items.push_back({{"Id", item},
+                       {"Path", "/rollout/1"},
+                       {"Headers", {{"X-Model", Site::kModel}, {"X-Token-Counts", "100,4000"}}},
+                       {"Body", Base64Encode("prompt of " + item)},
+                       {"Tokens", 500},
+                       {"Group", id + "g" + std::to_string(i / kItemsPerGroup)},
+                       {"Scorer",
+                        {{"Id", "s" + item},
+                         {"Host", Site::kHost},
+                         {"Path", "/lookup/score"},
+                         {"Body", Base64Encode("judge")}}}});
+    }
+    const json body = {{"Step", step},
+                       {"Model", Site::kModel},
+                       {"MinVersion", job.min_version},
+                       {"TargetGroups", kGroups},
+                       {"Items", items}};
+    if (!this->Submit(task, id, body.dump())) break;
+    ++this->counts["jobs"];
+    Job& kept = this->jobs[id] = std::move(job);
+    const TimePoint limit = SteadyNow() + kStepLimit;
+    while (kept.results.size() < kept.items.size() && SteadyNow() < limit) {
+      // At times from an earlier position, which must hold what it held.
+      const auto read = static_cast<int64_t>(kept.results.size());
+      const int64_t from = this->random() % 4 == 0 && read > 0
+                               ? static_cast<int64_t>(this->random() % kept.results.size())
+                               : read;
+      this->ReadResults(task, id, kept, this->AnyFront(), from);
+      SleepUntil(task, SteadyNow() + milliseconds(50));
+    }
+    if (kept.results.size() == kept.items.size()) ++this->counts["jobs_whole"];
+    while (true) {
+      const auto ended =
+          this->Send(task, this->AnyFront(), "DELETE", "/api/lots/" + id, "e" + id, "", seconds(2));
+      if (ended && ended->Status() == 200) break;
+      if (ended && ended->Status() == 404) this->Violate("job " + id + " could not be ended: 404");
+      SleepUntil(task, SteadyNow() + milliseconds(100));
+    }
+    this->site.NameVersion(++this->version);
+  }
+}
+
+void Clients::ReadResults(Task& task, const std::string& id, Job& job, const std::string& address,
+                          int64_t from) {
+  const auto answer =
+      this->Send(task, address, "GET", "/api/lots/" + id + "?After=" + std::to_string(from),
+                 "r" + id, "", seconds(2));
+  if (!answer || answer->Status() == 503) return;
+  const auto page = answer->Status() == 200 ? ParseJson(answer->Body())
+                                            : Result<json>(Fail(ErrorCode::kBadResponse, "status"));
+  if (!page || !page->contains("Results")) {
+    this->Violate("job " + id + " read with status " + std::to_string(answer->Status()));
+    return;
+  }
+  if (page->value("Total", 0) != static_cast<int>(job.items.size())) {
+    this->Violate("job " + id + " has another total");
+  }
+  int64_t position = from;
+  for (const json& result : (*page)["Results"]) {
+    const std::string text = result.dump();
+    const auto known = job.results.find(position);
+    if (known == job.results.end()) {
+      this->CheckResult(id, job, position, text);
+      job.results[position] = text;
+    } else if (known->second != text) {
+      this->Violate("job " + id + " holds another result at " + std::to_string(position));
+    }
+    ++position;
+  }
+  // What was read once has to come again.
+  if (position < static_cast<int64_t>(job.results.size()) && (*page)["Results"].empty()) {
+    this->Violate("job " + id + " lost results from " + std::to_string(position));
+  }
+}
+
+void Clients::CheckResult(const std::string& id, const Job& job, int64_t position,
+                          const std::string& result) {
+  const json value = json::parse(result);
+  const std::string item = value.value("Id", "");
+  const std::string at = "job " + id + " position " + std::to_string(position) + ": ";
+  if (job.items.count(item) == 0) return this->Violate(at + "an item of another job");
+  for (const auto& [other, known] : job.results) {
+    if (json::parse(known)["Id"] == item) this->Violate(at + item + " stands twice");
+  }
+  if (value.value("State", "") != "completed") return this->Violate(at + item + " was given up");
+  const int events = this->site.Engines().front()->events_per_item;
+  if (value.value("Text", "") != fakes::PlatformEngine::TextOf(item, events)) {
+    this->Violate(at + item + " has another text");
+  }
+  for (const json& version : value["Versions"]) {
+    if (version.get<int64_t>() < job.min_version) this->Violate(at + item + " is too old");
+  }
+  if (value.value("Score", "").find("s" + item) == std::string::npos) {
+    this->Violate(at + item + " has no score of its own");
+  }
+}
+
+void Clients::CheckRecovered(Task& task) {
+  const TimePoint limit = SteadyNow() + kRecoveryLimit;
+  for (const SoakInstance& instance : this->site.Instances()) {
+    bool served = false;
+    while (!served && SteadyNow() < limit) {
+      const auto answer =
+          this->Send(task, instance.front, "POST", "/lookup/1", "after", "q", kCallLimit);
+      served = answer && answer->Status() == 200;
+      if (!served) SleepUntil(task, SteadyNow() + milliseconds(100));
+    }
+    if (!served) this->Violate("instance " + instance.id + " does not serve after the faults");
+    for (auto& [id, job] : this->jobs) {
+      const auto read = static_cast<int64_t>(job.results.size());
+      for (int64_t from = 0; from < read; from += kGroups) {
+        this->ReadResults(task, id, job, instance.front, from);
+      }
+    }
+  }
+}
+
+std::string Clients::Summary() const {
+  std::string text;
+  for (const auto& [name, count] : this->counts) {
+    text += (text.empty() ? "" : " ") + name + "=" + std::to_string(count);
+  }
+  return text;
+}
+
+}  // namespace anvilcroft::soak
--- /dev/null
+++ b/soak/fault_schedule.cc
@@ -0,0 +1,170 @@
+#include "soak/fault_schedule.h"
+
+#include <csignal>
+#include <memory>
+#include <random>
+
+#include "anvilcroft/log.h"
+
+namespace anvilcroft::soak {
+namespace {
+
+using fakes::FakeLink;
+using fakes::FaultPlan;
+
+constexpr int kKinds = static_cast<int>(FaultKind::kConfigure) + 1;
+// Gaps between the begins of faults, and their lengths: shorter and longer than the lease of 3 s.
+constexpr int kMinGapMs = 200;
+constexpr int kMaxGapMs = 1600;
+constexpr int kMinLengthMs = 300;
+constexpr int kMaxLengthMs = 4500;
+constexpr int kStopLimitMs = 10000;  // grace period of 8 s and a margin
+constexpr int64_t kSlowStoreMs = 250;
+constexpr int64_t kLateApplyMs = 800;
+
+void SetStore(Site& site, FaultPlan::Mode mode) {
+  FaultPlan plan = site.Store().Server().Faults();
+  plan.mode = mode;
+  plan.delay_ms = kSlowStoreMs;
+  site.Store().Server().SetFaults(plan);
+}
+
+void Restart(Site& site, SoakInstance& instance) {
+  const auto started = site.StartProcess(instance);
+  if (!started) LogError("soak", "cannot start an instance", {{"error", started.error().message}});
+}
+
+// Signals whose end brings the instance back. A process that is down or frozen is left alone.
+void StrikeInstance(Task& task, Site& site, SoakInstance& instance, const Fault& fault) {
+  if (!instance.process || !instance.process->Running() || instance.frozen) return;
+  const TimePoint end = SteadyNow() + fault.length;
+  switch (fault.kind) {
+    case FaultKind::kKill:
+      instance.process->Signal(SIGKILL);
+      SleepUntil(task, end);
+      Restart(site, instance);
+      break;
+    case FaultKind::kFreeze:
+      instance.frozen = true;
+      instance.process->Signal(SIGSTOP);
+      SleepUntil(task, end);
+      instance.process->Signal(SIGCONT);
+      instance.frozen = false;
+      break;
+    case FaultKind::kStop: {
+      instance.process->Signal(SIGTERM);
+      const TimePoint limit = SteadyNow() + milliseconds(kStopLimitMs);
+      while (instance.process->Running() && SteadyNow() < limit) {
+        SleepUntil(task, SteadyNow() + milliseconds(50));
+      }
+      if (instance.process->Running()) {
+        LogError("soak", "an instance outlived its grace period", {{"instance", instance.id}});
+        instance.process->Signal(SIGKILL);
+      }
+      Restart(site, instance);
+      break;
+    }
+    default:
+      instance.process->Signal(SIGHUP);
+      break;
+  }
+}
+
+void Strike(Task& task, Site& site, const Fault& fault) {
+  const TimePoint end = SteadyNow() + fault.length;
+  SoakInstance& instance = site.Instances()[fault.which % site.Instances().size()];
+  auto& engine = *site.Engines()[fault.which % site.Engines().size()];
+  switch (fault.kind) {
+    case FaultKind::kKill:
+    case FaultKind::kFreeze:
+    case FaultKind::kStop:
+    case FaultKind::kReload:
+      StrikeInstance(task, site, instance, fault);
+      break;
+    case FaultKind::kStoreDown:
+    case FaultKind::kStoreSilent:
+    case FaultKind::kStoreSlow:
+      SetStore(site, fault.kind == FaultKind::kStoreDown     ? FaultPlan::Mode::kDown
+                     : fault.kind == FaultKind::kStoreSilent ? FaultPlan::Mode::kSilent
+                                                             : FaultPlan::Mode::kSlow);
+      SleepUntil(task, end);
+      SetStore(site, FaultPlan::Mode::kUp);
+      break;
+    case FaultKind::kStoreLoses:
+      site.Store().Server().Faults().lose_answers += 3;
+      site.Store().Server().Faults().delay_apply_ms = fault.which % 2 == 0 ? 0 : kLateApplyMs;
+      break;
+    case FaultKind::kHistoryLost:
+      site.Store().DropHistory();
+      break;
+    case FaultKind::kStoreCut:
+    case FaultKind::kStoreMuted:
+      instance.store_link->SetMode(fault.kind == FaultKind::kStoreCut ? FakeLink::Mode::kCut
+                                                                      : FakeLink::Mode::kSilentAll);
+      SleepUntil(task, end);
+      instance.store_link->SetMode(FakeLink::Mode::kUp);
+      break;
+    case FaultKind::kTargetCut: {
+      auto& target = fault.which % 2 == 0 ? engine : *site.Apps()[fault.which % site.Apps().size()];
+      if (target.Server().Crashed()) return;
+      target.Server().Crash();
+      SleepUntil(task, end);
+      while (!target.Server().Reopen()) SleepUntil(task, SteadyNow() + milliseconds(50));
+      break;
+    }
+    case FaultKind::kEngineBreaks:
+      engine.break_after = 1 + static_cast<int>(fault.which % 20);
+      break;
+    case FaultKind::kConfigure:
+      site.WriteConfiguration(site.Configuration() + 1);
+      break;
+  }
+}
+
+}  // namespace
+
+const char* FaultName(FaultKind kind) {
+  constexpr const char* kNames[kKinds] = {
+      "kill",         "freeze",     "stop",          "reload",       "store_down",
+      "store_silent", "store_slow", "store_loses",   "history_lost", "store_cut",
+      "store_muted",  "target_cut", "engine_breaks", "configure"};
+  return kNames[static_cast<int>(kind)];
+}
+
+std::vector<Fault> DrawFaults(uint64_t seed, Duration span) {
+  std::mt19937_64 random(seed);
+  const auto between = [&](int low, int high) {
+    return std::uniform_int_distribution<int>(low, high)(random);
+  };
+  std::vector<Fault> faults;
+  for (Duration at = milliseconds(between(kMinGapMs, kMaxGapMs)); at < span;
+       at += milliseconds(between(kMinGapMs, kMaxGapMs))) {
+    Fault fault;
+    fault.kind = static_cast<FaultKind>(between(0, kKinds - 1));
+    fault.at = at;
+    fault.length = milliseconds(between(kMinLengthMs, kMaxLengthMs));
+    fault.which = static_cast<std::size_t>(between(0, 1000));
+    faults.push_back(fault);
+  }
+  return faults;
+}
+
+void PlayFaults(Task& task, Runtime& runtime, Site& site, const std::vector<Fault>& faults) {
+  const TimePoint begin = SteadyNow();
+  const auto open = std::make_shared<int>(0);
+  for (const Fault& fault : faults) {
+    SleepUntil(task, begin + fault.at);
+    LogInfo("soak", "fault",
+            {{"kind", FaultName(fault.kind)},
+             {"which", std::to_string(fault.which)},
+             {"length_ms", std::to_string(ToMillis(fault.length))}});
+    ++*open;
+    runtime.Spawn([&site, fault, open](Task& other) {
+      Strike(other, site, fault);
+      --*open;
+    });
+  }
+  while (*open > 0) SleepUntil(task, SteadyNow() + milliseconds(20));
+}
+
+}  // namespace anvilcroft::soak
--- /dev/null
+++ b/soak/main.cc
@@ -0,0 +1,94 @@
+// Plays seeded faults on a small site of real processes while clients use it, and checks what they
+// see against the promises of docs/platform.md.
+//
+//   soak [--seed N] [--seeds COUNT] [--seconds S] [--instances N] [--keep-files DIR] ANVILCROFT
+//
+// Exits with 0 if no seed showed a violation. A violation names its seed, which plays the same
+// faults again.
+
+#include <tclap/CmdLine.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <iostream>
+#include <string>
+
+#include "anvilcroft/log.h"
+#include "soak/clients.h"
+#include "soak/fault_schedule.h"
+#include "soak/site.h"
+
+namespace anvilcroft::soak {
+namespace {
+
+constexpr Duration kSettle = seconds(3);  // before the first fault: the instances start
+
+// Plays one seed. Returns whether it passed.
+bool PlaySeed(uint64_t seed, Duration span, const SiteOptions& options) {
+  Runtime runtime;
+  Site site(runtime, options);
+  Clients clients(runtime, site, seed);
+  const auto faults = DrawFaults(seed, span);
+  bool started = true;
+  runtime.Spawn([&](Task& task) {
+    if (const auto ready = site.Start(); !ready) {
+      std::cout << "cannot start: " << ready.error().message << std::endl;
+      started = false;
+      runtime.Stop();
+      return;
+    }
+    SleepUntil(task, SteadyNow() + kSettle);
+    clients.Start();
+    PlayFaults(task, runtime, site, faults);
+    // Clients finish what they began without faults.
+    clients.Stop();
+    while (!clients.Stopped()) SleepUntil(task, SteadyNow() + milliseconds(20));
+    clients.CheckRecovered(task);
+    runtime.Stop();
+  });
+  runtime.Run();
+  runtime.EndTasks();
+  for (SoakInstance& instance : site.Instances()) instance.process.reset();
+  for (const std::string& what : clients.Violations()) {
+    std::cout << "seed " << seed << " VIOLATION " << what << std::endl;
+  }
+  const bool passed = started && clients.Violations().empty();
+  std::cout << "seed " << seed << (passed ? " passed" : " FAILED") << " faults=" << faults.size()
+            << " " << clients.Summary() << std::endl;
+  return passed;
+}
+
+int Main(int argc, char** argv) {
+  TCLAP::CmdLine line("Fault soak of anvilcroft on a stand-in of the platform", ' ', "1");
+  TCLAP::ValueArg<uint64_t> seed("", "seed", "first seed", false, 1, "N", line);
+  TCLAP::ValueArg<uint64_t> seeds("", "seeds", "number of seeds", false, 1, "COUNT", line);
+  TCLAP::ValueArg<int> span("", "seconds", "time in which faults begin", false, 15, "S", line);
+  TCLAP::ValueArg<int> instances("", "instances", "processes", false, 4, "N", line);
+  TCLAP::ValueArg<std::string> keep("", "keep-files", "folder for settings and logs", false, "",
+                                    "DIR", line);
+  TCLAP::UnlabeledValueArg<std::string> binary("anvilcroft", "program under test", true, "",
+                                               "ANVILCROFT", line);
+  line.parse(argc, argv);
+  int failed = 0;
+  for (uint64_t i = 0; i < seeds.getValue(); ++i) {
+    const uint64_t one = seed.getValue() + i;
+    const std::filesystem::path base = keep.getValue().empty()
+                                           ? std::filesystem::temp_directory_path()
+                                           : std::filesystem::path(keep.getValue());
+    const std::filesystem::path folder =
+        base / ("soak-" + std::to_string(getpid()) + "-" + std::to_string(one));
+    std::filesystem::create_directories(folder);
+    SiteOptions options;
+    options.binary = binary.getValue();
+    options.directory = folder.string();
+    options.instances = instances.getValue();
+    if (!PlaySeed(one, seconds(span.getValue()), options)) ++failed;
+    if (keep.getValue().empty()) std::filesystem::remove_all(folder);
+  }
+  return failed == 0 ? 0 : 1;
+}
+
+}  // namespace
+}  // namespace anvilcroft::soak
+
+int main(int argc, char** argv) { return anvilcroft::soak::Main(argc, argv); }
--- /dev/null
+++ b/soak/site.cc
@@ -0,0 +1,131 @@
+#include "soak/site.h"
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace anvilcroft::soak {
+namespace {
+
+using nlohmann::json;
+
+// A free port of the loopback interface; a restarted instance has to get the same one.
+std::string FreeAddress() {
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::acceptor acceptor(context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+json Route(const std::string& name, const std::string& kind, const std::string& service) {
+  return {{"Name", name},       {"Host", Site::kHost}, {"Prefix", "/" + name + "/"},
+          {"Kind", kind},       {"TimeoutMs", 3000},   {"TargetLatencyMs", 300},
+          {"Service", service}, {"MaxAttempts", 3},    {"Resumable", kind == "stream"}};
+}
+
+}  // namespace
+
+Site::Site(Runtime& runtime, SiteOptions options)
+    : runtime(runtime), options(std::move(options)), store(runtime) {}
+
+Result<void> Site::Start() {
+  const auto store_address = this->store.Start();
+  if (!store_address) return tl::unexpected<Error>(store_address.error());
+  const auto add = [this](auto& list, const std::string& id, const std::string& service,
+                          const std::string& model) -> Result<void> {
+    list.push_back(std::make_unique<fakes::PlatformEngine>(this->runtime, id, model));
+    const auto started = list.back()->Start();
+    if (!started) return tl::unexpected<Error>(started.error());
+    this->store.Put("servers", id, list.back()->Entry(service, "a"));
+    return {};
+  };
+  for (int i = 0; i < this->options.engines; ++i) {
+    if (auto added = add(this->engines, "i-model-" + std::to_string(i), "model", kModel); !added) {
+      return added;
+    }
+    this->engines.back()->events_per_item = 40;
+    this->engines.back()->event_time = milliseconds(10);
+  }
+  for (int i = 0; i < this->options.apps; ++i) {
+    if (auto added = add(this->apps, "i-app-" + std::to_string(i), "app", ""); !added) return added;
+  }
+  this->WriteConfiguration(3);
+  for (int i = 0; i < this->options.instances; ++i) {
+    SoakInstance instance;
+    instance.id = "n-" + std::to_string(i);
+    instance.front = FreeAddress();
+    instance.ready = FreeAddress();
+    instance.settings_file = this->options.directory + "/" + instance.id + ".yaml";
+    instance.log_file = this->options.directory + "/" + instance.id + ".log";
+    instance.store_link = fakes::FakeLink::Builder(this->runtime)
+                              .SetTarget(*ParseEndpoint(*store_address))
+                              .SetDelay(milliseconds(2), milliseconds(2))
+                              .SetSeed(static_cast<uint64_t>(i) + 1)
+                              .Build();
+    const auto link = instance.store_link->Start();
+    if (!link) return tl::unexpected<Error>(link.error());
+    std::ofstream(instance.settings_file)
+        << "instance_id: " << instance.id << "\nzone: a\nregion: r\ncpu_share: 0.5\n"
+        << "log_level: info\naddress:\n  front: \"" << instance.front << "\"\n  directory: \""
+        << FreeAddress() << "\"\n  ready: \"" << instance.ready << "\"\n  metrics: \""
+        << FreeAddress() << "\"\n  store: \"" << *link
+        << "\"\ntiming:\n  grace_s: 8\n  address_ttl_s: 1\n  owner_lease_ms: 3000\n"
+        << "  cancel_ms: 3000\n";
+    this->instances.push_back(std::move(instance));
+    if (auto started = this->StartProcess(this->instances.back()); !started) return started;
+  }
+  return {};
+}
+
+Result<void> Site::StartProcess(SoakInstance& instance) {
+  // The shell appends the log to a file; exec keeps the process id.
+  auto process =
+      fakes::ChildProcess::Start({"/bin/sh", "-c", "exec \"$0\" serve --settings \"$1\" >> \"$2\"",
+                                  this->options.binary, instance.settings_file, instance.log_file},
+                                 instance.log_file);
+  if (!process) return tl::unexpected<Error>(process.error());
+  instance.process = std::move(*process);
+  instance.frozen = false;
+  return {};
+}
+
+void Site::WriteConfiguration(int64_t version) {
+  this->configuration = version;
+  json routes = json::array({Route("lookup", "safe", "app"), Route("slip", "unsafe", "app"),
+                             Route("draft", "stream", "model")});
+  json rollout = Route("rollout", "rollout", "model");
+  rollout["ResultTargetMs"] = 7500;
+  rollout["ItemTtlS"] = 120;
+  routes.push_back(rollout);
+  for (int64_t extra = 4; extra <= version; ++extra) {
+    routes.push_back(Route("extra" + std::to_string(extra), "safe", "app"));
+  }
+  const json config = {
+      {"Version", version},
+      {"Routes", routes},
+      {"Services", json::array({{{"Name", "app"}, {"HealthPath", "/healthz"}},
+                                {{"Name", "model"},
+                                 {"HealthPath", "/healthz"},
+                                 {"Engine", {{"Slots", 4}, {"Models", {{{"Name", kModel}}}}}}}})},
+      {"Limits", {{"MaxHeaderBytes", 16384}, {"IdleTimeoutMs", 15000}}}};
+  this->store.Put("op", "config", config.dump());
+}
+
+void Site::NameVersion(int64_t version) {
+  this->store.Put("op", std::string("version/") + kModel,
+                  json{{"Model", kModel}, {"Version", version}}.dump());
+}
+
+int Site::Runs(const std::string& id) const {
+  int runs = 0;
+  for (const auto* list : {&this->engines, &this->apps}) {
+    for (const auto& target : *list) {
+      runs += static_cast<int>(std::count(target->started.begin(), target->started.end(), id));
+    }
+  }
+  return runs;
+}
+
+}  // namespace anvilcroft::soak
--- a/testing/platform_fixture.h
+++ b/testing/platform_fixture.h
@@ -90,18 +90,20 @@
     return *this->engines.back();
   }
 
-  FrontInstance& AddInstance(const std::string& id) {
+  // `store` is the address by which the instance reaches the store; empty: that of the stand-in.
+  FrontInstance& AddInstance(const std::string& id, const std::string& store = "") {
     const Endpoint any{"127.0.0.1", 0};
-    const FrontSettings settings = FrontSettings::Builder()
-                                       .SetInstanceId(id)
-                                       .SetZone("a")
-                                       .SetFrontAddress(any)
-                                       .SetDirectoryAddress(any)
-                                       .SetReadyAddress(any)
-                                       .SetMetricsAddress(any)
-                                       .SetStoreAddress(*ParseEndpoint(this->store_address))
-                                       .SetAddressTtl(milliseconds(100))
-                                       .Build();
+    const FrontSettings settings =
+        FrontSettings::Builder()
+            .SetInstanceId(id)
+            .SetZone("a")
+            .SetFrontAddress(any)
+            .SetDirectoryAddress(any)
+            .SetReadyAddress(any)
+            .SetMetricsAddress(any)
+            .SetStoreAddress(*ParseEndpoint(store.empty() ? this->store_address : store))
+            .SetAddressTtl(milliseconds(100))
+            .Build();
     this->instances.push_back(
         std::make_unique<FrontInstance>(this->runtime, settings, [this] { ++this->stopped; }));
     REQUIRE(this->instances.back()->Start());
--- a/testing/platform_front_test.cc
+++ b/testing/platform_front_test.cc
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <set>
 
+#include "fakes/fake_link.h"
 #include "testing/platform_fixture.h"
 
 namespace anvilcroft {
@@ -283,6 +284,29 @@
   });
 }
 
+// Guards against an owner that the store turns away and that goes on beside its successor, which
+// costs the engines twice the work.
+TEST_CASE("a cut-off owner learns of its successor from other instances", "[platform]") {
+  PlatformFixture fixture;
+  fixture.AddEngine("i-1");
+  const auto link = fakes::FakeLink::Builder(fixture.runtime)
+                        .SetTarget(*ParseEndpoint(fixture.store_address))
+                        .Build();
+  FrontInstance& first = fixture.AddInstance("one", *link->Start());
+  fixture.Run([&](Task& task) {
+    fixture.AwaitReady(task, first);
+    fixture.Await(task, "the first owner", [&] { return first.OwnsBatchJobs(); });
+    FrontInstance& second = fixture.AddInstance("two");
+    fixture.AwaitReady(task, second);
+    // The first instance has to know the second one before it is cut off.
+    SleepUntil(task, SteadyNow() + seconds(1));
+    link->SetMode(fakes::FakeLink::Mode::kCut);
+    fixture.Await(task, "the second owner", [&] { return second.OwnsBatchJobs(); });
+    fixture.Await(task, "the first one to give up", [&] { return !first.HoldsLease(); });
+    CHECK(second.OwnsBatchJobs());
+  });
+}
+
 // Guards against events that are lost, repeated or joined when an engine breaks off, and against a
 // second run of a stream that may run once only.
 TEST_CASE("a caller's stream is passed on and goes on at another engine", "[platform]") {
