--- a/anvilcroft/check_command.cc
+++ b/anvilcroft/check_command.cc
@@ -4,6 +4,7 @@
 #include "anvilcroft/command_line.h"
 #include "anvilcroft/config_document.h"
 #include "anvilcroft/exit_code.h"
+#include "anvilcroft/front_settings.h"
 #include "anvilcroft/input_file.h"
 #include "anvilcroft/json.h"
 #include "anvilcroft/settings_loader.h"
@@ -16,6 +17,11 @@
   return settings ? std::vector<SettingsProblem>() : settings.error();
 }
 
+std::vector<SettingsProblem> CheckServeSettings(const std::string& path) {
+  const auto settings = LoadFrontSettings(path);
+  return settings ? std::vector<SettingsProblem>() : settings.error();
+}
+
 std::vector<SettingsProblem> CheckDocument(const std::string& path) {
   const auto json = ReadJsonFile(path);
   if (!json) {
@@ -37,19 +43,26 @@
                      "instance. Prints one line for each problem.");
     TCLAP::ValueArg<std::string> settings("", "settings", "YAML settings of an instance", false, "",
                                           "FILE");
+    TCLAP::ValueArg<std::string> serve("", "serve-settings",
+                                       "YAML settings of an instance on a hosted platform", false,
+                                       "", "FILE");
     TCLAP::ValueArg<std::string> document("", "document", "JSON configuration document", false, "",
                                           "FILE");
     TCLAP::SwitchArg json("", "json", "Print {ok, problems} as JSON");
     line.Add(settings);
+    line.Add(serve);
     line.Add(document);
     line.Add(json);
     if (const auto code = line.Parse(arguments, out, error)) return *code;
-    if (!settings.isSet() && !document.isSet()) {
-      error << "anvilcroft check: give --settings or --document\n";
+    if (!settings.isSet() && !serve.isSet() && !document.isSet()) {
+      error << "anvilcroft check: give --settings, --serve-settings or --document\n";
       return kExitUsage;
     }
     std::vector<SettingsProblem> problems;
     if (settings.isSet()) problems = CheckSettings(settings.getValue());
+    if (serve.isSet()) {
+      for (auto& problem : CheckServeSettings(serve.getValue())) problems.push_back(problem);
+    }
     if (document.isSet()) {
       for (auto& problem : CheckDocument(document.getValue())) problems.push_back(problem);
     }
--- a/anvilcroft/command.cc
+++ b/anvilcroft/command.cc
@@ -45,10 +45,10 @@
     out << "anvilcroft " << ANVILCROFT_VERSION << "\n";
     return kExitOk;
   }
-  return RunOneOf(
-      "anvilcroft",
-      {RunCommand(), ServeCommand(), CheckCommand(), PatchCommand(), ListCommand(), DrainCommand()},
-      arguments, out, error);
+  return RunOneOf("anvilcroft",
+                  {RunCommand(), ServeCommand(), CheckCommand(), ExplainCommand(), PatchCommand(),
+                   ListCommand(), DrainCommand()},
+                  arguments, out, error);
 }
 
 }  // namespace anvilcroft
--- a/anvilcroft/command.h
+++ b/anvilcroft/command.h
@@ -31,6 +31,8 @@
 Command ServeCommand();
 // Checks a settings file or a configuration document without an instance.
 Command CheckCommand();
+// Prints what logs say of one request.
+Command ExplainCommand();
 // Submits a configuration patch or shows an accepted one.
 Command PatchCommand();
 // Lists members, deployments, targets, samples or the configuration.
--- /dev/null
+++ b/anvilcroft/explain_command.cc
@@ -0,0 +1,92 @@
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <ostream>
+#include <string>
+
+#include "anvilcroft/command.h"
+#include "anvilcroft/command_line.h"
+#include "anvilcroft/exit_code.h"
+#include "anvilcroft/json.h"
+#include "anvilcroft/log_story.h"
+
+namespace anvilcroft {
+namespace {
+
+void TakeAll(std::istream& input, const std::string& file, LogStory& story) {
+  std::string text;
+  while (std::getline(input, text)) story.Take(text, file);
+}
+
+void PrintText(const std::vector<LogLine>& lines, std::ostream& out) {
+  for (const LogLine& line : lines) {
+    out << line.time << " " << line.source << " " << line.level << " " << line.part << ": "
+        << line.sentence;
+    for (const auto& [key, value] : line.fields) {
+      out << " " << key << "=" << (value.empty() ? "\"\"" : value);
+    }
+    out << "\n";
+  }
+}
+
+void PrintJson(const std::vector<LogLine>& lines, std::ostream& out) {
+  nlohmann::json list = nlohmann::json::array();
+  for (const LogLine& line : lines) {
+    nlohmann::json fields = nlohmann::json::object();
+    for (const auto& [key, value] : line.fields) fields[key] = value;
+    list.push_back({{"time", line.time},
+                    {"source", line.source},
+                    {"level", line.level},
+                    {"part", line.part},
+                    {"sentence", line.sentence},
+                    {"fields", fields}});
+  }
+  out << DumpJson(list) << "\n";
+}
+
+}  // namespace
+
+Command ExplainCommand() {
+  const auto run = [](const std::vector<std::string>& arguments, std::ostream& out,
+                      std::ostream& error) -> int {
+    CommandLine line("anvilcroft explain",
+                     "Prints what the logs of all instances say of one request, item or batch "
+                     "job, in order of time. Reads standard input if no file is named.");
+    TCLAP::ValueArg<std::string> id("", "request", "Id of the request, item or batch job", true, "",
+                                    "ID");
+    TCLAP::MultiArg<std::string> files("", "log", "Log file; may be given several times", false,
+                                       "FILE");
+    TCLAP::SwitchArg json("", "json",
+                          "Print a JSON array of {time, source, level, part, "
+                          "sentence, fields}");
+    line.Add(id);
+    line.Add(files);
+    line.Add(json);
+    if (const auto code = line.Parse(arguments, out, error)) return *code;
+    LogStory story(id.getValue());
+    for (const std::string& file : files.getValue()) {
+      std::ifstream input(file);
+      if (!input) {
+        error << "anvilcroft explain: cannot read " << file << "\n";
+        return kExitFailed;
+      }
+      TakeAll(input, file, story);
+    }
+    if (files.getValue().empty()) TakeAll(std::cin, "-", story);
+    const auto lines = story.Lines();
+    if (json.getValue()) {
+      PrintJson(lines, out);
+    } else {
+      PrintText(lines, out);
+    }
+    if (story.LeftOut() > 0) {
+      error << "anvilcroft explain: left out " << story.LeftOut() << " lines\n";
+    }
+    if (!lines.empty()) return kExitOk;
+    error << "anvilcroft explain: no line names " << id.getValue() << "\n";
+    return kExitFailed;
+  };
+  return Command{"explain", "Print what logs say of one request", run};
+}
+
+}  // namespace anvilcroft
--- a/soak/site.cc
+++ b/soak/site.cc
@@ -18,6 +18,7 @@
 // connects to a closed port of that range may be connected to itself and so occupy it.
 constexpr int kFirstPort = 20000;
 constexpr int kPorts = 10000;
+constexpr Duration kHeartbeat = milliseconds(200);  // of targets
 
 // A free address of the loopback interface; a restarted instance has to get the same one.
 std::string FreeAddress() {
@@ -56,9 +57,7 @@
     const auto reached = link->Start();
     if (!reached) return tl::unexpected<Error>(reached.error());
     this->target_links.push_back(std::move(link));
-    json entry = json::parse(list.back()->Entry(service, "a"));
-    entry["Address"] = *reached;
-    this->store.Put("servers", id, entry.dump());
+    this->Register(*list.back(), id, service, *reached);
     return {};
   };
   for (int i = 0; i < this->options.engines; ++i) {
@@ -99,6 +98,23 @@
   return {};
 }
 
+// Writes the entry of a target, and again when its weight version has changed.
+void Site::Register(const fakes::PlatformEngine& target, const std::string& id,
+                    const std::string& service, const std::string& reached) {
+  this->runtime.Spawn([this, &target, id, service, reached](Task& task) {
+    int64_t listed = 0;
+    while (true) {
+      if (target.version != listed) {
+        json entry = json::parse(target.Entry(service, "a"));
+        entry["Address"] = reached;
+        this->store.Put("servers", id, entry.dump());
+        listed = target.version;
+      }
+      SleepUntil(task, SteadyNow() + kHeartbeat);
+    }
+  });
+}
+
 Result<void> Site::StartProcess(SoakInstance& instance) {
   // The shell appends the log to a file; exec keeps the process id.
   auto process =
--- a/soak/site.h
+++ b/soak/site.h
@@ -67,6 +67,9 @@
   int Runs(const std::string& id) const;
 
  private:
+  void Register(const fakes::PlatformEngine& target, const std::string& id,
+                const std::string& service, const std::string& reached);
+
   Runtime& runtime;
   SiteOptions options;
   fakes::PlatformStore store;
