--- a/anvilcroft/event_splitter.cc
+++ b/anvilcroft/event_splitter.cc
@@ -12,7 +12,8 @@
       return Fail(ErrorCode::kTooLarge, "an event of the stream is too large", "event");
     }
     if (c != '\n') continue;
-    std::string_view line = std::string_view(this->block).substr(this->line_begin);
+    std::string_view line = this->block;
+    line.remove_prefix(this->line_begin);
     line.remove_suffix(1);
     this->line_begin = this->block.size();
     if (!line.empty() && line != "\r") continue;
--- a/anvilcroft/log_story.cc
+++ b/anvilcroft/log_story.cc
@@ -8,6 +8,8 @@
 
 constexpr char kJobField[] = "batch";
 constexpr char kItemField[] = "item";
+// Writes a line for each few results of a job; only of use to those who ask for the job itself.
+constexpr char kListingPart[] = "listing";
 
 }  // namespace
 
@@ -16,7 +18,8 @@
   if (!line) return;
   const bool about_id = line->HasValue(this->id);
   const std::string job = line->Field(kJobField);
-  const bool about_job = !job.empty() && line->Field(kItemField).empty();
+  const bool about_job =
+      !job.empty() && line->Field(kItemField).empty() && line->part != kListingPart;
   if (!about_id && !about_job) return;
   if (this->own.size() + this->of_jobs.size() >= kMaxLines) {
     ++this->left_out;
--- a/testing/platform_codec_test.cc
+++ b/testing/platform_codec_test.cc
@@ -309,7 +309,7 @@
     std::vector<SseEvent> events;
     std::string bytes;
     for (std::size_t at = 0; at < text.size(); at += size) {
-      const auto parts = splitter.Feed(std::string_view(text).substr(at, size));
+      const auto parts = splitter.Feed(text.substr(at, size));
       REQUIRE(parts);
       for (const auto& part : *parts) {
         events.push_back(part.event);
