Split the placement of waiting items; decode a failed condition of the lease once

DispensableGroups is a pure function with a test; GroupsOf and DescribeWaiting name what PlaceWaiting did in one loop. StillOwn decodes the row that a failed condition returns, for renewals and the release.

--- a/anvilcroft/batch_owner.cc
+++ b/anvilcroft/batch_owner.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "anvilcroft/batch_records.h"
+#include "anvilcroft/dispensable_groups.h"
 #include "anvilcroft/log.h"
 #include "anvilcroft/straggler_plan.h"
 
@@ -45,6 +46,45 @@
                             item.item.max_output_tokens / kTokensPerEvent, item.text.events);
 }
 
+// The groups of a job with the events that the longest item of each still has to make.
+std::vector<GroupProgress> GroupsOf(const OwnedJob& job) {
+  std::map<std::string, GroupProgress> groups;
+  for (const OwnedItem& item : job.items) {
+    GroupProgress& group = groups[item.item.group];
+    group.group = item.item.group;
+    group.required = group.required || item.carried;
+    if (item.phase == ItemPhase::kFinished || item.text.complete) continue;
+    group.events_left = std::max(group.events_left, OrderingEventsLeft(item));
+  }
+  std::vector<GroupProgress> list;
+  for (auto& [name, group] : groups) list.push_back(std::move(group));
+  return list;
+}
+
+// What the placement has to know of `item`, without its key and rank. Drops engines that the item
+// no longer avoids at `now`.
+WaitingItem DescribeWaiting(const OwnedJob& job, OwnedItem& item, const ServiceRoute& route,
+                            TimePoint now) {
+  WaitingItem entry;
+  entry.service = route.split.empty() ? "" : route.split.front().first;
+  entry.model = job.head.model;
+  entry.min_version = job.head.min_version;
+  if (route.single_version && !item.text.versions.empty()) {
+    entry.only_version = item.text.versions.front();
+  }
+  entry.events_left = OrderingEventsLeft(item);
+  entry.prefer_newest = entry.events_left > kOutlastingEvents;
+  for (auto it = item.avoid.begin(); it != item.avoid.end();) {
+    if (it->second <= now) {
+      it = item.avoid.erase(it);
+    } else {
+      entry.avoid.insert(it->first);
+      ++it;
+    }
+  }
+  return entry;
+}
+
 }  // namespace
 
 BatchOwner::BatchOwner(BatchContext& context)
@@ -342,27 +382,8 @@
   std::vector<WaitingItem> waiting;
   std::vector<std::pair<std::shared_ptr<OwnedJob>, std::size_t>> of_key;
   for (const auto& [id, job] : this->context.jobs) {
-    // Groups by their expected end, to find those that the trainer can do without.
-    std::map<std::string, double> longest;
-    std::set<std::string> carried_groups;
-    for (const OwnedItem& item : job->items) {
-      double& left = longest[item.item.group];
-      if (item.carried) carried_groups.insert(item.item.group);
-      if (item.phase == ItemPhase::kFinished || item.text.complete) continue;
-      left = std::max(left, OrderingEventsLeft(item));
-    }
-    std::vector<std::pair<double, std::string>> order;
-    for (const auto& [group, left] : longest) {
-      if (carried_groups.count(group) == 0) order.emplace_back(-left, group);
-    }
-    std::sort(order.begin(), order.end());
-    const int64_t spare = job->head.target_groups > 0
-                              ? static_cast<int64_t>(longest.size()) - job->head.target_groups
-                              : 0;
-    std::set<std::string> dispensable;
-    for (int64_t i = 0; i < spare && i < static_cast<int64_t>(order.size()); ++i) {
-      dispensable.insert(order[static_cast<std::size_t>(i)].second);
-    }
+    const std::set<std::string> dispensable =
+        DispensableGroups(GroupsOf(*job), job->head.target_groups);
     for (std::size_t i = 0; i < job->items.size(); ++i) {
       OwnedItem& item = job->items[i];
       if (item.phase != ItemPhase::kWaiting || now < item.not_before) continue;
@@ -373,27 +394,11 @@
       const ServiceRoute* route =
           routes->Match(job->head.host, item.item.path.substr(0, item.item.path.find('?')));
       if (route == nullptr) continue;
-      WaitingItem entry;
+      WaitingItem entry = DescribeWaiting(*job, item, *route, now);
       entry.key = of_key.size();
-      entry.service = route->split.empty() ? "" : route->split.front().first;
-      entry.model = job->head.model;
-      entry.min_version = job->head.min_version;
-      if (route->single_version && !item.text.versions.empty()) {
-        entry.only_version = item.text.versions.front();
-      }
       entry.rank = item.carried                              ? ItemRank::kRequired
                    : dispensable.count(item.item.group) != 0 ? ItemRank::kDispensable
                                                              : ItemRank::kUsual;
-      entry.events_left = OrderingEventsLeft(item);
-      entry.prefer_newest = entry.events_left > kOutlastingEvents;
-      for (auto it = item.avoid.begin(); it != item.avoid.end();) {
-        if (it->second <= now) {
-          it = item.avoid.erase(it);
-        } else {
-          entry.avoid.insert(it->first);
-          ++it;
-        }
-      }
       of_key.emplace_back(job, i);
       waiting.push_back(std::move(entry));
     }
--- a/anvilcroft/lease_keeper.cc
+++ b/anvilcroft/lease_keeper.cc
@@ -12,6 +12,20 @@
 constexpr Duration kCallTimeout = milliseconds(500);  // a slow store answers in 300 ms
 constexpr int kCandidates = 3;                        // instances that watch the row closely
 
+// The row that a failed condition found, if `self` still holds it under `term`: an earlier write
+// was applied although its answer was lost.
+struct OwnRow {
+  OwnerRecord record;
+  int64_t version = 0;
+};
+std::optional<OwnRow> StillOwn(const CommitResult& failed, const std::string& self, int64_t term) {
+  if (failed.current.empty()) return std::nullopt;
+  const StoredRow& row = failed.current.front();
+  const auto record = DecodeOwner(row.value);
+  if (!record || record->holder != self || record->term != term) return std::nullopt;
+  return OwnRow{*record, row.version};
+}
+
 }  // namespace
 
 LeaseKeeper::LeaseKeeper(Runtime& runtime, MetadataStore& store, LeaseSettings settings,
@@ -118,14 +132,8 @@
     return;
   }
   if (written) {
-    // The row has another version: another holder has it, or an earlier renewal of ours was
-    // applied although its answer was lost.
-    const StoredRow* row = written->current.empty() ? nullptr : &written->current.front();
-    const auto current =
-        row == nullptr ? Result<OwnerRecord>(OwnerRecord()) : DecodeOwner(row->value);
-    if (row != nullptr && current && current->holder == this->settings.self &&
-        current->term == this->view.record.term) {
-      this->view = Observe(this->view, *current, row->version, BootNow());
+    if (const auto own = StillOwn(*written, this->settings.self, this->view.record.term)) {
+      this->view = Observe(this->view, own->record, own->version, BootNow());
       return;
     }
     this->view.read = false;
@@ -180,11 +188,9 @@
         this->store.Commit(task, batch, std::min(deadline, SteadyNow() + kCallTimeout));
     if (written && written->committed) break;
     if (written) {
-      const StoredRow* row = written->current.empty() ? nullptr : &written->current.front();
-      const auto current =
-          row == nullptr ? Result<OwnerRecord>(OwnerRecord()) : DecodeOwner(row->value);
-      if (row == nullptr || !current || current->holder != this->settings.self) break;
-      this->view.version = row->version;
+      const auto own = StillOwn(*written, this->settings.self, this->view.record.term);
+      if (!own) break;
+      this->view.version = own->version;
       continue;
     }
     SleepUntil(task, SteadyNow() + milliseconds(50));
--- a/testing/platform_decisions_test.cc
+++ b/testing/platform_decisions_test.cc
@@ -9,6 +9,7 @@
 
 #include "anvilcroft/batch_records.h"
 #include "anvilcroft/carried_texts.h"
+#include "anvilcroft/dispensable_groups.h"
 #include "anvilcroft/engine_board.h"
 #include "anvilcroft/front_directory.h"
 #include "anvilcroft/item_placement.h"
@@ -71,6 +72,19 @@
   CHECK(PlaceItems({item}, {old, loading, good}).empty());
 }
 
+// Load pattern: a step of which the trainer waits for 90% of the groups.
+TEST_CASE("the groups that would end last are dispensable, but not required ones", "[placement]") {
+  const std::vector<GroupProgress> groups = {
+      {"a", 10, false}, {"b", 90, false}, {"c", 120, true}, {"d", 40, false}};
+  CHECK(DispensableGroups(groups, 3) == std::set<std::string>{"b"});
+  CHECK(DispensableGroups(groups, 2) == std::set<std::string>{"b", "d"});
+  CHECK(DispensableGroups(groups, 4).empty());
+  CHECK(DispensableGroups(groups, 9).empty());
+  CHECK(DispensableGroups(groups, 0).empty());
+  // Required groups are kept even if the trainer asks for fewer.
+  CHECK(DispensableGroups(groups, 1).count("c") == 0);
+}
+
 // Load pattern: one slowed and one failing engine among good ones.
 TEST_CASE("items avoid slow and failing engines while others have room", "[placement]") {
   PlacementEngine slow = Engine("slow", 1);
