--- a/anvilcroft/front_instance.cc
+++ b/anvilcroft/front_instance.cc
@@ -31,9 +31,9 @@
 constexpr Duration kExitMargin = milliseconds(700);
 // Idle connections of callers are kept this much longer than the callers use them.
 constexpr Duration kIdleMargin = seconds(2);
-// When callers are to come back after a refusal.
 // Instances that a cut-off owner asks for its successor: those that watch the lease, and one more.
 constexpr std::size_t kLeasePeers = 4;
+// When callers are to come back after a refusal.
 constexpr Duration kShortRetry = milliseconds(100);  // another target or instance may serve it
 constexpr Duration kStoreRetry = milliseconds(300);  // the store is away for seconds
 // Changed settings are noticed without a signal within this time.
--- a/anvilcroft/item_runner.cc
+++ b/anvilcroft/item_runner.cc
@@ -21,6 +21,11 @@
 // The run's place in the order of an engine's queue: texts that a group waits for go first.
 constexpr int kUrgency = 5;
 
+// Milliseconds from `begin` to `end`; empty if `end` did not happen here.
+std::string MillisSince(TimePoint begin, TimePoint end) {
+  return end == TimePoint() ? "" : std::to_string(ToMillis(end - begin));
+}
+
 }  // namespace
 
 bool ItemRunner::MaySend(const OwnedJob& job) const {
@@ -247,9 +252,9 @@
            {"expected_tokens", std::to_string(static_cast<int64_t>(item.item.expected_tokens))},
            {"runs", std::to_string(item.runs)},
            {"moves", std::to_string(item.moves)},
-           {"began_ms", std::to_string(ToMillis(item.first_run - job->taken_at))},
-           {"text_ms", std::to_string(ToMillis(item.text_done - job->taken_at))},
-           {"age_ms", std::to_string(ToMillis(now - job->taken_at))}});
+           {"began_ms", MillisSince(job->taken_at, item.first_run)},
+           {"text_ms", MillisSince(job->taken_at, item.text_done)},
+           {"age_ms", MillisSince(job->taken_at, now)}});
   this->context.metrics.Count("anvilcroft_batch_items_total",
                               {{"outcome", result.completed ? "completed" : "expired"}});
   job->finished.push_back(std::move(result));
