--- a/anvilcroft/lease_keeper.cc
+++ b/anvilcroft/lease_keeper.cc
@@ -83,6 +83,14 @@
   this->view = Observe(this->view, record, version, BootNow());
 }
 
+Result<CommitResult> LeaseKeeper::Write(Task& task, const OwnerRecord& record, TimePoint deadline) {
+  const RowBatch batch = RowBatch::Builder()
+                             .Expect(this->Row(), this->view.version)
+                             .Put(this->Row(), EncodeOwner(record))
+                             .Build();
+  return this->store.Commit(task, batch, deadline);
+}
+
 void LeaseKeeper::Take(Task& task) {
   const OwnerRecord former = this->view.record;
   const BootTime former_sign = this->view.changed_at;
@@ -90,11 +98,7 @@
   record.holder = this->settings.self;
   record.term = former.term + 1;
   const BootTime sent = BootNow();
-  const RowBatch batch = RowBatch::Builder()
-                             .Expect(this->Row(), this->view.version)
-                             .Put(this->Row(), EncodeOwner(record))
-                             .Build();
-  const auto written = this->store.Commit(task, batch, SteadyNow() + kCallTimeout);
+  const auto written = this->Write(task, record, SteadyNow() + kCallTimeout);
   if (!written || !written->committed) {
     this->view.read = false;
     return;
@@ -116,11 +120,7 @@
   OwnerRecord record = this->view.record;
   ++record.renewals;
   const BootTime sent = BootNow();
-  const RowBatch batch = RowBatch::Builder()
-                             .Expect(this->Row(), this->view.version)
-                             .Put(this->Row(), EncodeOwner(record))
-                             .Build();
-  const auto written = this->store.Commit(task, batch, SteadyNow() + kCallTimeout);
+  const auto written = this->Write(task, record, SteadyNow() + kCallTimeout);
   if (this->released) return;
   if (written && written->committed) {
     this->view = Observe(this->view, record, written->version, BootNow());
@@ -180,12 +180,7 @@
   record.holder.clear();
   // A renewal that is under way may change the row's version meanwhile.
   while (SteadyNow() < deadline) {
-    const RowBatch batch = RowBatch::Builder()
-                               .Expect(this->Row(), this->view.version)
-                               .Put(this->Row(), EncodeOwner(record))
-                               .Build();
-    const auto written =
-        this->store.Commit(task, batch, std::min(deadline, SteadyNow() + kCallTimeout));
+    const auto written = this->Write(task, record, std::min(deadline, SteadyNow() + kCallTimeout));
     if (written && written->committed) break;
     if (written) {
       const auto own = StillOwn(*written, this->settings.self, this->view.record.term);
--- a/anvilcroft/lease_keeper.h
+++ b/anvilcroft/lease_keeper.h
@@ -63,6 +63,8 @@
  private:
   void Run(Task& task);
   void Watch(Task& task);
+  // Writes the row on the condition that it is as last seen.
+  Result<CommitResult> Write(Task& task, const OwnerRecord& record, TimePoint deadline);
   void Take(Task& task);
   void Renew(Task& task);
   void HandleUnanswered(Task& task);
--- a/anvilcroft/live_forwarder.cc
+++ b/anvilcroft/live_forwarder.cc
@@ -17,8 +17,6 @@
 constexpr Duration kMinHedgeDelay = milliseconds(40);
 constexpr double kHedgeShareOfTargetLatency = 0.45;
 constexpr double kHedgeQuantile = 0.95;
-// Less time than this is not enough for an attempt.
-constexpr Duration kMinAttemptTime = milliseconds(5);
 
 }  // namespace
 
--- a/anvilcroft/live_forwarder.h
+++ b/anvilcroft/live_forwarder.h
@@ -30,8 +30,6 @@
   // Extra attempts beside one that still runs: at most this share of the requests.
   static constexpr double kHedgeShare = 0.15;
   static constexpr double kHedgeBurst = 10;
-  // A target that says "not executed" costs no attempt; this many such answers end the request.
-  static constexpr int kMaxRefusals = 4;
 
   LiveForwarder(Runtime& runtime, platform::EngineClient& engines, TargetPool& pool, Routes routes,
                 std::string zone, uint64_t seed);
--- a/anvilcroft/live_request.h
+++ b/anvilcroft/live_request.h
@@ -13,6 +13,11 @@
 
 namespace anvilcroft {
 
+// A target that says "not executed" costs no attempt; this many such answers end a request.
+constexpr int kMaxRefusals = 4;
+// Less time than this is not enough for an attempt.
+constexpr Duration kMinAttemptTime = milliseconds(5);
+
 struct LiveRequest {
   platform::ForwardRequest message;
   std::string host;
--- a/anvilcroft/live_streamer.cc
+++ b/anvilcroft/live_streamer.cc
@@ -10,9 +10,6 @@
 
 using Kind = platform::StreamOutcome::Kind;
 
-// Less time than this is not enough for an attempt.
-constexpr Duration kMinAttemptTime = milliseconds(5);
-
 TargetOutcome HealthOf(const platform::StreamOutcome& outcome) {
   switch (outcome.kind) {
     case Kind::kComplete:
--- a/anvilcroft/live_streamer.h
+++ b/anvilcroft/live_streamer.h
@@ -27,8 +27,6 @@
   // target latency; half of that leaves the next target its chance.
   static constexpr Duration kLeastSilence = milliseconds(1000);
   static constexpr int kSilenceShare = 2;
-  // As for short requests: this many targets that did not run the request end it.
-  static constexpr int kMaxRefusals = 4;
 
   LiveStreamer(platform::EngineClient& engines, TargetPool& pool, Routes routes, std::string zone,
                uint64_t seed)
--- a/soak/clients.cc
+++ b/soak/clients.cc
@@ -4,8 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "anvilcroft/base64.h"
 #include "anvilcroft/json.h"
+#include "fakes/platform_caller.h"
 
 namespace anvilcroft::soak {
 namespace {
@@ -52,14 +52,8 @@
 Result<HttpResponse> Clients::Send(Task& task, const std::string& address,
                                    const std::string& method, const std::string& target,
                                    const std::string& id, const std::string& body, Duration limit) {
-  const HttpRequest request = HttpRequest::Builder()
-                                  .SetMethod(method)
-                                  .SetTarget(target)
-                                  .SetHeader("Host", Site::kHost)
-                                  .SetHeader("X-Attempt-Id", id)
-                                  .SetHeader("X-Deadline-Ms", std::to_string(ToMillis(limit)))
-                                  .SetBody(body)
-                                  .Build();
+  const HttpRequest request =
+      fakes::CallerRequest(method, target, id, body, std::to_string(ToMillis(limit)));
   return this->http.Call(task, *ParseEndpoint(address), request,
                          CallOptions(SteadyNow() + limit).WithFreshConnection());
 }
@@ -139,28 +133,16 @@
     const std::string id = "j" + std::to_string(step);
     Job job;
     job.min_version = std::max<int64_t>(1, this->version - 1);
-    json items = json::array();
+    fakes::StepShape shape;
+    shape.item_prefix = id + "i";
+    shape.groups = kGroups;
+    shape.items_per_group = kItemsPerGroup;
+    shape.step = step;
+    shape.min_version = job.min_version;
     for (int i = 0; i < kGroups * kItemsPerGroup; ++i) {
-      const std::string item = id + "i" + std::to_string(i);
-      job.items.insert(item);
-      items.push_back({{"Id", item},
-                       {"Path", "/rollout/1"},
-                       {"Headers", {{"X-Model", Site::kModel}, {"X-Token-Counts", "100,4000"}}},
-                       {"Body", Base64Encode("prompt of " + item)},
-                       {"Tokens", 500},
-                       {"Group", id + "g" + std::to_string(i / kItemsPerGroup)},
-                       {"Scorer",
-                        {{"Id", "s" + item},
-                         {"Host", Site::kHost},
-                         {"Path", "/lookup/score"},
-                         {"Body", Base64Encode("judge")}}}});
+      job.items.insert(shape.item_prefix + std::to_string(i));
     }
-    const json body = {{"Step", step},
-                       {"Model", Site::kModel},
-                       {"MinVersion", job.min_version},
-                       {"TargetGroups", kGroups},
-                       {"Items", items}};
-    if (!this->Submit(task, id, body.dump())) break;
+    if (!this->Submit(task, id, fakes::StepBody(shape))) break;
     ++this->counts["jobs"];
     Job& kept = this->jobs[id] = std::move(job);
     const TimePoint limit = SteadyNow() + kStepLimit;
--- a/testing/cluster_harness.h
+++ b/testing/cluster_harness.h
@@ -13,6 +13,7 @@
 #include "anvilcroft/http_client.h"
 #include "anvilcroft/http_server.h"
 #include "testing/fake_table.h"
+#include "testing/run_task.h"
 
 namespace anvilcroft {
 
@@ -74,20 +75,12 @@
   Instance& At(std::size_t index) { return *this->instances[index]; }
 
   // Runs `body` in a task until it returns.
-  void Run(const Runtime::Body& body) {
-    this->runtime.Spawn([&](Task& task) {
-      body(task);
-      this->runtime.Stop();
-    });
-    this->runtime.Run();
-  }
+  void Run(const Runtime::Body& body) { testing::RunTask(this->runtime, body); }
 
   // Waits until `condition` holds; fails the test after a generous time.
   void Await(Task& task, const std::string& what, const std::function<bool()>& condition) {
-    const TimePoint limit = SteadyNow() + seconds(40);
-    while (!condition() && SteadyNow() < limit) SleepUntil(task, SteadyNow() + milliseconds(10));
     INFO("waited for: " << what);
-    REQUIRE(condition());
+    REQUIRE(testing::WaitUntil(task, condition, seconds(40)));
   }
 
   // Adds `count` instances a, b, c ... and waits until they know each other and are connected.
--- a/testing/fake_test_util.h
+++ b/testing/fake_test_util.h
@@ -8,17 +8,11 @@
 
 #include "anvilcroft/http_client.h"
 #include "anvilcroft/json.h"
+#include "testing/run_task.h"
 
 namespace anvilcroft::fakes {
 
-// Runs `body` in a task and stops the runtime when it returns.
-inline void RunTask(Runtime& runtime, const Runtime::Body& body) {
-  runtime.Spawn([&](Task& task) {
-    body(task);
-    runtime.Stop();
-  });
-  runtime.Run();
-}
+using testing::RunTask;
 
 inline TimePoint Soon() { return SteadyNow() + seconds(10); }
 
--- a/testing/platform_fixture.h
+++ b/testing/platform_fixture.h
@@ -11,11 +11,12 @@
 #include <string>
 #include <vector>
 
-#include "anvilcroft/base64.h"
 #include "anvilcroft/front_instance.h"
 #include "anvilcroft/http_client.h"
+#include "fakes/platform_caller.h"
 #include "fakes/platform_engine.h"
 #include "fakes/platform_store.h"
+#include "testing/run_task.h"
 
 namespace anvilcroft {
 
@@ -111,33 +112,32 @@
   }
 
   // Runs `body` in a task until it returns.
-  void Run(const Runtime::Body& body) {
-    this->runtime.Spawn([&](Task& task) {
-      body(task);
-      this->runtime.Stop();
-    });
-    this->runtime.Run();
-  }
+  void Run(const Runtime::Body& body) { testing::RunTask(this->runtime, body); }
 
   // Waits until `condition` holds; fails the test after a generous time.
   void Await(Task& task, const std::string& what, const std::function<bool()>& condition) {
-    const TimePoint limit = SteadyNow() + seconds(30);
-    while (!condition() && SteadyNow() < limit) SleepUntil(task, SteadyNow() + milliseconds(10));
     INFO("waited for: " << what);
-    REQUIRE(condition());
+    REQUIRE(testing::WaitUntil(task, condition, seconds(30)));
+  }
+
+  // An owner of the batch jobs, and a second instance that is ready to follow it.
+  struct Owners {
+    FrontInstance& owner;
+    FrontInstance& next;
+  };
+  Owners AddOwners(Task& task) {
+    FrontInstance& owner = this->AddInstance("one");
+    this->AwaitReady(task, owner);
+    this->Await(task, "the lease is held", [&] { return owner.OwnsBatchJobs(); });
+    FrontInstance& next = this->AddInstance("two");
+    this->AwaitReady(task, next);
+    return {owner, next};
   }
 
   Result<HttpResponse> Send(Task& task, const std::string& address, const std::string& method,
                             const std::string& target, const std::string& id,
                             const std::string& body = "", const std::string& deadline_ms = "8000") {
-    const HttpRequest request = HttpRequest::Builder()
-                                    .SetMethod(method)
-                                    .SetTarget(target)
-                                    .SetHeader("Host", "h.example")
-                                    .SetHeader("X-Attempt-Id", id)
-                                    .SetHeader("X-Deadline-Ms", deadline_ms)
-                                    .SetBody(body)
-                                    .Build();
+    const HttpRequest request = fakes::CallerRequest(method, target, id, body, deadline_ms);
     return this->http.Call(task, *ParseEndpoint(address), request,
                            CallOptions(SteadyNow() + seconds(20)).WithFreshConnection());
   }
@@ -151,27 +151,11 @@
 
   // A training step of `groups` groups of two items, each judged by the app target.
   static std::string Step(const std::string& prefix, int groups, int64_t min_version = 1) {
-    nlohmann::json items = nlohmann::json::array();
-    for (int i = 0; i < 2 * groups; ++i) {
-      const std::string id = prefix + std::to_string(i);
-      items.push_back({{"Id", id},
-                       {"Path", "/rollout/1"},
-                       {"Headers", {{"X-Model", "m"}, {"X-Token-Counts", "100,400"}}},
-                       {"Body", Base64Encode("prompt of " + id)},
-                       {"Tokens", 500},
-                       {"Group", prefix + "g" + std::to_string(i / 2)},
-                       {"Scorer",
-                        {{"Id", "s" + id},
-                         {"Host", "h.example"},
-                         {"Path", "/lookup/score"},
-                         {"Body", Base64Encode("judge " + id)}}}});
-    }
-    return nlohmann::json{{"Step", 0},
-                          {"Model", "m"},
-                          {"MinVersion", min_version},
-                          {"TargetGroups", groups},
-                          {"Items", items}}
-        .dump();
+    fakes::StepShape shape;
+    shape.item_prefix = prefix;
+    shape.groups = groups;
+    shape.min_version = min_version;
+    return fakes::StepBody(shape);
   }
 
   // Reads the results of a job from the start.
--- a/testing/platform_front_test.cc
+++ b/testing/platform_front_test.cc
@@ -210,12 +210,10 @@
 TEST_CASE("a stopping owner hands over and finishes its requests", "[platform]") {
   PlatformFixture fixture;
   fixture.AddEngine("i-e1").event_time = milliseconds(100);
-  FrontInstance& one = fixture.AddInstance("one");
   fixture.Run([&](Task& task) {
-    fixture.AwaitReady(task, one);
-    fixture.Await(task, "the lease is held", [&] { return one.OwnsBatchJobs(); });
-    FrontInstance& two = fixture.AddInstance("two");
-    fixture.AwaitReady(task, two);
+    const PlatformFixture::Owners owners = fixture.AddOwners(task);
+    FrontInstance& one = owners.owner;
+    FrontInstance& two = owners.next;
     REQUIRE(fixture.Send(task, two.FrontAddress(), "POST", "/rollout/s", "job1",
                          PlatformFixture::Step("x", 3)));
     fixture.app.event_time = milliseconds(600);
@@ -241,12 +239,10 @@
   fakes::PlatformEngine& engine = fixture.AddEngine("i-e1");
   engine.event_time = milliseconds(50);
   engine.events_per_item = 40;
-  FrontInstance& one = fixture.AddInstance("one");
   fixture.Run([&](Task& task) {
-    fixture.AwaitReady(task, one);
-    fixture.Await(task, "the lease is held", [&] { return one.OwnsBatchJobs(); });
-    FrontInstance& two = fixture.AddInstance("two");
-    fixture.AwaitReady(task, two);
+    const PlatformFixture::Owners owners = fixture.AddOwners(task);
+    FrontInstance& one = owners.owner;
+    FrontInstance& two = owners.next;
     REQUIRE(fixture.Send(task, two.FrontAddress(), "POST", "/rollout/s", "job1",
                          PlatformFixture::Step("x", 1)));
     fixture.Await(task, "both items run", [&] { return engine.started.size() == 2; });
--- a/testing/routing_fixture.cc
+++ b/testing/routing_fixture.cc
@@ -9,23 +9,6 @@
 
 using nlohmann::json;
 
-void RunTask(Runtime& runtime, const Runtime::Body& body) {
-  runtime.Spawn([&](Task& task) {
-    body(task);
-    runtime.Stop();
-  });
-  runtime.Run();
-}
-
-bool WaitUntil(Task& task, const std::function<bool()>& condition) {
-  const TimePoint deadline = SteadyNow() + seconds(20);
-  while (!condition()) {
-    if (SteadyNow() > deadline) return false;
-    SleepUntil(task, SteadyNow() + milliseconds(5));
-  }
-  return true;
-}
-
 std::string ErrorCodeOf(const HttpResponse& response) {
   const auto body = ParseJson(response.Body());
   if (!body || !body->is_object() || !body->contains("error")) return "";
--- a/testing/routing_fixture.h
+++ b/testing/routing_fixture.h
@@ -13,15 +13,10 @@
 #include "anvilcroft/http_client.h"
 #include "anvilcroft/http_server.h"
 #include "anvilcroft/routing_node.h"
+#include "testing/run_task.h"
 
 namespace anvilcroft::testing {
 
-// Runs `body` in a task and stops the runtime when it returns.
-void RunTask(Runtime& runtime, const Runtime::Body& body);
-
-// Waits until `condition` holds; false after 20 s.
-bool WaitUntil(Task& task, const std::function<bool()>& condition);
-
 // A target whose behaviour tests change between and during requests. As a model engine it answers
 // with tokens 0, 1, 2, ... whose texts are "0 ", "1 ", "2 ", ...
 class StubTarget {
--- /dev/null
+++ b/testing/run_task.h
@@ -0,0 +1,20 @@
+#ifndef TESTING_RUN_TASK_H_
+#define TESTING_RUN_TASK_H_
+
+// Runs the body of a test in a task, and waits in it for conditions.
+
+#include <functional>
+
+#include "anvilcroft/runtime.h"
+
+namespace anvilcroft::testing {
+
+// Runs `body` in a task and stops the runtime when it returns.
+void RunTask(Runtime& runtime, const Runtime::Body& body);
+
+// Waits until `condition` holds; false after `limit`, a generous time.
+bool WaitUntil(Task& task, const std::function<bool()>& condition, Duration limit = seconds(20));
+
+}  // namespace anvilcroft::testing
+
+#endif  // TESTING_RUN_TASK_H_
