Withdraw a crash only when the same run of the engine answers

Cause: TargetTable called the recovery hook at each change of phase away from lost. A crashed engine that is then listed as leaving, or whose successor reports that it is leaving, went from lost to leaving, and CrashGuard took its crash off the request that had caused it. The request could then crash a third target.

Change: the hook runs when the engine reports its state after its connections had failed, with the process that the report names.

Test: 'only an answer of the same process withdraws its crash' failed before (the hook had run without an answer, and did not name the new process).

--- a/anvilcroft/target_state.h
+++ b/anvilcroft/target_state.h
@@ -77,6 +77,8 @@
   void OnLost(TimePoint now);
   // Time of the first of the consecutive failed connections. Meaningful only in phase kLost.
   TimePoint LostAt() const { return this->lost_at; }
+  // Whether the latest connections to the target failed and it has not answered since.
+  bool Unreachable() const { return this->failed_probes > 0; }
   // Makes the target ineligible for new work until `until`, for a target that was silent or failed
   // but can still be reached.
   void AvoidUntil(TimePoint until);
--- a/anvilcroft/target_table.cc
+++ b/anvilcroft/target_table.cc
@@ -30,13 +30,19 @@
       view(std::move(view)),
       poll_interval(poll_interval) {}
 
-void TargetTable::OnPhaseChange(const TargetState& state, TargetPhase from, TargetPhase to) const {
+void TargetTable::LogPhaseChange(const TargetState& state, TargetPhase from, TargetPhase to) {
   LogInfo(kPart, "target phase changed",
           {{"target", state.Description().Id()},
            {"from", TargetPhaseName(from)},
            {"to", TargetPhaseName(to)}});
-  if (from == TargetPhase::kLost && this->recovery_hook && !state.InstanceStart().empty()) {
-    this->recovery_hook(RunId(state.Description().Id(), state.InstanceStart()));
+}
+
+void TargetTable::RecordReport(TargetState& state, const EngineReport& report,
+                               TimePoint now) const {
+  const bool was_unreachable = state.Unreachable();
+  state.OnReport(report, now);
+  if (was_unreachable && this->recovery_hook && !report.instance_start.empty()) {
+    this->recovery_hook(RunId(state.Description().Id(), report.instance_start));
   }
 }
 
@@ -97,7 +103,7 @@
 }
 
 void TargetTable::ApplyReport(const EngineReport& report) {
-  if (const auto state = this->Find(report.id)) state->OnReport(report, SteadyNow());
+  if (const auto state = this->Find(report.id)) this->RecordReport(*state, report, SteadyNow());
 }
 
 void TargetTable::RebuildSubset() {
@@ -114,10 +120,7 @@
                       found->second->Description().Service() == target.Service() &&
                       found->second->Description().Kind() == target.Kind();
     const auto state = same ? found->second
-                            : std::make_shared<TargetState>(
-                                  target, [this](const auto& changed, auto from, auto to) {
-                                    this->OnPhaseChange(changed, from, to);
-                                  });
+                            : std::make_shared<TargetState>(target, &LogPhaseChange);
     state->Update(target, config->Drained(id));
     kept.emplace(id, state);
     this->by_service[target.Service()].push_back(state);
@@ -229,7 +232,7 @@
                {{"target", target.Id()}});
     return;
   }
-  state->OnReport(*report, SteadyNow());
+  this->RecordReport(*state, *report, SteadyNow());
 }
 
 std::string TargetTable::RenderTargets() const {
--- a/anvilcroft/target_table.h
+++ b/anvilcroft/target_table.h
@@ -36,8 +36,8 @@
   TargetTable(Runtime& runtime, HttpClient& http, Endpoint instance_list, ClusterView view,
               Duration poll_interval);
 
-  // Called with the RunId of an engine whose phase changes from kLost to another one, usually
-  // because it responds again.
+  // Called with the RunId of an engine that reports its state after connections to it had failed.
+  // A change of its entry in the list is no sign of life: a crashed engine may be listed as leaving.
   using RecoveryHook = std::function<void(const std::string& run)>;
   void SetRecoveryHook(RecoveryHook hook) { this->recovery_hook = std::move(hook); }
 
@@ -84,7 +84,8 @@
   void Probe(Task& task, const std::shared_ptr<TargetState>& state);
 
  private:
-  void OnPhaseChange(const TargetState& state, TargetPhase from, TargetPhase to) const;
+  static void LogPhaseChange(const TargetState& state, TargetPhase from, TargetPhase to);
+  void RecordReport(TargetState& state, const EngineReport& report, TimePoint now) const;
 
   void PollList(Task& task);
   void ProbeDueTargets();
--- a/testing/target_test.cc
+++ b/testing/target_test.cc
@@ -323,5 +323,43 @@
   });
 }
 
+// Guards against a request that keeps crashing engines because its crashes are taken back: an
+// engine that crashed and is then listed as leaving, or restarts and reports that it is leaving,
+// has not answered.
+TEST_CASE("only an answer of the same process withdraws its crash", "[target]") {
+  Runtime runtime;
+  StubTable table;
+  StubTarget engine(runtime, "e1", TargetKind::kModelEngine, "model");
+  StubInstance instance(runtime, table, "i1", {&engine});
+  TargetTable& targets = instance.node->Targets();
+  std::vector<std::string> recovered;
+  targets.SetRecoveryHook([&](const std::string& run) { recovered.push_back(run); });
+  RunTask(runtime, [&](Task& task) {
+    REQUIRE(instance.WaitEligible(task, 1));
+    const auto state = targets.Find("e1");
+    const std::string start = state->InstanceStart();
+    EngineReport report;
+    report.id = "e1";
+    report.instance_start = start;
+    targets.ApplyReport(report);
+    CHECK(recovered.empty());
+
+    state->OnLost(SteadyNow());
+    engine.list_state = "leaving";
+    REQUIRE(targets.Apply({{"revision", 100}, {"instances", {engine.ListEntry()}}}));
+    CHECK(state->Phase() == TargetPhase::kLeaving);
+    CHECK(recovered.empty());
+    targets.ApplyReport(report);
+    CHECK(recovered == std::vector<std::string>{TargetTable::RunId("e1", start)});
+
+    recovered.clear();
+    state->OnLost(SteadyNow());
+    report.instance_start = "another";
+    report.leaving = true;
+    targets.ApplyReport(report);
+    CHECK(recovered == std::vector<std::string>{TargetTable::RunId("e1", "another")});
+  });
+}
+
 }  // namespace
 }  // namespace anvilcroft::testing
