Answer the requests that a stopping server has accepted

Cause: HttpServer::StopAccepting closed every connection without a request in progress: those that it had just taken from the listen queue, those whose request the kernel had received and the process had not read, and FrontInstance never announced the close before. The process also ended while a request was being read, since only running handlers were counted.

Change: such connections are served, a new one has a second for its first request, and the stop ends when no connection is open. After its last response the server discards input before it closes, since a reset would destroy the response. Instances announce the close once callers have newer addresses. The input buffer of a connection has a limit, which chunk extensions did not have.

--- a/anvilcroft/front_instance.cc
+++ b/anvilcroft/front_instance.cc
@@ -340,13 +340,18 @@
     this->batch_owner.HandOver(task, std::min(end, started + kHandoverTimeout));
     this->lease_keeper.Release(task, std::min(end, started + seconds(2)));
     const TimePoint unused_by = started + kAddressTtlMultiple * this->settings.AddressTtl();
-    SleepUntil(task, std::min(end - seconds(1), unused_by));
+    const TimePoint stop_at = std::min(end - seconds(1), unused_by);
+    // Callers with a current list of addresses use other instances by now.
+    SleepUntil(task, std::min(stop_at, started + this->settings.AddressTtl()));
+    this->caller_server->CloseAfterResponse();
+    SleepUntil(task, stop_at);
     this->caller_server->StopAccepting();
-    while (this->caller_server->ActiveRequests() > 0 && SteadyNow() < end) {
+    while (this->caller_server->Connections() > 0 && SteadyNow() < end) {
       SleepUntil(task, SteadyNow() + milliseconds(20));
     }
     LogInfo(kPart, "stopped serving callers",
             {{"open_requests", std::to_string(this->caller_server->ActiveRequests())},
+             {"open_connections", std::to_string(this->caller_server->Connections())},
              {"ms", std::to_string(ToMillis(SteadyNow() - started))}});
     this->on_stopped();
   }
--- a/anvilcroft/http_server.cc
+++ b/anvilcroft/http_server.cc
@@ -6,6 +6,7 @@
 #include <boost/beast/http.hpp>
 #include <set>
 #include <utility>
+#include <vector>
 
 #include "anvilcroft/endpoint.h"
 #include "anvilcroft/http_beast.h"
@@ -21,6 +22,15 @@
 using boost::system::error_code;
 
 constexpr char kPart[] = "http";
+// Time in which a stopping server waits for the first request of a connection that it has accepted.
+// Callers send it right after they have connected.
+constexpr Duration kFirstRequestTime = seconds(1);
+// Limits for input that is discarded before a connection is closed.
+constexpr Duration kDiscardTime = seconds(1);
+constexpr std::size_t kMaxDiscardedBytes = 4 << 20;
+// Input that is buffered in addition to a header block. Also bounds a chunk header and a trailer,
+// whose length nothing else limits.
+constexpr std::size_t kMaxBufferedBytes = 64 << 10;
 
 // One open connection and the response to the request that it is serving.
 class Session : public HttpReply, public std::enable_shared_from_this<Session> {
@@ -109,6 +119,26 @@
     this->stream.close();
   }
 
+  // Ends the output and discards input until the caller closes the connection, within limits.
+  // Closing a socket with unread input resets the connection, and the caller could lose the
+  // response.
+  void DiscardInput(Task& task) {
+    error_code failed;
+    this->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, failed);
+    this->stream.expires_after(kDiscardTime);
+    std::size_t budget = kMaxDiscardedBytes;
+    char discarded[4096];
+    while (!failed && budget > sizeof discarded) {
+      budget -= this->stream.async_read_some(asio::buffer(discarded), task.yield[failed]);
+    }
+  }
+
+  // Whether bytes have arrived that have not been read from the socket.
+  bool HasUnreadInput() {
+    char byte = 0;
+    return ::recv(this->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+  }
+
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
   bool answered = false;
@@ -116,6 +146,7 @@
   bool head_only = false;  // the request is a HEAD
   bool keep_alive = true;
   bool busy = false;     // a request is being read or served
+  bool served = false;   // a request has been served
   bool closing = false;  // close the connection after the current response
 
  private:
@@ -176,10 +207,24 @@
     error_code ignored;
     this->acceptor.close(ignored);
     this->CloseAfterResponse();
+    // A request that has arrived, or that is the first one of its connection, is still served.
+    std::vector<std::weak_ptr<Session>> waiting;
     const auto open = this->sessions;
     for (const auto& session : open) {
-      if (!session->busy) session->Close();
+      if (session->busy || session->HasUnreadInput()) continue;
+      if (session->served) {
+        session->Close();
+      } else {
+        waiting.push_back(session);
+      }
     }
+    this->runtime.Spawn([waiting](Task& task) {
+      SleepUntil(task, SteadyNow() + kFirstRequestTime);
+      for (const auto& weak : waiting) {
+        const auto session = weak.lock();
+        if (session && !session->busy && !session->HasUnreadInput()) session->Close();
+      }
+    });
   }
 
   void CloseAfterResponse() override {
@@ -196,6 +241,7 @@
   }
 
   std::size_t ActiveRequests() const override { return this->active; }
+  std::size_t Connections() const override { return this->sessions.size(); }
 
  private:
   void AcceptLoop(Task& task) {
@@ -233,9 +279,6 @@
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     auto session = std::make_shared<Session>(std::move(socket), this->options.write_timeout);
     session->closing = this->closing;
-    // After CloseAfterResponse, a new connection counts as busy, so that StopAccepting does not
-    // close it before its request is read.
-    session->busy = this->closing;
     this->sessions.insert(session);
     this->runtime.Spawn([this, session](Task& task) {
       while (this->ServeRequest(task, *session)) {
@@ -256,6 +299,7 @@
       session.buffer.commit(read);
     }
     session.busy = true;
+    session.buffer.max_size(this->options.max_header_bytes + kMaxBufferedBytes);
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(this->options.max_header_bytes));
     parser.body_limit(this->options.max_body_bytes);
@@ -277,8 +321,14 @@
                                              "", Ran::kUnknown}));
     }
     if (session.streaming) return false;  // without End, the caller must see a truncated body
-    session.busy = session.buffer.size() > 0;
-    return session.keep_alive && !session.closing;
+    session.served = true;
+    if (session.keep_alive && !session.closing) {
+      session.busy = session.buffer.size() > 0;
+      return true;
+    }
+    // A caller that did not ask to close the connection may have sent another request.
+    if (parser.keep_alive() && session.stream.socket().is_open()) session.DiscardInput(task);
+    return false;
   }
 
   void RejectRequest(Task& task, Session& session, const error_code& failed) {
@@ -302,16 +352,7 @@
                            .SetHeaders(response.Headers())
                            .SetBody(response.Body())
                            .Build());
-    // Discards the remaining input, within limits of time and size. Closing a socket with unread
-    // input resets the connection, and the caller could lose the response.
-    error_code ignored;
-    session.stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-    session.stream.expires_after(seconds(1));
-    std::size_t budget = 4 << 20;
-    char discarded[4096];
-    while (!ignored && budget > sizeof discarded) {
-      budget -= session.stream.async_read_some(asio::buffer(discarded), task.yield[ignored]);
-    }
+    session.DiscardInput(task);
   }
 
   Runtime& runtime;
--- a/anvilcroft/http_server.h
+++ b/anvilcroft/http_server.h
@@ -72,8 +72,8 @@
   // address is malformed or unavailable.
   virtual Result<std::string> Start() = 0;
 
-  // Closes the listener and all idle connections. A connection that is serving a request is closed
-  // after its response.
+  // Closes the listener and all idle connections. A connection whose request is being read or served
+  // is closed after the response. One that has not sent its first request gets a second for it.
   virtual void StopAccepting() = 0;
 
   // From now on sends "Connection: close" with each response, so that callers close their
@@ -86,6 +86,9 @@
 
   // Number of requests whose handler is running.
   virtual std::size_t ActiveRequests() const = 0;
+
+  // Number of open connections. After StopAccepting, the server is done once there are none.
+  virtual std::size_t Connections() const = 0;
 };
 
 class HttpServer::Builder {
--- a/anvilcroft/instance.cc
+++ b/anvilcroft/instance.cc
@@ -209,7 +209,7 @@
   }
 
   bool Drained() const {
-    return this->server->ActiveRequests() == 0 && this->routing->InFlight() == 0 &&
+    return this->server->Connections() == 0 && this->routing->InFlight() == 0 &&
            this->routing->Settled() && this->rollout->Idle();
   }
 
