Tell a response of an engine from other bytes on its connection

Found by a new test with scripted peers: - A Content-Length of 100 GB ended the process with std::bad_alloc, since Beast allocates the announced length. It is now an error, as are more than 8 interim responses, and chunk headers and trailers beyond 128 KiB. - A late copy of an earlier response, on a connection in use again, made the next request fail. The copy is skipped, the right answer delivered, and the connection closed after it. - A stalled stream that sends comments or parts of events lasted until its job ended. The progress timeout now applies to whole events, for items, callers' streams and the own protocol.

Truncated responses were errors before; the test keeps that.

--- a/anvilcroft/call_options.cc
+++ b/anvilcroft/call_options.cc
@@ -22,6 +22,12 @@
   return copy;
 }
 
+CallOptions CallOptions::WithResponseField(std::string name, std::string value) const {
+  CallOptions copy = *this;
+  copy.response_field = {std::move(name), std::move(value)};
+  return copy;
+}
+
 CallOptions CallOptions::WithSendGuard(std::function<bool()> guard) const {
   CallOptions copy = *this;
   copy.send_guard = std::move(guard);
--- a/anvilcroft/call_options.h
+++ b/anvilcroft/call_options.h
@@ -6,6 +6,8 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
+#include <utility>
 
 #include "anvilcroft/cancellation.h"
 #include "anvilcroft/time.h"
@@ -37,6 +39,10 @@
   // while the connection is being established.
   CallOptions WithSendGuard(std::function<bool()> guard) const;
 
+  // A copy that accepts only a response whose header `name` has `value`. On a reused connection,
+  // responses with another value are late duplicates of earlier ones and are skipped.
+  CallOptions WithResponseField(std::string name, std::string value) const;
+
   TimePoint Deadline() const { return this->deadline; }
   Duration ProgressTimeout() const { return this->progress_timeout; }
   bool FreshConnection() const { return this->fresh_connection; }
@@ -44,6 +50,8 @@
   const std::shared_ptr<Cancellation>& CancellationToken() const { return this->cancellation; }
   const std::optional<Duration>& ConnectTimeout() const { return this->connect_timeout; }
   const std::function<bool()>& SendGuard() const { return this->send_guard; }
+  // Name and value; an empty name: any response is accepted.
+  const std::pair<std::string, std::string>& ResponseField() const { return this->response_field; }
 
  private:
   TimePoint deadline;
@@ -53,6 +61,7 @@
   std::shared_ptr<Cancellation> cancellation;
   std::optional<Duration> connect_timeout;
   std::function<bool()> send_guard;
+  std::pair<std::string, std::string> response_field;
 };
 
 }  // namespace anvilcroft
--- a/anvilcroft/engine_call.cc
+++ b/anvilcroft/engine_call.cc
@@ -62,8 +62,9 @@
   }
   SseParser parser;
   std::optional<EngineCallEnd> end;
+  TimePoint event_limit = SteadyNow() + options.ProgressTimeout();
   while (true) {
-    const auto chunk = stream.Read(task);
+    const auto chunk = stream.Read(task, event_limit);
     if (!chunk) {
       // After the last event the output is complete, however the connection ends.
       if (end) return *end;
@@ -74,6 +75,7 @@
     if (!events) return Malformed(events.error().message, events.error().part);
     for (const SseEvent& event : *events) {
       if (end) return Malformed("an event arrived after the last event", "event");
+      event_limit = SteadyNow() + options.ProgressTimeout();
       auto handled = this->HandleEvent(task, event, output, on_event);
       if (!handled) return tl::unexpected<Error>(handled.error());
       end = std::move(*handled);
--- a/anvilcroft/http_client.cc
+++ b/anvilcroft/http_client.cc
@@ -23,6 +23,12 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
+// Input that the client buffers on a connection: a header block, or what a read has taken of a body.
+// Also bounds a chunk header and a trailer, whose length nothing else limits.
+constexpr std::size_t kMaxBufferedBytes = 128 << 10;
+// A late duplicate that is larger is not skipped; the connection is closed instead.
+constexpr std::size_t kMaxSkippedBytes = 256 << 10;
+
 // Bytes sent and received on all connections of one client.
 struct Traffic {
   uint64_t sent = 0;
@@ -34,12 +40,15 @@
       : stream(io), traffic(std::move(traffic)) {}
 
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMaxBufferedBytes};
   std::shared_ptr<Traffic> traffic;
   TimePoint idle_since;
   // How long the connection may be idle before it must not be reused.
   Duration idle_limit = HttpClient::kMaxIdleTime;
   bool reused = false;
+  // A response was received that belongs to another request. Further ones may follow, so the
+  // connection must not be reused.
+  bool out_of_step = false;
 };
 
 // The error for a read or write that failed after part of the request may have been sent.
@@ -168,57 +177,99 @@
       : connection(std::move(connection)),
         options(options),
         release(std::move(release)),
-        cancel(CloseOnCancel(this->options, this->connection)) {
-    // Beast 1.74 treats boost::none (no limit) as a limit of zero if the response has a
-    // Content-Length, so the limit is set to the largest value instead.
-    this->parser.body_limit(std::numeric_limits<std::uint64_t>::max());
-    this->parser.header_limit(16 << 10);
-  }
+        cancel(CloseOnCancel(this->options, this->connection)) {}
 
+  // Reads the header of the response, without interim responses and skipped ones.
   Result<void> ReadHeader(Task& task) {
-    error_code failed;
-    this->SetTimeout();
-    this->connection->traffic->received += http::async_read_header(
-        this->connection->stream, this->connection->buffer, this->parser, task.yield[failed]);
-    if (failed) return TransferError(failed, this->options);
-    this->headers = FromBeast(this->parser.get());
-    this->connection->idle_limit = IdleLimit(this->headers);
-    return {};
+    const TimePoint limit = SteadyNow() + this->options.ProgressTimeout();
+    int skipped = 0;
+    while (true) {
+      if (const auto read = this->ReadFinalHeader(task, limit); !read) return read;
+      const auto& [name, expected] = this->options.ResponseField();
+      if (name.empty() || this->headers.Find(name) == expected) return {};
+      // A response without the field may be one that the peer sent before it read the request.
+      const bool late = this->connection->reused && !this->headers.Find(name).empty();
+      this->connection->out_of_step = true;
+      if (!late || ++skipped > HttpClient::kMaxSkippedResponses || !this->SkipBody(task, limit)) {
+        return Fail(ErrorCode::kBadResponse, "the response belongs to another request", name,
+                    Ran::kUnknown);
+      }
+    }
   }
 
-  int Status() const override { return this->parser.get().result_int(); }
+  int Status() const override { return this->parser->get().result_int(); }
   const HttpHeaders& Headers() const override { return this->headers; }
 
-  Result<std::optional<std::string>> Read(Task& task) override {
-    std::string& body = this->parser.get().body();
-    while (body.empty() && !this->parser.is_done()) {
+  Result<std::optional<std::string>> Read(Task& task, TimePoint limit) override {
+    std::string& body = this->parser->get().body();
+    while (body.empty() && !this->parser->is_done()) {
       error_code failed;
-      this->SetTimeout();
+      this->SetTimeout(std::min(limit, SteadyNow() + this->options.ProgressTimeout()));
       this->connection->traffic->received += http::async_read_some(
-          this->connection->stream, this->connection->buffer, this->parser, task.yield[failed]);
+          this->connection->stream, this->connection->buffer, *this->parser, task.yield[failed]);
       if (failed) {
         this->connection->stream.close();
         return TransferError(failed, this->options);
       }
     }
     if (!body.empty()) return std::optional<std::string>(std::exchange(body, {}));
-    if (this->connection && this->parser.keep_alive()) {
+    if (this->connection && this->parser->keep_alive() && !this->connection->out_of_step) {
       this->release(std::exchange(this->connection, nullptr));
     }
     return std::optional<std::string>();
   }
 
  private:
-  void SetTimeout() {
-    this->connection->stream.expires_at(
-        std::min(this->options.Deadline(), SteadyNow() + this->options.ProgressTimeout()));
+  void SetTimeout(TimePoint limit) {
+    this->connection->stream.expires_at(std::min(this->options.Deadline(), limit));
+  }
+
+  // Reads the header of the next response that is not an interim one.
+  Result<void> ReadFinalHeader(Task& task, TimePoint limit) {
+    for (int interim = 0; interim <= HttpClient::kMaxInterimResponses; ++interim) {
+      this->parser.emplace();
+      // Beast 1.74 treats boost::none (no limit) as a limit of zero if the response has a
+      // Content-Length, so the limit is set to the largest value instead.
+      this->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+      this->parser->header_limit(HttpClient::kMaxHeaderBytes);
+      error_code failed;
+      this->SetTimeout(limit);
+      this->connection->traffic->received += http::async_read_header(
+          this->connection->stream, this->connection->buffer, *this->parser, task.yield[failed]);
+      if (failed) return TransferError(failed, this->options);
+      if (this->Status() / 100 == 1) continue;
+      // Beast allocates memory for the announced length before it reads the body.
+      const auto length = this->parser->content_length();
+      if (length && *length > HttpClient::kMaxResponseBytes) {
+        return Fail(ErrorCode::kBadResponse, "the response is too large", "", Ran::kUnknown);
+      }
+      this->headers = FromBeast(this->parser->get());
+      this->connection->idle_limit = IdleLimit(this->headers);
+      return {};
+    }
+    return Fail(ErrorCode::kBadResponse, "too many interim responses", "", Ran::kUnknown);
+  }
+
+  // Reads the rest of a response that is not delivered. Returns false if it has no known end.
+  bool SkipBody(Task& task, TimePoint limit) {
+    if (!this->parser->keep_alive()) return false;
+    std::size_t size = 0;
+    while (!this->parser->is_done()) {
+      error_code failed;
+      this->SetTimeout(limit);
+      this->connection->traffic->received += http::async_read_some(
+          this->connection->stream, this->connection->buffer, *this->parser, task.yield[failed]);
+      size += std::exchange(this->parser->get().body(), {}).size();
+      if (failed || size > kMaxSkippedBytes) return false;
+    }
+    return true;
   }
 
   std::shared_ptr<Connection> connection;
   CallOptions options;
   Release release;
   std::shared_ptr<void> cancel;
-  http::response_parser<http::string_body> parser;
+  std::optional<http::response_parser<http::string_body>> parser;
   HttpHeaders headers;
 };
 
--- a/anvilcroft/http_client.h
+++ b/anvilcroft/http_client.h
@@ -10,7 +10,8 @@
 //   kConnectFailed      no connection was established, also if it was cancelled meanwhile; ran = no
 //   kConnectionLost     the connection failed after it was established; ran = unknown
 //   kDeadlineExceeded   the deadline or the progress timeout expired; ran = unknown
-//   kBadResponse        the response is malformed or too large; ran = unknown
+//   kBadResponse        the response is malformed, too large or belongs to another request;
+//                       ran = unknown
 //   kCancelled          the call was cancelled or its send guard refused the request; ran = no
 //                       before the request is sent, unknown afterwards
 // A response with any HTTP status is a success. The connection of a failed call is closed and never
@@ -41,14 +42,25 @@
   virtual const HttpHeaders& Headers() const = 0;
 
   // Waits for the next part of the body and returns it, or nullopt at the end of the body. Fails as
-  // HttpClient::Call does, with kConnectionLost for a truncated body.
-  virtual Result<std::optional<std::string>> Read(Task& task) = 0;
+  // HttpClient::Call does, with kConnectionLost for a truncated body. The progress timeout applies
+  // to each call.
+  Result<std::optional<std::string>> Read(Task& task) { return this->Read(task, TimePoint::max()); }
+
+  // Like Read, but fails with kDeadlineExceeded at `limit` at the latest. A reader whose messages
+  // span several parts sets the limit for a whole message, because a peer that stalls may still
+  // send a byte now and then.
+  virtual Result<std::optional<std::string>> Read(Task& task, TimePoint limit) = 0;
 };
 
 class HttpClient {
  public:
-  // Largest response body that Call accepts, in bytes.
+  // Largest response body that Call accepts, and largest Content-Length of any response, in bytes.
   static constexpr std::size_t kMaxResponseBytes = 16 << 20;
+  // Largest header block of a response, in bytes, and most interim (1xx) responses before it.
+  static constexpr std::size_t kMaxHeaderBytes = 16 << 10;
+  static constexpr int kMaxInterimResponses = 8;
+  // Most late duplicates of earlier responses that are skipped before the response to a request.
+  static constexpr int kMaxSkippedResponses = 2;
   // Most idle connections in the pool of one endpoint, and the longest time each stays there.
   static constexpr std::size_t kMaxIdlePerEndpoint = 16;
   static constexpr Duration kMaxIdleTime = seconds(20);
