Judge the pace of an engine by how long its slow phases last

Cause: an item was moved when a silence or the last few events, extrapolated to all events that it had left, promised a gain.

Change: engine_pace estimates the usual time for an event, without the effect of load, and the slow phase; a phase that has lasted for t is expected to last t again. Placement and moves use the forecast. An engine that is only loaded or a little slower is not left. The route's priority comes first in the order of items and is sent as urgency. A run's time limit grows with the engine's events. Moves respect a route's single version.

--- a/anvilcroft/batch_owner.cc
+++ b/anvilcroft/batch_owner.cc
@@ -20,8 +20,6 @@
 // Maximum interval between plans. Most plans are made earlier, after a change of their inputs.
 constexpr Duration kPlanInterval = milliseconds(100);
 constexpr Duration kCoalesceDelay = milliseconds(1);  // one plan for changes that arrive together
-// Assumed number of tokens in one event, which the configuration does not contain.
-constexpr double kTokensPerEvent = 32;
 // Assumed number of events of an item without an estimate.
 constexpr double kDefaultItemEvents = 20;
 // Items with more expected events left than this may outlast the training step, so they preferably
@@ -33,21 +31,22 @@
 // An item is preferably not placed again on the engine that it was moved from within this time.
 constexpr Duration kMovePause = milliseconds(800);
 
-double ExpectedEvents(const BatchItem& item) {
-  return item.expected_tokens > 0 ? item.expected_tokens / kTokensPerEvent : kDefaultItemEvents;
+double ExpectedEvents(const OwnedJob& job, const BatchItem& item) {
+  return item.expected_tokens > 0 ? item.expected_tokens / job.tokens_per_event
+                                  : kDefaultItemEvents;
 }
 
 // Expected number of events left for `item`, to compare it with other items. Estimates above the
 // limit of the output are not capped: the higher the estimate, the more likely the item reaches the
 // limit.
-double OrderingEventsLeft(const OwnedItem& item) {
-  return ExpectedEventsLeft(ExpectedEvents(item.item), 0, item.text.events);
+double OrderingEventsLeft(const OwnedJob& job, const OwnedItem& item) {
+  return ExpectedEventsLeft(ExpectedEvents(job, item.item), 0, item.text.events);
 }
 
 // Expected number of events left for `item`, to compute a time from; capped by the output limit.
-double EventsLeft(const OwnedItem& item) {
-  return ExpectedEventsLeft(ExpectedEvents(item.item),
-                            item.item.max_output_tokens / kTokensPerEvent, item.text.events);
+double EventsLeft(const OwnedJob& job, const OwnedItem& item) {
+  return ExpectedEventsLeft(ExpectedEvents(job, item.item),
+                            item.item.max_output_tokens / job.tokens_per_event, item.text.events);
 }
 
 // The groups of a job with the expected number of events left for the longest item of each.
@@ -58,7 +57,7 @@
     group.group = item.item.group;
     group.required = group.required || item.carried;
     if (item.phase == ItemPhase::kFinished || item.text.complete) continue;
-    group.events_left = std::max(group.events_left, OrderingEventsLeft(item));
+    group.events_left = std::max(group.events_left, OrderingEventsLeft(job, item));
   }
   std::vector<GroupProgress> list;
   for (auto& [name, group] : groups) list.push_back(std::move(group));
@@ -76,7 +75,8 @@
   if (route.single_version && !item.text.versions.empty()) {
     entry.only_version = item.text.versions.front();
   }
-  entry.events_left = OrderingEventsLeft(item);
+  entry.priority = route.priority;
+  entry.events_left = OrderingEventsLeft(job, item);
   entry.prefer_newest = entry.events_left > kPreferNewestEvents;
   for (auto it = item.avoid.begin(); it != item.avoid.end();) {
     if (it->second <= now) {
@@ -272,6 +272,10 @@
     return;
   const auto routes = this->context.routes();
   const ServiceRoute* route = routes ? routes->Match(head.host, head.path) : nullptr;
+  if (route != nullptr && !route->split.empty()) {
+    const TargetService* service = routes->FindService(route->split.front().first);
+    if (service != nullptr) job->tokens_per_event = service->tokens_per_event;
+  }
   for (OwnedItem& item : job->items) {
     const auto carried_text = this->carried_texts.Extract(item.item.id);
     if (!carried_text) continue;
@@ -424,7 +428,7 @@
   for (const auto& [id, job] : this->context.jobs) {
     for (const OwnedItem& item : job->items) {
       if (item.phase != ItemPhase::kRunning) continue;
-      const bool is_long = OrderingEventsLeft(item) >= kLongItemEvents ||
+      const bool is_long = OrderingEventsLeft(*job, item) >= kLongItemEvents ||
                            static_cast<double>(item.text.events) >= kLongItemEvents;
       if (is_long) ++long_items[item.engine];
     }
@@ -433,14 +437,17 @@
   for (const auto& [id, state] : this->context.engine_tracker.All()) {
     const PoolTarget* target = this->context.pool.Find(id);
     if (target == nullptr || target->entry.draining || target->removal_at) continue;
-    if (state.unconfirmed) continue;
+    if (state.unconfirmed || IsPaused(*target, now)) continue;
     PlacementEngine engine;
     engine.id = id;
     engine.service = state.entry.service;
     engine.slots = state.entry.slots;
     for (const auto& [model, running] : state.running) engine.running += running;
+    if (target->consecutive_no_responses > 0) {
+      engine.slots = std::min(engine.slots, engine.running + 1);
+    }
     engine.long_items = long_items[id];
-    engine.event_ms = this->context.engine_tracker.EventMs(state, now);
+    engine.pace = this->context.engine_tracker.Forecast(state, now);
     engine.failure_share = FailureProbability(*target, now);
     engine.versions = state.versions;
     if (!state.loading_model.empty()) engine.loading.insert(state.loading_model);
@@ -452,7 +459,10 @@
 void BatchOwner::MoveStragglers(TimePoint now) {
   std::vector<RunningItem> running;
   std::vector<OwnedItem*> items_by_key;
+  const auto routes = this->context.routes();
   for (const auto& [id, job] : this->context.jobs) {
+    const ServiceRoute* route = routes ? routes->Match(job->head.host, job->head.path) : nullptr;
+    const bool single_version = route != nullptr && route->single_version;
     for (OwnedItem& item : job->items) {
       if (item.phase != ItemPhase::kRunning || !item.run || item.run->Cancelled()) continue;
       const EngineState* engine = this->context.engine_tracker.Find(item.engine);
@@ -463,7 +473,10 @@
       entry.service = engine->entry.service;
       entry.model = job->head.model;
       entry.min_version = job->head.min_version;
-      entry.events_left = EventsLeft(item);
+      if (single_version && !item.text.versions.empty()) {
+        entry.only_version = item.text.versions.front();
+      }
+      entry.events_left = EventsLeft(*job, item);
       entry.events_here = item.text.events - item.events_before_run;
       entry.since_event = now - item.last_event;
       entry.moves = item.moves;
--- a/anvilcroft/engine_tracker.cc
+++ b/anvilcroft/engine_tracker.cc
@@ -6,15 +6,16 @@
 namespace anvilcroft {
 namespace {
 
-// Weights of the newest event in the long-term and in the recent moving average. Slow phases last
-// from half a second to several seconds, in which an engine generates tens of events.
-constexpr double kLongTermWeight = 0.02;
-constexpr double kRecentWeight = 0.25;
-constexpr Duration kRecent = milliseconds(500);  // age up to which the recent average is used
-constexpr double kDefaultEventMs = 30;           // before any event has been seen
+constexpr double kDefaultEventMs = 30;  // before any event has been seen
 
 }  // namespace
 
+double EngineState::Load() const {
+  int runs = 0;
+  for (const auto& [model, count] : this->running) runs += count;
+  return std::min(1.0, static_cast<double>(runs) / std::max(1, this->entry.slots));
+}
+
 void EngineTracker::Update(const std::map<std::string, PoolTarget>& targets, TimePoint now) {
   for (const auto& [id, target] : targets) {
     if (target.entry.versions.empty()) continue;  // not a model engine
@@ -75,25 +76,19 @@
 void EngineTracker::RecordEventTime(const std::string& id, Duration duration, TimePoint now) {
   EngineState* engine = this->Find(id);
   if (engine == nullptr) return;
-  const double ms = std::chrono::duration<double, std::milli>(duration).count();
-  const auto moving_average = [ms](double previous, double weight) {
-    return previous == 0 ? ms : previous * (1 - weight) + ms * weight;
-  };
-  engine->average_event_ms = moving_average(engine->average_event_ms, kLongTermWeight);
-  const bool is_recent = now - engine->last_event < kRecent;
-  engine->recent_event_ms = moving_average(is_recent ? engine->recent_event_ms : 0, kRecentWeight);
-  engine->last_event = now;
+  engine->pace.Record(duration, engine->Load(), now);
 }
 
-double EngineTracker::EventMs(const EngineState& state, TimePoint now) const {
-  if (state.recent_event_ms > 0 && now - state.last_event < kRecent) return state.recent_event_ms;
-  return state.average_event_ms > 0 ? state.average_event_ms : this->MedianEventMs();
+PaceForecast EngineTracker::Forecast(const EngineState& state, TimePoint now) const {
+  PaceForecast forecast = state.pace.ForecastAt(now);
+  if (forecast.event_ms == 0) forecast.event_ms = this->MedianEventMs();
+  return forecast;
 }
 
 double EngineTracker::MedianEventMs() const {
   std::vector<double> averages;
   for (const auto& [id, engine] : this->engines) {
-    if (engine.average_event_ms > 0) averages.push_back(engine.average_event_ms);
+    if (engine.pace.NormalMs() > 0) averages.push_back(engine.pace.NormalMs());
   }
   if (averages.empty()) return kDefaultEventMs;
   const auto middle = averages.begin() + static_cast<std::ptrdiff_t>(averages.size() / 2);
--- a/anvilcroft/engine_tracker.h
+++ b/anvilcroft/engine_tracker.h
@@ -10,6 +10,7 @@
 #include <set>
 #include <string>
 
+#include "anvilcroft/engine_pace.h"
 #include "anvilcroft/target_pool.h"
 #include "anvilcroft/time.h"
 
@@ -31,9 +32,10 @@
   TimePoint busy_until;
   std::optional<int64_t> orders_accepted;  // since the engine's start; nullopt: not known
   std::map<std::string, int> running;      // own runs by model
-  double average_event_ms = 0;             // long-term average time for an event; 0: not known
-  double recent_event_ms = 0;              // average over the last few events
-  TimePoint last_event;
+  EnginePace pace;
+
+  // Share of the slots that this instance's runs use.
+  double Load() const;
 };
 
 class EngineTracker {
@@ -63,11 +65,11 @@
   // Records that the engine took `duration` for an event.
   void RecordEventTime(const std::string& id, Duration duration, TimePoint now);
 
-  // Expected time for the next event of an engine, in ms: its recent average if there is one, else
-  // its long-term average, else the median of all engines.
-  double EventMs(const EngineState& state, TimePoint now) const;
+  // Expected times for the next events of an engine. Without events of its own, those of the median
+  // engine.
+  PaceForecast Forecast(const EngineState& state, TimePoint now) const;
 
-  // Median of the long-term averages of all engines, in ms.
+  // Median of the normal times for an event of all engines, in ms.
   double MedianEventMs() const;
 
  private:
--- a/anvilcroft/http_client.cc
+++ b/anvilcroft/http_client.cc
@@ -23,8 +23,8 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
-// Input that the client buffers on a connection: a header block, or what a read has taken of a body.
-// Also bounds a chunk header and a trailer, whose length nothing else limits.
+// Input that the client buffers on a connection: a header block, or what a read has taken of a
+// body. Also bounds a chunk header and a trailer, whose length nothing else limits.
 constexpr std::size_t kMaxBufferedBytes = 128 << 10;
 // A late duplicate that is larger is not skipped; the connection is closed instead.
 constexpr std::size_t kMaxSkippedBytes = 256 << 10;
--- a/anvilcroft/http_server.h
+++ b/anvilcroft/http_server.h
@@ -72,8 +72,9 @@
   // address is malformed or unavailable.
   virtual Result<std::string> Start() = 0;
 
-  // Closes the listener and all idle connections. A connection whose request is being read or served
-  // is closed after the response. One that has not sent its first request gets a second for it.
+  // Closes the listener and all idle connections. A connection whose request is being read or
+  // served is closed after the response. One that has not sent its first request gets a second for
+  // it.
   virtual void StopAccepting() = 0;
 
   // From now on sends "Connection: close" with each response, so that callers close their
--- a/anvilcroft/item_placement.cc
+++ b/anvilcroft/item_placement.cc
@@ -6,8 +6,6 @@
 namespace anvilcroft {
 namespace {
 
-// Relative increase of the time for an event from an empty to a full engine.
-constexpr double kFullLoadSlowdown = 0.35;
 // Time lost when a run fails and is restarted on another engine, in ms.
 constexpr double kFailureCostMs = 1500;
 // Added cost of a text that the next step cannot use, as a share of the time for the text.
@@ -21,7 +19,7 @@
 double CostMs(const WaitingItem& item, const PlacementEngine& engine, int64_t version,
               int64_t newest) {
   const double load = static_cast<double>(engine.running) / engine.slots;
-  double cost = std::max(1.0, item.events_left) * engine.event_ms * (1 + kFullLoadSlowdown * load);
+  double cost = TimeForEventsMs(engine.pace, std::max(1.0, item.events_left), load);
   if (item.prefer_newest && version < newest) cost *= 1 + kOldVersionPenalty;
   cost += engine.failure_share * kFailureCostMs;
   if (item.avoid.count(engine.id) != 0) cost += kAvoidCostMs;
@@ -39,7 +37,8 @@
 std::vector<Placement> PlaceItems(std::vector<WaitingItem> items,
                                   std::vector<PlacementEngine> engines) {
   std::stable_sort(items.begin(), items.end(), [](const WaitingItem& a, const WaitingItem& b) {
-    return std::make_tuple(a.rank, -a.events_left) < std::make_tuple(b.rank, -b.events_left);
+    return std::make_tuple(a.rank == ItemRank::kDispensable, a.priority, a.rank, -a.events_left) <
+           std::make_tuple(b.rank == ItemRank::kDispensable, b.priority, b.rank, -b.events_left);
   });
   std::map<std::string, int64_t> newest;
   for (const PlacementEngine& engine : engines) {
--- a/anvilcroft/item_placement.h
+++ b/anvilcroft/item_placement.h
@@ -5,9 +5,9 @@
 //
 // Load pattern: a training step submits all its items at once, more than there are free slots. The
 // trainer waits for most of the groups, so the slowest of those determines how long the step takes.
-// Items that must be part of the step are placed first, then the others from the longest to the
-// shortest, then the items of groups that the trainer can do without. Each item is placed on the
-// engine on which it is expected to finish first.
+// The items of groups that the trainer can do without are placed last. Among the others, items of
+// more urgent routes are placed first, then those that must be part of the step, then the longest.
+// Each item is placed on the engine on which it is expected to finish first.
 //
 // An engine slows down when its last slots are filled. While it runs a long item, short items may
 // fill at most kUsableShareWithLongItem of its slots, because the step waits for the long item and
@@ -20,6 +20,8 @@
 #include <string>
 #include <vector>
 
+#include "anvilcroft/engine_pace.h"
+
 namespace anvilcroft {
 
 enum class ItemRank {
@@ -43,6 +45,7 @@
   int64_t min_version = 0;
   // The only version that may continue the text, which must be of one version; 0: any version.
   int64_t only_version = 0;
+  int priority = 0;  // of the route; 0 is the most urgent
   ItemRank rank = ItemRank::kNormal;
   double events_left = 0;  // expected number of events still to be generated
   // A later step may need the text, and accepts newer versions only.
@@ -55,8 +58,8 @@
   std::string service;
   int slots = 1;
   int running = 0;
-  int long_items = 0;                       // number of running items that are long
-  double event_ms = 30;                     // expected time for one event without other items
+  int long_items = 0;  // number of running items that are long
+  PaceForecast pace{30, 0, 0};
   double failure_share = 0;                 // probability that its next request fails, 0 to 1
   std::map<std::string, int64_t> versions;  // by model
   std::set<std::string> loading;            // models that accept no items during their load
--- a/anvilcroft/item_runner.cc
+++ b/anvilcroft/item_runner.cc
@@ -18,8 +18,11 @@
 constexpr Duration kScorePause = milliseconds(60);
 constexpr Duration kMaxRunTime = seconds(60);  // longer than any run; the end of the job cancels it
 
-// Priority of runs in an engine's queue, so that texts that a group waits for come first.
-constexpr int kUrgency = 5;
+// Least urgent priority of runs in an engine's queue.
+constexpr int kMaxUrgency = 9;
+// A run is given up after this many times the usual time for an event, or after kMaxSilence if that
+// is longer.
+constexpr double kMaxSilenceEvents = 12;
 
 // Milliseconds from `begin` to `end`; empty if `end` is not set, because it did not happen on this
 // instance.
@@ -35,6 +38,20 @@
          now - this->context.jobs_confirmed_at < this->context.max_job_age;
 }
 
+int ItemRunner::Urgency(const OwnedJob& job) const {
+  const auto routes = this->context.routes();
+  const ServiceRoute* route = routes ? routes->Match(job.head.host, job.head.path) : nullptr;
+  return route == nullptr ? kMaxUrgency : std::clamp(route->priority, 0, kMaxUrgency);
+}
+
+Duration ItemRunner::MaxSilence(const std::string& engine) const {
+  const EngineState* state = this->context.engine_tracker.Find(engine);
+  const double event_ms = state == nullptr ? 0 : state->pace.NormalMs();
+  return std::max<Duration>(
+      kMaxSilence, std::chrono::duration_cast<Duration>(
+                       std::chrono::duration<double, std::milli>(kMaxSilenceEvents * event_ms)));
+}
+
 void ItemRunner::Start(const std::shared_ptr<OwnedJob>& job, std::size_t index,
                        const std::string& engine, int64_t version) {
   EngineState* state = this->context.engine_tracker.Find(engine);
@@ -67,8 +84,8 @@
   request.body = item.item.body;
   request.resume_after = item.text.events;
   request.expected_version = version;
-  request.urgency = kUrgency;
-  const CallOptions options = CallOptions(started + kMaxRunTime, kMaxSilence)
+  request.urgency = this->Urgency(*job);
+  const CallOptions options = CallOptions(started + kMaxRunTime, this->MaxSilence(engine.id))
                                   .WithCancellation(run)
                                   .WithSendGuard([this, job] { return this->MaySend(*job); });
   TimePoint last_event = started;
--- a/anvilcroft/item_runner.h
+++ b/anvilcroft/item_runner.h
@@ -14,8 +14,8 @@
 
 class ItemRunner {
  public:
-  // A run fails if the engine sends no event for this long. Events follow each other within about
-  // 40 ms, and within 150 ms on a slow engine.
+  // A run fails if the engine sends no event for this long, or longer on an engine with slow
+  // events. Events usually follow each other within about 40 ms, and within 150 ms in a slow phase.
   static constexpr Duration kMaxSilence = milliseconds(700);
 
   explicit ItemRunner(BatchContext& context) : context(context) {}
@@ -35,6 +35,10 @@
   // Whether requests for the job may be sent now: it has not ended, the lease is valid and the
   // state of the jobs is recent enough.
   bool MaySend(const OwnedJob& job) const;
+  // Priority in an engine's queue: that of the job's route.
+  int Urgency(const OwnedJob& job) const;
+  // Time without an event after which a run on `engine` fails.
+  Duration MaxSilence(const std::string& engine) const;
   void Run(Task& task, const std::shared_ptr<OwnedJob>& job, std::size_t index,
            const TargetEntry& engine, int64_t version);
   void Score(Task& task, const std::shared_ptr<OwnedJob>& job, std::size_t index);
--- a/anvilcroft/owned_job.h
+++ b/anvilcroft/owned_job.h
@@ -16,6 +16,7 @@
 #include "anvilcroft/cancellation.h"
 #include "anvilcroft/event.h"
 #include "anvilcroft/item_text.h"
+#include "anvilcroft/target_service.h"
 
 namespace anvilcroft {
 
@@ -49,6 +50,7 @@
 struct OwnedJob {
   BatchHead head;
   std::vector<OwnedItem> items;
+  double tokens_per_event = TargetService::kDefaultTokensPerEvent;  // of the engines that run it
   ResultListing listing;
   std::deque<ItemResult> unlisted_results;  // results that are not listed yet
   Event unlisted_results_changed;
--- a/anvilcroft/straggler_plan.cc
+++ b/anvilcroft/straggler_plan.cc
@@ -5,11 +5,14 @@
 namespace anvilcroft {
 namespace {
 
+using Millis = std::chrono::duration<double, std::milli>;
+
 // Time to resume on another engine: a round trip, processing of the prompt, and the first event.
 constexpr double kMoveCostMs = 90;
-// A move must save at least this share of the remaining time, and at least this many ms.
-constexpr double kMinGainShare = 0.5;
-constexpr double kMinGainMs = 900;
+// A move must save at least this many ms, since its forecast is uncertain.
+constexpr double kMinGainMs = 250;
+// Smaller differences between the usual paces of two engines are within the error of the estimates.
+constexpr double kMinPaceRatio = 1.3;
 constexpr double kMaxFailureShare = 0.3;  // failure probability of an engine that receives items
 
 const PlacementEngine* FindEngine(const std::vector<PlacementEngine>& engines,
@@ -20,6 +23,20 @@
   return nullptr;
 }
 
+// Expected time for the events that `item` has left on an engine with `pace`, in ms. Load is left
+// out: engines are full when a step arrives, and no longer when only its long items are left.
+double LeftMs(const RunningItem& item, const PaceForecast& pace) {
+  return TimeForEventsMs(pace, item.events_left, 0);
+}
+
+// Expected time that `item` saves on an engine with pace `other`, in ms.
+double GainMs(const RunningItem& item, const PaceForecast& pace, PaceForecast other) {
+  if (pace.event_ms < other.event_ms * kMinPaceRatio) {
+    other.event_ms = std::max(other.event_ms, pace.event_ms);
+  }
+  return LeftMs(item, pace) - LeftMs(item, other) - kMoveCostMs;
+}
+
 // Whether `item` can be moved to `engine`.
 bool CanRun(const RunningItem& item, const PlacementEngine& engine) {
   if (engine.id == item.engine || engine.service != item.service) return false;
@@ -38,31 +55,36 @@
   // Considers the items with the most remaining time first.
   struct Candidate {
     double left_ms = 0;
+    PaceForecast pace;
     const RunningItem* item = nullptr;
   };
   std::vector<Candidate> candidates;
   for (const RunningItem& item : items) {
     if (item.moves >= kMaxMoves) continue;
-    if (item.events_here < kMinEventsBeforeMove && item.since_event < kLongSilence) continue;
     const PlacementEngine* engine = FindEngine(engines, item.engine);
     if (engine == nullptr) continue;
-    const double silent_ms = std::chrono::duration<double, std::milli>(item.since_event).count();
-    const double event_ms = std::max(engine->event_ms, silent_ms);
-    candidates.push_back({item.events_left * event_ms, &item});
+    const Duration long_silence = std::max<Duration>(
+        kLongSilence,
+        std::chrono::duration_cast<Duration>(Millis(kLongSilenceEvents * engine->pace.event_ms)));
+    if (item.events_here < kMinEventsBeforeMove && item.since_event < long_silence) continue;
+    const PaceForecast pace = AfterSilence(engine->pace, item.since_event);
+    candidates.push_back({LeftMs(item, pace), pace, &item});
   }
   std::sort(candidates.begin(), candidates.end(),
             [](const Candidate& a, const Candidate& b) { return a.left_ms > b.left_ms; });
   std::vector<std::size_t> moves;
   for (const Candidate& candidate : candidates) {
     PlacementEngine* best = nullptr;
+    double best_gain = 0;
     for (PlacementEngine& engine : engines) {
       if (!CanRun(*candidate.item, engine)) continue;
-      if (best == nullptr || engine.event_ms < best->event_ms) best = &engine;
+      const double gain = GainMs(*candidate.item, candidate.pace, engine.pace);
+      if (best == nullptr || gain > best_gain) {
+        best = &engine;
+        best_gain = gain;
+      }
     }
-    if (best == nullptr) continue;
-    const double gain =
-        candidate.left_ms - candidate.item->events_left * best->event_ms - kMoveCostMs;
-    if (gain < kMinGainMs || gain < candidate.left_ms * kMinGainShare) continue;
+    if (best == nullptr || best_gain < kMinGainMs) continue;
     ++best->running;
     moves.push_back(candidate.item->key);
   }
--- a/anvilcroft/straggler_plan.h
+++ b/anvilcroft/straggler_plan.h
@@ -4,11 +4,12 @@
 // Decides which running items (stragglers) are stopped and continued on another engine.
 //
 // Load pattern: some engines become several times slower for seconds, and any engine does for
-// fractions of a second, while a step waits for its slowest item. Another engine can continue an
-// item from its last event after processing the prompt again, so an item is moved if an engine with
-// a free slot is expected to finish it much sooner. When a step arrives, all its items start at
-// once and the engines are slow until they have processed the prompts. A run is therefore
-// considered only after it has produced several events or has been silent for long.
+// fractions of a second (engine_pace.h), while a step waits for its slowest item. Another engine
+// can continue an item from its last event after processing the prompt again, so an item is moved
+// if an engine with a free slot is expected to finish it sooner by more than the move costs. When a
+// step arrives, all its items start at once and the engines are slow until they have processed the
+// prompts. A run is therefore considered only after it has produced several events or has been
+// silent for long.
 
 #include <cstddef>
 #include <cstdint>
@@ -37,8 +38,10 @@
 
 // A run with fewer events than this is moved only after kLongSilence.
 constexpr int64_t kMinEventsBeforeMove = 4;
-// Several times the time that an engine takes to process the prompts of all its slots.
+// Several times the time that an engine takes to process the prompts of all its slots. On engines
+// with slow events, kLongSilenceEvents times the normal time for an event if that is longer.
 constexpr Duration kLongSilence = milliseconds(350);
+constexpr double kLongSilenceEvents = 3;
 
 // Returns the keys of the items to move, at most one for each free slot of a faster engine.
 std::vector<std::size_t> PlanMoves(const std::vector<RunningItem>& items,
--- a/anvilcroft/target_service.h
+++ b/anvilcroft/target_service.h
@@ -10,16 +10,22 @@
 namespace anvilcroft {
 
 struct TargetService {
+  static constexpr double kDefaultTokensPerEvent = 32;
+
   std::string name;
   std::string health_path;
   int max_connections = 0;          // per target, over all clients; 0: not configured
   bool model_engines = false;       // whether the targets are model engines or app engines
   int slots = 0;                    // model engines: capacity of one target in concurrent requests
   std::vector<std::string> models;  // model engines: the models that they serve
+  // Model engines: number of tokens in one event of a stream.
+  double tokens_per_event = kDefaultTokensPerEvent;
 
   friend bool operator==(const TargetService& a, const TargetService& b) {
-    return std::tie(a.name, a.health_path, a.max_connections, a.model_engines, a.slots, a.models) ==
-           std::tie(b.name, b.health_path, b.max_connections, b.model_engines, b.slots, b.models);
+    return std::tie(a.name, a.health_path, a.max_connections, a.model_engines, a.slots, a.models,
+                    a.tokens_per_event) == std::tie(b.name, b.health_path, b.max_connections,
+                                                    b.model_engines, b.slots, b.models,
+                                                    b.tokens_per_event);
   }
   friend bool operator!=(const TargetService& a, const TargetService& b) { return !(a == b); }
 };
--- a/anvilcroft/target_table.cc
+++ b/anvilcroft/target_table.cc
@@ -119,8 +119,8 @@
                       found->second->Description().Address() == target.Address() &&
                       found->second->Description().Service() == target.Service() &&
                       found->second->Description().Kind() == target.Kind();
-    const auto state = same ? found->second
-                            : std::make_shared<TargetState>(target, &LogPhaseChange);
+    const auto state =
+        same ? found->second : std::make_shared<TargetState>(target, &LogPhaseChange);
     state->Update(target, config->Drained(id));
     kept.emplace(id, state);
     this->by_service[target.Service()].push_back(state);
--- a/anvilcroft/target_table.h
+++ b/anvilcroft/target_table.h
@@ -37,7 +37,8 @@
               Duration poll_interval);
 
   // Called with the RunId of an engine that reports its state after connections to it had failed.
-  // A change of its entry in the list is no sign of life: a crashed engine may be listed as leaving.
+  // A change of its entry in the list is no sign of life: a crashed engine may be listed as
+  // leaving.
   using RecoveryHook = std::function<void(const std::string& run)>;
   void SetRecoveryHook(RecoveryHook hook) { this->recovery_hook = std::move(hook); }
 
--- a/testing/http_peer_test.cc
+++ b/testing/http_peer_test.cc
@@ -125,8 +125,8 @@
     for (const std::string first : {"/in-use", "/right-behind", "/idle"}) {
       ++expected_connections;
       for (const std::string& id : {first, std::string("/next"), std::string("/third")}) {
-        const auto reply = client.Forward(task, peer->Target(), RequestFor(id), seconds(5),
-                                          Within(seconds(5)));
+        const auto reply =
+            client.Forward(task, peer->Target(), RequestFor(id), seconds(5), Within(seconds(5)));
         INFO(first << " " << id << " " << (reply ? "" : reply.error().message));
         REQUIRE(reply);
         CHECK(reply->body == id);
@@ -214,11 +214,12 @@
       {"/chunk-extension", {chunked + "4;a=", std::string(1000, 'x'), kSmall}},
       {"/trailer-field", {chunked + "0\r\nX-A: ", std::string(1000, 'x'), kSmall}},
       {"/trailer-fields", {chunked + "0\r\n", "X-A: " + std::string(1000, 'x') + "\r\n", kSmall}},
-      {"/chunks", {chunked, "3e8\r\n" + std::string(1000, 'x') + "\r\n",
-                   2 * HttpClient::kMaxResponseBytes}},
+      {"/chunks",
+       {chunked, "3e8\r\n" + std::string(1000, 'x') + "\r\n", 2 * HttpClient::kMaxResponseBytes}},
       {"/no-length", {head + "\r\n", std::string(1000, 'x'), 2 * HttpClient::kMaxResponseBytes}},
-      {"/length", {head + "Content-Length: 99999999999\r\n\r\n", std::string(1000, 'x'),
-                   2 * HttpClient::kMaxResponseBytes}}};
+      {"/length",
+       {head + "Content-Length: 99999999999\r\n\r\n", std::string(1000, 'x'),
+        2 * HttpClient::kMaxResponseBytes}}};
   std::unique_ptr<ScriptedPeer> peer;
   peer = std::make_unique<ScriptedPeer>([&](Task& task, Socket& socket) {
     const Endless& kind = kinds.at(ScriptedPeer::ReadRequest(task, socket));
@@ -254,8 +255,9 @@
   std::unique_ptr<ScriptedPeer> peer;
   peer = std::make_unique<ScriptedPeer>([&](Task& task, Socket& socket) {
     ScriptedPeer::ReadRequest(task, socket);
-    peer->Write(task, socket, "HTTP/1.1 200 OK\r\n" + std::string(platform::kAttemptIdField) +
-                                  ": r\r\nX-Server-Stamp: s\r\n\r\n");
+    peer->Write(task, socket,
+                "HTTP/1.1 200 OK\r\n" + std::string(platform::kAttemptIdField) +
+                    ": r\r\nX-Server-Stamp: s\r\n\r\n");
     for (const std::string& piece : pieces) {
       do {
         if (!peer->Write(task, socket, piece)) return;
@@ -272,11 +274,9 @@
     request.host = "h";
     request.path = "/p";
     const TimePoint started = SteadyNow();
-    outcome = client.Generate(task, peer->Target(), request,
-                              CallOptions(started + seconds(30), kStall),
-                              [&](const platform::GenerationEvent& event) {
-                                events.push_back(event.number);
-                              });
+    outcome = client.Generate(
+        task, peer->Target(), request, CallOptions(started + seconds(30), kStall),
+        [&](const platform::GenerationEvent& event) { events.push_back(event.number); });
     took = SteadyNow() - started;
   });
   return outcome;
--- a/testing/http_stop_test.cc
+++ b/testing/http_stop_test.cc
@@ -25,13 +25,12 @@
 class StoppingServer {
  public:
   StoppingServer() {
-    this->server =
-        HttpServer::Builder(this->runtime)
-            .SetHandler([](Task& task, const HttpRequest& request, HttpReply& reply) {
-              SleepUntil(task, SteadyNow() + milliseconds(5));
-              reply.Send(task, HttpResponse::Builder().SetBody(request.Body()).Build());
-            })
-            .Build();
+    this->server = HttpServer::Builder(this->runtime)
+                       .SetHandler([](Task& task, const HttpRequest& request, HttpReply& reply) {
+                         SleepUntil(task, SteadyNow() + milliseconds(5));
+                         reply.Send(task, HttpResponse::Builder().SetBody(request.Body()).Build());
+                       })
+                       .Build();
     const Endpoint endpoint = *ParseEndpoint(*this->server->Start());
     this->address = {asio::ip::make_address(endpoint.ip), endpoint.port};
   }
--- a/testing/item_placement_test.cc
+++ b/testing/item_placement_test.cc
@@ -77,7 +77,7 @@
 // Load pattern: one slowed and one failing engine among good ones.
 TEST_CASE("items avoid slow and failing engines while others have free slots", "[placement]") {
   PlacementEngine slow = Engine("slow", 1);
-  slow.event_ms = 100;
+  slow.pace.event_ms = 100;
   PlacementEngine failing = Engine("failing", 1);
   failing.failure_share = 0.5;
   const auto placed = PlaceItems({Item(0, 20), Item(1, 20), Item(2, 20), Item(3, 20)},
@@ -152,7 +152,7 @@
 // Load pattern: an engine becomes 3.5 times slower for seconds while others are idle.
 TEST_CASE("only long items leave a slow engine, and only for large gains", "[stragglers]") {
   PlacementEngine slow = Engine("slow", 1, 3);
-  slow.event_ms = 100;
+  slow.pace.event_ms = 100;
   const std::vector<PlacementEngine> engines = {slow, Engine("fast", 1, 2)};
   const std::vector<RunningItem> items = {Running(0, "slow", 3), Running(1, "slow", 40),
                                           Running(2, "slow", 60), Running(3, "fast", 80)};
@@ -167,7 +167,7 @@
 // Load pattern: a step of many items arrives, and all engines process prompts for some tens of ms.
 TEST_CASE("an item that has just started is not moved off a slow engine", "[stragglers]") {
   PlacementEngine reading = Engine("reading", 1, 4);
-  reading.event_ms = 100;
+  reading.pace.event_ms = 100;
   const std::vector<PlacementEngine> engines = {reading, Engine("idle", 1)};
   RunningItem item = Running(0, "reading", 60);
   item.events_here = 0;
@@ -184,5 +184,19 @@
   CHECK(PlanMoves({item}, {Engine("dark", 1, 1), Engine("fast", 1)}).size() == 1);
 }
 
+// Load pattern: two trainers share the engines, and a burst of the less urgent one is already
+// waiting when the step of the other arrives.
+TEST_CASE("items of the more urgent route start first", "[placement]") {
+  std::vector<WaitingItem> items = {Item(0, 90, ItemRank::kRequired), Item(1, 9),
+                                    Item(2, 50, ItemRank::kDispensable)};
+  items[0].priority = 1;
+  items.push_back(Item(3, 20, ItemRank::kDispensable));
+  items[3].priority = 1;
+  const auto placed = PlaceItems(items, {Engine("e", 1, 2)});
+  REQUIRE(placed.size() == 2);
+  CHECK(placed[0].key == 1);  // urgent and needed
+  CHECK(placed[1].key == 0);  // needed, before those that the trainers can do without
+}
+
 }  // namespace
 }  // namespace anvilcroft
