--- a/anvilcroft/target_pool.cc
+++ b/anvilcroft/target_pool.cc
@@ -118,6 +118,14 @@
   return list;
 }
 
+bool IsPaused(const PoolTarget& target, TimePoint now) {
+  constexpr Duration kFirstPause = milliseconds(100);
+  constexpr int kMaxDoublings = 3;
+  if (target.consecutive_no_responses == 0) return false;
+  const int doublings = std::min(target.consecutive_no_responses - 1, kMaxDoublings);
+  return now < target.last_no_response_at + kFirstPause * (1 << doublings);
+}
+
 double FailureProbability(const PoolTarget& target, TimePoint now) {
   constexpr double kPriorRequests = 2;
   constexpr double kPriorShare = 0.02;
--- a/anvilcroft/target_pool.h
+++ b/anvilcroft/target_pool.h
@@ -83,6 +83,14 @@
   std::map<std::string, PoolTarget> targets;
 };
 
+// Whether `target` is left alone at `now` because its last requests got no response: for a time
+// that doubles with each of them. Afterwards, requests should try it one at a time until one
+// succeeds.
+//
+// Load pattern: an engine has crashed and refuses connections at once, so it is the only one with
+// free slots, and every waiting item would be sent to it again and again.
+bool IsPaused(const PoolTarget& target, TimePoint now);
+
 // Estimated probability that the next request to `target` fails: recent failures over recent
 // requests, with a prior of one failure in fifty, so that a single request does not decide the
 // estimate for a target without history.
--- a/testing/target_choice_test.cc
+++ b/testing/target_choice_test.cc
@@ -18,6 +18,28 @@
   return entry;
 }
 
+// Load pattern: an engine refuses connections at once while all others are full.
+TEST_CASE("a target without responses is tried at growing intervals", "[target_pool]") {
+  TargetPool pool;
+  pool.Apply(AppTarget("a", "z"), kStart);
+  CHECK_FALSE(IsPaused(*pool.Find("a"), kStart));
+  TimePoint now = kStart;
+  int tries = 0;
+  for (; now < kStart + seconds(4); now += milliseconds(10)) {
+    if (IsPaused(*pool.Find("a"), now)) continue;
+    ++tries;
+    pool.OnRequestStarted("a");
+    pool.OnRequestFinished("a", TargetOutcome::kNoResponse, milliseconds(1), now);
+  }
+  CHECK(tries >= 5);
+  CHECK(tries <= 10);
+  now += seconds(1);
+  CHECK_FALSE(IsPaused(*pool.Find("a"), now));
+  pool.OnRequestStarted("a");
+  pool.OnRequestFinished("a", TargetOutcome::kServed, milliseconds(1), now);
+  CHECK_FALSE(IsPaused(*pool.Find("a"), now));
+}
+
 // Load pattern: of four app engines, one does not respond, one fails some of its requests and one
 // is full.
 TEST_CASE("requests go to the target with the lowest expected latency", "[target_choice]") {
