Find lost instances in two seconds at any number of instances

Cause: each instance renewed its row at a period of 10 ms for each instance, in one partition, and read all rows each time.

Change: an entry that is written once, a small heartbeat in partitions of the instance's hash, and one instance at a time, the watcher, that reads the heartbeats and writes who is down. All others follow the feed of entries and watcher. The period of heartbeats follows from the store's rate, now a setting; at 383 instances and 3,200 writes a second it is 0.6 s, and a heartbeat counts for 1.56 s. If the watcher falls silent, the first instances in the order of takeover follow it. During an outage, and for 2 s after it, nobody is taken for lost. The tables have new names, so instances of this and of earlier builds do not see each other in the directory.

The test of the former period in one partition is replaced by one of the rates of the store and of each partition at up to 2,000 instances, and by a replay of losses of up to half of 400 instances.

--- a/anvilcroft/front_directory.cc
+++ b/anvilcroft/front_directory.cc
@@ -10,9 +10,19 @@
 namespace {
 
 constexpr char kPart[] = "directory";
-constexpr char kTable[] = "fronts";
+constexpr char kEntryTable[] = "front-entries";
+constexpr char kHeartbeatTable[] = "front-heartbeats";
+// Key of the watcher's row among the entries. Names of instances contain no exclamation mark.
+constexpr char kWatchKey[] = "!watch";
 constexpr Duration kCallTimeout = milliseconds(800);
-// Age at which the row of an instance that no longer renews it is removed.
+constexpr Duration kFeedWait = milliseconds(1000);
+constexpr Duration kRetryPause = milliseconds(100);
+// Interval at which an instance checks whether it is the watcher, and at which the watcher reads
+// the heartbeats.
+constexpr Duration kWatchInterval = milliseconds(300);
+// Interval at which the watcher writes its row if nothing has changed.
+constexpr Duration kWatchWriteInterval = milliseconds(700);
+// Age at which the rows of an instance without heartbeats are removed.
 constexpr int64_t kRemoveAfterMs = 60000;
 
 // Sort key of the order of takeover: larger machines first.
@@ -22,15 +32,6 @@
 
 }  // namespace
 
-std::vector<FrontRecord> FilterLiveFronts(const std::vector<FrontRecord>& rows,
-                                          StoreMillis store_time, int64_t lifetime_ms) {
-  std::vector<FrontRecord> live;
-  for (const FrontRecord& row : rows) {
-    if (!row.leaving && store_time - row.renewed_at < lifetime_ms) live.push_back(row);
-  }
-  return live;
-}
-
 std::vector<std::string> AddressesFor(const std::vector<FrontRecord>& fronts,
                                       const std::string& zone, std::size_t max_count) {
   std::vector<std::pair<std::pair<int, uint64_t>, const FrontRecord*>> ordered;
@@ -46,105 +47,223 @@
   return addresses;
 }
 
-Duration RenewalPeriod(std::size_t fronts) {
-  constexpr Duration kShortest = milliseconds(600);
-  constexpr Duration kPerFront = milliseconds(10);
-  return std::max<Duration>(kShortest, static_cast<int64_t>(fronts) * kPerFront);
-}
-
-FrontDirectory::FrontDirectory(Runtime& runtime, MetadataStore& store, FrontRecord self)
-    : runtime(runtime), store(store), self(std::move(self)) {}
+FrontDirectory::FrontDirectory(Runtime& runtime, MetadataStore& store, FrontRecord self,
+                               double store_writes_per_s)
+    : runtime(runtime),
+      store(store),
+      self(std::move(self)),
+      store_writes_per_s(store_writes_per_s) {}
 
 void FrontDirectory::Start() {
-  this->runtime.Spawn([this](Task& task) {
-    while (!this->self.leaving) {
-      const TimePoint started = SteadyNow();
-      this->RenewRow(task);
-      SleepUntil(task, started + RenewalPeriod(this->live.size()));
-    }
-  });
-  this->runtime.Spawn([this](Task& task) {
-    while (true) {
-      const TimePoint started = SteadyNow();
-      this->ReadRows(task);
-      SleepUntil(task, started + RenewalPeriod(this->live.size()));
-    }
-  });
+  this->runtime.Spawn([this](Task& task) { this->FollowEntries(task); });
+  this->runtime.Spawn([this](Task& task) { this->SendHeartbeats(task); });
+  this->runtime.Spawn([this](Task& task) { this->Watch(task); });
 }
 
-bool FrontDirectory::WriteRow(Task& task, TimePoint deadline) {
-  this->self.renewed_at = this->store.StoreTime(BootNow());
-  const RowBatch batch =
-      RowBatch::Builder().Put({kTable, "", this->self.instance}, EncodeFront(this->self)).Build();
+Duration FrontDirectory::Period() const {
+  return HeartbeatPeriod(this->entries.size(), this->store_writes_per_s);
+}
+
+bool FrontDirectory::WriteEntry(Task& task, TimePoint deadline) {
+  this->self.written_at = this->store.StoreTime(BootNow());
+  const RowBatch batch = RowBatch::Builder()
+                             .Put({kEntryTable, "", this->self.instance}, EncodeFront(this->self))
+                             .Build();
   return this->store.Commit(task, batch, deadline).has_value();
 }
 
-void FrontDirectory::RenewRow(Task& task) {
-  // A write needs the store's time, which is unknown until the store has answered a call.
-  if (this->store.StoreTime(BootNow()) == 0) this->ReadRows(task);
-  if (this->store.StoreTime(BootNow()) == 0 || this->self.leaving) return;
-  this->WriteRow(task, SteadyNow() + kCallTimeout);
+void FrontDirectory::SendHeartbeats(Task& task) {
+  // The first write needs the store's time and the number of instances.
+  while (!this->following) SleepUntil(task, SteadyNow() + milliseconds(10));
+  bool written = false;  // by this process, whose addresses may differ from those of an earlier one
+  while (!this->self.leaving) {
+    const TimePoint started = SteadyNow();
+    const TimePoint deadline = started + kCallTimeout;
+    if (!written || this->entries.count(this->self.instance) == 0) {
+      written = this->WriteEntry(task, deadline);
+    } else {
+      const std::string partition = HeartbeatPartition(this->self.instance, this->entries.size());
+      const RowBatch beat = RowBatch::Builder()
+                                .Put({kHeartbeatTable, partition, this->self.instance},
+                                     EncodeHeartbeat(this->store.StoreTime(BootNow())))
+                                .Build();
+      if (this->store.Commit(task, beat, deadline)) this->RecordAnswer(SteadyNow());
+    }
+    SleepUntil(task, written ? started + this->Period() : SteadyNow() + kRetryPause);
+  }
 }
 
 void FrontDirectory::AnnounceLeaving(Task& task, TimePoint deadline) {
   this->self.leaving = true;
   while (SteadyNow() < deadline) {
-    if (this->WriteRow(task, std::min(deadline, SteadyNow() + kCallTimeout))) return;
-    SleepUntil(task, SteadyNow() + milliseconds(100));
+    if (this->WriteEntry(task, std::min(deadline, SteadyNow() + kCallTimeout))) return;
+    SleepUntil(task, SteadyNow() + kRetryPause);
   }
   LogWarning(kPart, "could not write to the metadata store that this instance is leaving");
 }
 
-void FrontDirectory::ReadRows(Task& task) {
-  std::vector<FrontRecord> rows;
+void FrontDirectory::FollowEntries(Task& task) {
+  int64_t version = 0;
+  while (true) {
+    bool answered = false;
+    if (!this->following) {
+      answered = this->following = this->ReadEntries(task, version);
+    } else if (const auto feed = this->store.Feed(task, kEntryTable, version, kFeedWait)) {
+      answered = true;
+      if (feed->history_lost) {
+        answered = this->ReadEntries(task, version);
+      } else {
+        version = std::max(version, feed->version);
+        for (const StoredRow& row : feed->rows) this->ApplyRow(row);
+        if (!feed->rows.empty()) this->UpdateLive();
+      }
+    }
+    if (answered) {
+      this->RecordAnswer(SteadyNow());
+    } else {
+      SleepUntil(task, SteadyNow() + kRetryPause);
+    }
+  }
+}
+
+void FrontDirectory::RecordAnswer(TimePoint now) {
+  if (this->answered_at != TimePoint() && now - this->answered_at > kMinOutage) {
+    this->grace_until = now + kRenewalGrace;
+  }
+  this->answered_at = now;
+}
+
+bool FrontDirectory::ReadEntries(Task& task, int64_t& version) {
   RowRange range;
-  range.table = kTable;
-  StoreMillis store_time = 0;
+  range.table = kEntryTable;
+  std::vector<StoredRow> rows;
+  int64_t first_version = 0;
   while (true) {
+    const auto read = this->store.Read(task, range, SteadyNow() + kCallTimeout);
+    if (!read) return false;
+    // The feed repeats the changes since the first page was read.
+    if (first_version == 0) first_version = read->version;
+    rows.insert(rows.end(), read->rows.begin(), read->rows.end());
+    if (!read->more || read->rows.empty()) break;
+    range.from = read->rows.back().id.key + '\x01';
+  }
+  this->entries.clear();
+  this->entry_versions.clear();
+  for (const StoredRow& row : rows) this->ApplyRow(row);
+  this->UpdateLive();
+  version = first_version;
+  return true;
+}
+
+void FrontDirectory::ApplyRow(const StoredRow& row) {
+  if (row.id.key == kWatchKey) {
+    if (row.version < this->watch_version) return;  // older than what this instance has written
+    this->watch_version = row.removed ? 0 : row.version;
+    this->watch_changed_at = SteadyNow();
+    if (row.removed) return;
+    if (auto decoded = DecodeWatch(row.value)) {
+      this->watch = std::move(*decoded);
+    } else {
+      LogWarning(kPart, "ignored a malformed row of the watcher",
+                 {{"error", decoded.error().message}});
+    }
+    return;
+  }
+  this->entries.erase(row.id.key);
+  this->entry_versions.erase(row.id.key);
+  if (row.removed) return;
+  auto record = DecodeFront(row.value);
+  if (!record || record->instance != row.id.key) {
+    LogWarning(kPart, "ignored a malformed entry of an instance", {{"key", row.id.key}});
+    return;
+  }
+  this->entries.emplace(row.id.key, std::move(*record));
+  this->entry_versions[row.id.key] = row.version;
+}
+
+void FrontDirectory::UpdateLive() {
+  std::vector<FrontRecord> now_live = FilterLiveFronts(this->entries, this->watch.down);
+  if (now_live.size() != this->live.size()) {
+    LogInfo(kPart, "the number of live instances changed",
+            {{"before", std::to_string(this->live.size())},
+             {"now", std::to_string(now_live.size())},
+             {"watcher", this->watch.watcher}});
+  }
+  this->live = std::move(now_live);
+}
+
+void FrontDirectory::Watch(Task& task) {
+  const TimePoint started = SteadyNow();
+  while (!this->self.leaving) {
+    SleepUntil(task, SteadyNow() + kWatchInterval);
+    if (!this->following) continue;
+    const Duration silence = SteadyNow() - std::max(started, this->watch_changed_at);
+    const bool last = this->watch_version != 0 && this->watch.watcher == this->self.instance;
+    if (IsWatcher(last, silence, this->TakeoverRank())) this->WatchOnce(task);
+  }
+}
+
+void FrontDirectory::WatchOnce(Task& task) {
+  std::map<std::string, StoreMillis> beats;
+  StoreMillis store_time = 0;
+  const std::size_t partitions = HeartbeatPartitions(this->entries.size());
+  for (std::size_t partition = 0; partition < partitions; ++partition) {
+    RowRange range;
+    range.table = kHeartbeatTable;
+    range.partition = std::to_string(partition);
     const auto read = this->store.Read(task, range, SteadyNow() + kCallTimeout);
     if (!read) return;
-    store_time = read->store_time;
+    // Heartbeats of the first partitions may come while the last ones are read.
+    if (store_time == 0) store_time = read->store_time;
     for (const StoredRow& row : read->rows) {
-      auto record = DecodeFront(row.value);
-      if (!record) {
-        LogWarning(kPart, "ignored a malformed row of an instance", {{"key", row.id.key}});
-        continue;
-      }
-      rows.push_back(std::move(*record));
+      const auto beat = DecodeHeartbeat(row.value);
+      if (beat) beats[row.id.key] = std::max(beats[row.id.key], *beat);
     }
-    if (!read->more || read->rows.empty()) break;
-    range.from = read->rows.back().id.key + '\x01';
   }
   const TimePoint now = SteadyNow();
-  if (this->read_at != TimePoint() && now - this->read_at > kMinOutage) {
-    this->grace_until = now + kRenewalGrace;
-  }
-  this->read_at = now;
-  const double lifetime_ms = kRowLifetimePeriods * ToMillis(RenewalPeriod(rows.size()));
-  std::vector<FrontRecord> alive =
-      FilterLiveFronts(rows, store_time, static_cast<int64_t>(lifetime_ms));
+  std::set<std::string> down =
+      FindDownFronts(this->entries, beats, store_time, HeartbeatLifetime(this->Period()));
   if (now < this->grace_until) {
-    for (const FrontRecord& before : this->live) {
-      const bool same = std::any_of(alive.begin(), alive.end(), [&](const FrontRecord& front) {
-        return front.instance == before.instance;
-      });
-      const bool leaving = std::any_of(rows.begin(), rows.end(), [&](const FrontRecord& row) {
-        return row.instance == before.instance && row.leaving;
-      });
-      if (!same && !leaving) alive.push_back(before);
+    for (auto it = down.begin(); it != down.end();) {
+      it = this->watch.down.count(*it) == 0 ? down.erase(it) : std::next(it);
     }
   }
-  if (alive.size() != this->live.size()) {
-    LogInfo(kPart, "the number of live instances changed",
-            {{"before", std::to_string(this->live.size())}, {"now", std::to_string(alive.size())}});
-  }
-  this->live = std::move(alive);
-  // Only the first instance in the order of takeover removes rows that are no longer renewed.
-  if (this->TakeoverRank() != 0) return;
-  for (const FrontRecord& row : rows) {
-    if (store_time - row.renewed_at < kRemoveAfterMs) continue;
-    this->store.Commit(task, RowBatch::Builder().Remove({kTable, "", row.instance}).Build(),
-                       SteadyNow() + kCallTimeout);
+  const bool changed = down != this->watch.down || this->watch.watcher != this->self.instance;
+  if (changed || now - this->watch_changed_at > kWatchWriteInterval) {
+    FrontWatch next{this->self.instance, this->watch.round + 1, std::move(down)};
+    const RowId id{kEntryTable, "", kWatchKey};
+    const auto written = this->store.Commit(
+        task,
+        RowBatch::Builder().Expect(id, this->watch_version).Put(id, EncodeWatch(next)).Build(),
+        SteadyNow() + kCallTimeout);
+    // If the write failed, the feed brings the row of another watcher.
+    if (written && written->committed) {
+      this->watch = std::move(next);
+      this->watch_version = written->version;
+      this->watch_changed_at = SteadyNow();
+      this->UpdateLive();
+    }
+  }
+  this->RemoveOldRows(task, beats, store_time);
+}
+
+void FrontDirectory::RemoveOldRows(Task& task, const std::map<std::string, StoreMillis>& beats,
+                                   StoreMillis store_time) {
+  for (const auto& [id, front] : this->entries) {
+    const auto beat = beats.find(id);
+    const StoreMillis last =
+        std::max(front.written_at, beat == beats.end() ? StoreMillis{0} : beat->second);
+    if (store_time - last < kRemoveAfterMs) continue;
+    const RowId entry{kEntryTable, "", id};
+    this->store.Commit(
+        task, RowBatch::Builder().Expect(entry, this->entry_versions[id]).Remove(entry).Build(),
+        SteadyNow() + kCallTimeout);
+    for (std::size_t i = 0; i < HeartbeatPartitions(this->entries.size()); ++i) {
+      this->store.Commit(
+          task, RowBatch::Builder().Remove({kHeartbeatTable, std::to_string(i), id}).Build(),
+          SteadyNow() + kCallTimeout);
+    }
+    return;  // one instance each time, and `entries` may have changed meanwhile
   }
 }
 
--- a/anvilcroft/front_directory.h
+++ b/anvilcroft/front_directory.h
@@ -1,11 +1,16 @@
 #ifndef ANVILCROFT_FRONT_DIRECTORY_H_
 #define ANVILCROFT_FRONT_DIRECTORY_H_
 
-// The directory of front instances. Each instance renews a row of its own in the metadata store and
-// reads the rows of the others, to tell callers which instances to use.
+// The directory of front instances: which of them are live, to tell callers which ones to use, and
+// in which order they take over duties.
 //
-// An instance counts as live while it renews its row. No instance can renew during an outage of the
-// store, so after one the instances that were live before it stay so for a grace period.
+// Each instance writes an entry of its own into the metadata store once, and a small heartbeat
+// periodically. One instance, the watcher, reads the heartbeats and writes which instances are
+// down. All instances follow the feed of the entries and of the watcher's row, so that what they
+// read grows with the changes and not with the number of instances (front_watch.h).
+//
+// No instance can write heartbeats during an outage of the store, so for a grace period after one
+// the watcher takes no further instance for down.
 
 #include <functional>
 #include <map>
@@ -14,35 +19,26 @@
 #include <vector>
 
 #include "anvilcroft/front_record.h"
+#include "anvilcroft/front_watch.h"
 #include "anvilcroft/metadata_store.h"
 
 namespace anvilcroft {
 
-// Returns the rows of live instances among `rows`, which were read at `store_time`: those that are
-// not leaving and whose row was renewed less than `lifetime_ms` ago. Pure.
-std::vector<FrontRecord> FilterLiveFronts(const std::vector<FrontRecord>& rows,
-                                          StoreMillis store_time, int64_t lifetime_ms);
-
 // Returns at most `max_count` addresses for a caller in `zone`: first those of instances in its
 // zone, then the others, each spread by a hash of the zone and the instance's name. Pure.
 std::vector<std::string> AddressesFor(const std::vector<FrontRecord>& fronts,
                                       const std::string& zone, std::size_t max_count);
 
-// Time between renewals, and between reads, if there are `fronts` instances. All rows share one
-// partition, which takes 200 transactions a second; half of that is left to other writers. Pure.
-Duration RenewalPeriod(std::size_t fronts);
-
 class FrontDirectory {
  public:
-  // Lifetime of a row, in renewal periods, after which its instance no longer counts as live.
-  static constexpr double kRowLifetimePeriods = 3.2;
-
-  // After an outage of the store of kMinOutage or more, the instances that were live before it stay
-  // so for kRenewalGrace, in which they can renew their rows.
+  // After an outage of the store of kMinOutage or more, instances can write heartbeats again within
+  // kRenewalGrace.
   static constexpr Duration kMinOutage = milliseconds(1500);
   static constexpr Duration kRenewalGrace = milliseconds(2000);
 
-  FrontDirectory(Runtime& runtime, MetadataStore& store, FrontRecord self);
+  // `store_writes_per_s`: number of writes that the store takes in a second.
+  FrontDirectory(Runtime& runtime, MetadataStore& store, FrontRecord self,
+                 double store_writes_per_s);
 
   // Sets the "ip:port" addresses for callers and for other instances. Call before Start.
   void SetAddresses(std::string caller_address, std::string internal_address) {
@@ -52,11 +48,11 @@
 
   void Start();
 
-  // Stops renewals and marks this instance's row as leaving. Retries until `deadline`; logs a
-  // warning if no write was confirmed.
+  // Stops the heartbeats and marks this instance's entry as leaving. Retries until `deadline`; logs
+  // a warning if no write was confirmed.
   void AnnounceLeaving(Task& task, TimePoint deadline);
 
-  // The instances that callers may use. Empty until the rows have been read once.
+  // The instances that callers may use. Empty until the entries have been read once.
   const std::vector<FrontRecord>& LiveFronts() const { return this->live; }
 
   // Number of live instances that precede this one in the order of takeover, in which larger
@@ -70,17 +66,39 @@
   std::string InternalAddress(const std::string& instance) const;
 
  private:
-  void RenewRow(Task& task);
-  void ReadRows(Task& task);
-  // Writes this instance's row. Returns whether the store confirmed it.
-  bool WriteRow(Task& task, TimePoint deadline);
+  // Writes the entry if it is missing and the heartbeats.
+  void SendHeartbeats(Task& task);
+  // Follows the entries and the watcher's row.
+  void FollowEntries(Task& task);
+  // Reads all entries. Returns whether the store answered.
+  bool ReadEntries(Task& task, int64_t& version);
+  void ApplyRow(const StoredRow& row);
+  // Watches the heartbeats while this instance is the watcher.
+  void Watch(Task& task);
+  void WatchOnce(Task& task);
+  // Removes the rows of instances whose last heartbeat is long ago.
+  void RemoveOldRows(Task& task, const std::map<std::string, StoreMillis>& beats,
+                     StoreMillis store_time);
+  void UpdateLive();
+  // Records that the store has answered; starts the grace period after an outage.
+  void RecordAnswer(TimePoint now);
+  // Writes this instance's entry. Returns whether the store confirmed it.
+  bool WriteEntry(Task& task, TimePoint deadline);
+  Duration Period() const;
 
   Runtime& runtime;
   MetadataStore& store;
   FrontRecord self;
+  double store_writes_per_s;
+  std::map<std::string, FrontRecord> entries;  // by instance
+  std::map<std::string, int64_t> entry_versions;
+  FrontWatch watch;
+  int64_t watch_version = 0;  // of the watcher's row; 0: there is none
+  TimePoint watch_changed_at;
   std::vector<FrontRecord> live;
-  TimePoint read_at;      // last successful read
-  TimePoint grace_until;  // until then instances stay live although their rows are old
+  bool following = false;  // the entries have been read
+  TimePoint answered_at;   // last answer of the store to the feed or a heartbeat
+  TimePoint grace_until;   // until then no further instance is taken for down
 };
 
 }  // namespace anvilcroft
--- a/anvilcroft/front_instance.cc
+++ b/anvilcroft/front_instance.cc
@@ -79,7 +79,7 @@
               }),
         engines(this->runtime),
         view(this->runtime, this->store, this->pool, [this] { this->OnPlatformChange(); }),
-        directory(this->runtime, this->store, SelfRecord(settings)),
+        directory(this->runtime, this->store, SelfRecord(settings), settings.StoreWritesPerS()),
         forwarder(
             this->runtime, this->engines, this->pool, [this] { return this->view.Routes(); },
             settings.Zone(), StableHash(settings.InstanceId())),
--- a/anvilcroft/front_record.cc
+++ b/anvilcroft/front_record.cc
@@ -3,6 +3,11 @@
 #include "anvilcroft/json.h"
 
 namespace anvilcroft {
+namespace {
+
+constexpr std::size_t kMaxFronts = 10000;
+
+}  // namespace
 
 std::string EncodeFront(const FrontRecord& record) {
   return DumpJson({{"instance", record.instance},
@@ -12,7 +17,7 @@
                    {"internal", record.internal_address},
                    {"cpu_share", record.cpu_share},
                    {"leaving", record.leaving},
-                   {"renewed_at", record.renewed_at}});
+                   {"written_at", record.written_at}});
 }
 
 Result<FrontRecord> DecodeFront(const std::string& value) {
@@ -27,9 +32,37 @@
   record.internal_address = fields.StringOr("internal", "");
   record.cpu_share = fields.NumberOr("cpu_share", 1, 0, 1e6);
   record.leaving = fields.BoolOr("leaving", false);
-  record.renewed_at = fields.Integer("renewed_at", 0, INT64_MAX / 2);
+  record.written_at = fields.Integer("written_at", 0, INT64_MAX / 2);
   if (!fields.Ok()) return tl::unexpected<Error>(fields.Finish().error());
   return record;
 }
 
+std::string EncodeHeartbeat(StoreMillis written_at) { return DumpJson(written_at); }
+
+Result<StoreMillis> DecodeHeartbeat(const std::string& value) {
+  const auto parsed = ParseJson(value);
+  if (!parsed) return tl::unexpected<Error>(parsed.error());
+  if (!parsed->is_number_integer() || parsed->get<double>() < 0 ||
+      parsed->get<double>() > static_cast<double>(INT64_MAX / 2)) {
+    return Fail(ErrorCode::kInvalidArgument, "must be a time in ms", "heartbeat");
+  }
+  return parsed->get<StoreMillis>();
+}
+
+std::string EncodeWatch(const FrontWatch& watch) {
+  return DumpJson({{"watcher", watch.watcher}, {"round", watch.round}, {"down", watch.down}});
+}
+
+Result<FrontWatch> DecodeWatch(const std::string& value) {
+  const auto parsed = ParseJson(value);
+  if (!parsed) return tl::unexpected<Error>(parsed.error());
+  JsonFields fields(*parsed, "watch");
+  FrontWatch watch;
+  watch.watcher = fields.String("watcher");
+  watch.round = fields.Integer("round", 0, INT64_MAX / 2);
+  for (const std::string& id : fields.Strings("down", kMaxFronts)) watch.down.insert(id);
+  if (!fields.Ok()) return tl::unexpected<Error>(fields.Finish().error());
+  return watch;
+}
+
 }  // namespace anvilcroft
--- a/anvilcroft/front_record.h
+++ b/anvilcroft/front_record.h
@@ -1,10 +1,10 @@
 #ifndef ANVILCROFT_FRONT_RECORD_H_
 #define ANVILCROFT_FRONT_RECORD_H_
 
-// The row of a front instance in the metadata store: where callers reach it, and when it last
-// renewed the row.
+// The rows by which front instances know each other; front_directory.h describes their use.
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <tuple>
 
@@ -13,6 +13,7 @@
 
 namespace anvilcroft {
 
+// The entry of an instance, which it writes when it starts and when it leaves.
 struct FrontRecord {
   std::string instance;
   std::string zone;
@@ -21,13 +22,13 @@
   std::string internal_address;  // "ip:port" for other instances; empty: none
   double cpu_share = 1;          // in cores
   bool leaving = false;          // about to stop
-  StoreMillis renewed_at = 0;    // on the store's clock
+  StoreMillis written_at = 0;    // on the store's clock
 
   friend bool operator==(const FrontRecord& a, const FrontRecord& b) {
     return std::tie(a.instance, a.zone, a.region, a.address, a.internal_address, a.cpu_share,
-                    a.leaving, a.renewed_at) == std::tie(b.instance, b.zone, b.region, b.address,
+                    a.leaving, a.written_at) == std::tie(b.instance, b.zone, b.region, b.address,
                                                          b.internal_address, b.cpu_share, b.leaving,
-                                                         b.renewed_at);
+                                                         b.written_at);
   }
   friend bool operator!=(const FrontRecord& a, const FrontRecord& b) { return !(a == b); }
 };
@@ -36,6 +37,25 @@
 // Fails if `value` is not a valid record.
 Result<FrontRecord> DecodeFront(const std::string& value);
 
+// A heartbeat of an instance: the time at which it was written.
+std::string EncodeHeartbeat(StoreMillis written_at);
+Result<StoreMillis> DecodeHeartbeat(const std::string& value);
+
+// What the watcher has found.
+struct FrontWatch {
+  std::string watcher;         // id of the instance that watches
+  int64_t round = 0;           // increases with each write
+  std::set<std::string> down;  // ids of the instances whose heartbeats have stopped
+
+  friend bool operator==(const FrontWatch& a, const FrontWatch& b) {
+    return std::tie(a.watcher, a.round, a.down) == std::tie(b.watcher, b.round, b.down);
+  }
+  friend bool operator!=(const FrontWatch& a, const FrontWatch& b) { return !(a == b); }
+};
+
+std::string EncodeWatch(const FrontWatch& watch);
+Result<FrontWatch> DecodeWatch(const std::string& value);
+
 }  // namespace anvilcroft
 
 #endif  // ANVILCROFT_FRONT_RECORD_H_
--- a/anvilcroft/front_settings.cc
+++ b/anvilcroft/front_settings.cc
@@ -49,6 +49,11 @@
   return *this;
 }
 
+FrontSettings::Builder& FrontSettings::Builder::SetStoreWritesPerS(double value) {
+  this->settings.store_writes_per_s = value;
+  return *this;
+}
+
 FrontSettings::Builder& FrontSettings::Builder::SetCpuShare(double value) {
   this->settings.cpu_share = value;
   return *this;
@@ -88,9 +93,10 @@
   const FrontSettings defaults;
   SettingsReader reader(
       *tree, name,
-      {"instance_id", "zone", "region", "cpu_share", "log_level", "address", "address.front",
-       "address.directory", "address.ready", "address.metrics", "address.store", "timing",
-       "timing.grace_s", "timing.address_ttl_s", "timing.owner_lease_ms", "timing.cancel_ms"},
+      {"instance_id", "zone", "region", "cpu_share", "store_writes_per_s", "log_level", "address",
+       "address.front", "address.directory", "address.ready", "address.metrics", "address.store",
+       "timing", "timing.grace_s", "timing.address_ttl_s", "timing.owner_lease_ms",
+       "timing.cancel_ms"},
       {"address", "timing"});
   const auto address = [&reader](const char* key) {
     return reader.Address(key, true).value_or(Endpoint());
@@ -105,6 +111,7 @@
       .SetMetricsAddress(address("address.metrics"))
       .SetStoreAddress(address("address.store"))
       .SetCpuShare(reader.Real("cpu_share", defaults.CpuShare(), 0.001, 1024))
+      .SetStoreWritesPerS(reader.Real("store_writes_per_s", defaults.StoreWritesPerS(), 1, 1e9))
       .SetLogLevel(reader.Level("log_level", defaults.MinimumLogLevel()))
       .SetGracePeriod(reader.Seconds("timing.grace_s", defaults.GracePeriod(), 1, 86400))
       .SetAddressTtl(reader.Seconds("timing.address_ttl_s", defaults.AddressTtl(), 0.1, 3600))
--- a/anvilcroft/front_settings.h
+++ b/anvilcroft/front_settings.h
@@ -33,6 +33,8 @@
   const Endpoint& ReadyAddress() const { return this->ready_address; }
   const Endpoint& MetricsAddress() const { return this->metrics_address; }
   const Endpoint& StoreAddress() const { return this->store_address; }
+  // Number of writes that the metadata store takes in a second.
+  double StoreWritesPerS() const { return this->store_writes_per_s; }
   // CPU share that the instance may use, in cores.
   double CpuShare() const { return this->cpu_share; }
   LogLevel MinimumLogLevel() const { return this->log_level; }
@@ -47,11 +49,13 @@
 
   friend bool operator==(const FrontSettings& a, const FrontSettings& b) {
     return std::tie(a.instance_id, a.zone, a.region, a.front_address, a.directory_address,
-                    a.ready_address, a.metrics_address, a.store_address, a.cpu_share, a.log_level,
-                    a.grace_period, a.address_ttl, a.owner_lease, a.cancel_bound) ==
+                    a.ready_address, a.metrics_address, a.store_address, a.store_writes_per_s,
+                    a.cpu_share, a.log_level, a.grace_period, a.address_ttl, a.owner_lease,
+                    a.cancel_bound) ==
            std::tie(b.instance_id, b.zone, b.region, b.front_address, b.directory_address,
-                    b.ready_address, b.metrics_address, b.store_address, b.cpu_share, b.log_level,
-                    b.grace_period, b.address_ttl, b.owner_lease, b.cancel_bound);
+                    b.ready_address, b.metrics_address, b.store_address, b.store_writes_per_s,
+                    b.cpu_share, b.log_level, b.grace_period, b.address_ttl, b.owner_lease,
+                    b.cancel_bound);
   }
   friend bool operator!=(const FrontSettings& a, const FrontSettings& b) { return !(a == b); }
 
@@ -64,6 +68,7 @@
   Endpoint ready_address;
   Endpoint metrics_address;
   Endpoint store_address;
+  double store_writes_per_s = 800;
   double cpu_share = 1;
   LogLevel log_level = LogLevel::kInfo;
   Duration grace_period = seconds(8);
@@ -82,6 +87,7 @@
   Builder& SetReadyAddress(Endpoint value);
   Builder& SetMetricsAddress(Endpoint value);
   Builder& SetStoreAddress(Endpoint value);
+  Builder& SetStoreWritesPerS(double value);
   Builder& SetCpuShare(double value);
   Builder& SetLogLevel(LogLevel value);
   Builder& SetGracePeriod(Duration value);
--- a/testing/platform_decisions_test.cc
+++ b/testing/platform_decisions_test.cc
@@ -2,6 +2,9 @@
 // replays the fault that it guards against.
 
 #include <catch2/catch.hpp>
+#include <map>
+#include <random>
+#include <set>
 
 #include "anvilcroft/batch_records.h"
 #include "anvilcroft/front_directory.h"
@@ -41,27 +44,109 @@
   CHECK_FALSE(lease.ValidAt(seconds(104)));
 }
 
-FrontRecord Front(const std::string& id, const std::string& zone, StoreMillis renewed_at) {
+FrontRecord Front(const std::string& id, const std::string& zone, StoreMillis written_at) {
   FrontRecord front;
   front.instance = id;
   front.zone = zone;
   front.address = id + ":1";
-  front.renewed_at = renewed_at;
+  front.written_at = written_at;
   return front;
 }
 
+std::map<std::string, FrontRecord> ByInstance(const std::vector<FrontRecord>& fronts) {
+  std::map<std::string, FrontRecord> map;
+  for (const FrontRecord& front : fronts) map.emplace(front.instance, front);
+  return map;
+}
+
 TEST_CASE("callers get live instances, those of their zone first", "[directory]") {
-  std::vector<FrontRecord> rows = {Front("a", "x", 9000), Front("b", "y", 9500),
-                                   Front("dead", "y", 5000), Front("leaving", "y", 9900)};
-  rows.back().leaving = true;
-  const auto live = FilterLiveFronts(rows, 10000, 2600);
+  auto entries = ByInstance({Front("a", "x", 0), Front("b", "y", 9500), Front("dead", "y", 5000),
+                             Front("leaving", "y", 9900)});
+  entries["leaving"].leaving = true;
+  const auto down =
+      FindDownFronts(entries, {{"a", 9000}, {"dead", 4000}}, 10000, milliseconds(2600));
+  CHECK(down == std::set<std::string>{"dead"});
+  const auto live = FilterLiveFronts(entries, down);
   REQUIRE(live.size() == 2);
   CHECK(AddressesFor(live, "y", 64) == std::vector<std::string>{"b:1", "a:1"});
   CHECK(AddressesFor(live, "y", 1) == std::vector<std::string>{"b:1"});
-  // The rows of all front instances share a partition, which takes 200 writes a second.
-  for (const std::size_t fronts : {1, 12, 71, 383, 2000}) {
-    const double period_s = std::chrono::duration<double>(RenewalPeriod(fronts)).count();
-    CHECK(static_cast<double>(fronts) / period_s <= 120);
+}
+
+// Guards against heartbeats that the store cannot take: a partition takes 200 writes a second, and
+// the store as many as its settings say.
+TEST_CASE("heartbeats stay within the rates of the store at any size", "[directory]") {
+  for (const std::size_t fronts : {1, 12, 71, 195, 383, 2000}) {
+    const double writes_per_s = fronts > 100 ? 3200 : 800;
+    const double period_s =
+        std::chrono::duration<double>(HeartbeatPeriod(fronts, writes_per_s)).count();
+    const double beats_per_s = static_cast<double>(fronts) / period_s;
+    CHECK(beats_per_s <= 0.2 * writes_per_s + 1e-6);
+    std::map<std::string, int> by_partition;
+    for (std::size_t i = 0; i < fronts; ++i) {
+      ++by_partition[HeartbeatPartition("front-" + std::to_string(i), fronts)];
+    }
+    CHECK(by_partition.size() <= HeartbeatPartitions(fronts));
+    for (const auto& [partition, count] : by_partition) {
+      CHECK(count / period_s <= 180);
+    }
+  }
+}
+
+// Guards against callers that are sent to lost instances: at any size and for any number of losses
+// at one moment, the watcher among them, no lost instance is named 2 s later, and no live one is
+// taken for lost. Replays the decisions of all instances in steps of 50 ms.
+TEST_CASE("lost instances are no longer named after two seconds", "[directory]") {
+  std::mt19937 random(11);
+  for (const int fronts : {9, 85, 195, 400}) {
+    for (const double lost_share : {0.02, 0.5}) {
+      std::map<std::string, FrontRecord> entries;
+      std::vector<std::string> ids;
+      for (int i = 0; i < fronts; ++i) {
+        ids.push_back("f" + std::to_string(i));
+        entries.emplace(ids.back(), Front(ids.back(), "z", 0));
+      }
+      const Duration period = HeartbeatPeriod(ids.size(), 3200);
+      std::map<std::string, StoreMillis> beats;
+      std::map<std::string, StoreMillis> next_beat;
+      for (const std::string& id : ids) {
+        next_beat[id] = static_cast<StoreMillis>(random() % ToMillis(period));
+      }
+      std::set<std::string> lost;
+      std::string watcher = ids[0];  // ids are in the order of takeover
+      StoreMillis watched_at = 0;
+      std::set<std::string> down;
+      constexpr StoreMillis kLossAt = 5000;
+      for (StoreMillis now = 0; now <= kLossAt + 2000; now += 50) {
+        if (now == kLossAt) {
+          lost.insert(watcher);
+          for (const std::string& id : ids) {
+            if (random() % 1000 < lost_share * 1000) lost.insert(id);
+          }
+        }
+        int rank = 0;
+        for (const std::string& id : ids) {
+          if (lost.count(id) != 0) {
+            if (down.count(id) == 0) ++rank;
+            continue;
+          }
+          if (now >= next_beat[id]) {
+            beats[id] = now;
+            next_beat[id] = now + ToMillis(period);
+          }
+          // Every instance checks every 300 ms, at times of its own.
+          const bool checks = (now / 50 + static_cast<StoreMillis>(id.size() + rank)) % 6 == 0;
+          if (checks && IsWatcher(id == watcher, milliseconds(now - watched_at), rank)) {
+            watcher = id;
+            watched_at = now;
+            down = FindDownFronts(entries, beats, now, HeartbeatLifetime(period));
+          }
+          if (down.count(id) == 0) ++rank;
+        }
+        for (const std::string& id : down) REQUIRE(lost.count(id) != 0);
+      }
+      INFO(fronts << " instances, " << lost.size() << " lost, " << down.size() << " found");
+      CHECK(down == lost);
+    }
   }
 }
 
--- a/testing/platform_front_test.cc
+++ b/testing/platform_front_test.cc
@@ -315,6 +315,33 @@
   });
 }
 
+// Guards against an instance that stays in the answers to callers although the store, and so maybe
+// everyone, no longer hears from it, and against one that does not return to them.
+TEST_CASE("an instance without heartbeats leaves the directory and returns", "[platform]") {
+  PlatformFixture fixture;
+  const auto link = fakes::FakeLink::Builder(fixture.runtime)
+                        .SetTarget(*ParseEndpoint(fixture.store_address))
+                        .Build();
+  FrontInstance& first = fixture.AddInstance("one");
+  FrontInstance& second = fixture.AddInstance("two", *link->Start());
+  const auto listed = [&](Task& task) -> std::size_t {
+    const auto answer = fixture.Send(task, first.DirectoryAddress(), "GET",
+                                     "/api/lookup?Name=h.example&Zone=a", "lookup");
+    if (!answer || answer->Status() != 200) return 0;
+    return nlohmann::json::parse(answer->Body())["Addresses"].size();
+  };
+  fixture.Run([&](Task& task) {
+    fixture.AwaitReady(task, second);
+    fixture.Await(task, "both are listed", [&] { return listed(task) == 2; });
+    SleepUntil(task, SteadyNow() + seconds(3));
+    CHECK(listed(task) == 2);
+    link->SetMode(fakes::FakeLink::Mode::kCut);
+    fixture.Await(task, "the second one is left out", [&] { return listed(task) == 1; });
+    link->SetMode(fakes::FakeLink::Mode::kUp);
+    fixture.Await(task, "the second one is listed again", [&] { return listed(task) == 2; });
+  });
+}
+
 // Guards against texts that are generated again after a cut between the owner and the store: what
 // the owner has not saved is lost, and the step waits for its longest item once more.
 TEST_CASE("an owner cut off from the store hands its lease and its texts over", "[platform]") {
