Keep the process when a task or a handler throws

Change: a std::exception ends its task only and is logged; tasks that live as long as the process start again after 500 ms; a handler that throws is answered with 500 and its connection closed.

--- a/anvilcroft/batch_owner.cc
+++ b/anvilcroft/batch_owner.cc
@@ -95,9 +95,10 @@
     : context(context), runner(context), lister(context), weights(context) {}
 
 void BatchOwner::Start() {
-  this->context.runtime.Spawn([this](Task& task) { this->WatchJobs(task); });
-  this->context.runtime.Spawn([this](Task& task) { this->RunPlanner(task); });
-  this->context.runtime.Spawn([this](Task& task) { this->SaveTextsPeriodically(task); });
+  Runtime& runtime = this->context.runtime;
+  runtime.SpawnService("batch jobs", [this](Task& task) { this->WatchJobs(task); });
+  runtime.SpawnService("plan", [this](Task& task) { this->RunPlanner(task); });
+  runtime.SpawnService("save texts", [this](Task& task) { this->SaveTextsPeriodically(task); });
 }
 
 void BatchOwner::SaveTextsPeriodically(Task& task) {
--- a/anvilcroft/front_directory.cc
+++ b/anvilcroft/front_directory.cc
@@ -55,9 +55,9 @@
       store_writes_per_s(store_writes_per_s) {}
 
 void FrontDirectory::Start() {
-  this->runtime.Spawn([this](Task& task) { this->FollowEntries(task); });
-  this->runtime.Spawn([this](Task& task) { this->SendHeartbeats(task); });
-  this->runtime.Spawn([this](Task& task) { this->Watch(task); });
+  this->runtime.SpawnService("follow instances", [this](Task& task) { this->FollowEntries(task); });
+  this->runtime.SpawnService("heartbeats", [this](Task& task) { this->SendHeartbeats(task); });
+  this->runtime.SpawnService("watch instances", [this](Task& task) { this->Watch(task); });
 }
 
 Duration FrontDirectory::Period() const {
@@ -249,21 +249,23 @@
 
 void FrontDirectory::RemoveOldRows(Task& task, const std::map<std::string, StoreMillis>& beats,
                                    StoreMillis store_time) {
+  std::string old;  // one instance each time
   for (const auto& [id, front] : this->entries) {
     const auto beat = beats.find(id);
     const StoreMillis last =
         std::max(front.written_at, beat == beats.end() ? StoreMillis{0} : beat->second);
-    if (store_time - last < kRemoveAfterMs) continue;
-    const RowId entry{kEntryTable, "", id};
+    if (store_time - last >= kRemoveAfterMs) old = id;
+  }
+  if (old.empty()) return;
+  const RowId entry{kEntryTable, "", old};
+  this->store.Commit(
+      task, RowBatch::Builder().Expect(entry, this->entry_versions[old]).Remove(entry).Build(),
+      SteadyNow() + kCallTimeout);
+  const std::size_t partitions = HeartbeatPartitions(this->entries.size());
+  for (std::size_t i = 0; i < partitions; ++i) {
     this->store.Commit(
-        task, RowBatch::Builder().Expect(entry, this->entry_versions[id]).Remove(entry).Build(),
+        task, RowBatch::Builder().Remove({kHeartbeatTable, std::to_string(i), old}).Build(),
         SteadyNow() + kCallTimeout);
-    for (std::size_t i = 0; i < HeartbeatPartitions(this->entries.size()); ++i) {
-      this->store.Commit(
-          task, RowBatch::Builder().Remove({kHeartbeatTable, std::to_string(i), id}).Build(),
-          SteadyNow() + kCallTimeout);
-    }
-    return;  // one instance each time, and `entries` may have changed meanwhile
   }
 }
 
--- a/anvilcroft/front_instance.cc
+++ b/anvilcroft/front_instance.cc
@@ -449,7 +449,7 @@
     LogInfo(kPart, "reloading the settings", {{"cause", "SIGHUP"}});
     reload("SIGHUP");
   });
-  runtime.Spawn([&reload](Task& task) {
+  runtime.SpawnService("reload settings", [&reload](Task& task) {
     while (true) {
       SleepUntil(task, SteadyNow() + kSettingsCheckInterval);
       reload("regular reload");
--- a/anvilcroft/http_server.cc
+++ b/anvilcroft/http_server.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <exception>
 #include <set>
 #include <utility>
 #include <vector>
@@ -197,7 +198,8 @@
       return Fail(ErrorCode::kInvalidArgument, "cannot listen: " + failed.message(),
                   this->options.address);
     }
-    this->runtime.Spawn([this](Task& task) { this->AcceptLoop(task); });
+    this->runtime.SpawnService("accept connections",
+                               [this](Task& task) { this->AcceptLoop(task); });
     return Endpoint{parsed->ip, this->acceptor.local_endpoint().port()}.ToString();
   }
 
@@ -209,7 +211,7 @@
     this->CloseAfterResponse();
     // A request that has arrived, or that is the first one of its connection, is still served.
     std::vector<std::weak_ptr<Session>> waiting;
-    const auto open = this->sessions;
+    const auto open = *this->sessions;
     for (const auto& session : open) {
       if (session->busy || session->HasUnreadInput()) continue;
       if (session->served) {
@@ -229,7 +231,7 @@
 
   void CloseAfterResponse() override {
     this->closing = true;
-    for (const auto& session : this->sessions) session->closing = true;
+    for (const auto& session : *this->sessions) session->closing = true;
   }
 
   void SetLimits(std::size_t max_header_bytes, std::size_t max_body_bytes, Duration read_timeout,
@@ -240,8 +242,8 @@
     this->options.idle_timeout = idle_timeout;
   }
 
-  std::size_t ActiveRequests() const override { return this->active; }
-  std::size_t Connections() const override { return this->sessions.size(); }
+  std::size_t ActiveRequests() const override { return *this->active; }
+  std::size_t Connections() const override { return this->sessions->size(); }
 
  private:
   void AcceptLoop(Task& task) {
@@ -271,7 +273,7 @@
   }
 
   void StartSession(asio::ip::tcp::socket socket) {
-    if (this->sessions.size() >= this->options.max_connections) {
+    if (this->sessions->size() >= this->options.max_connections) {
       LogWarning(kPart, "connection limit reached; closing the new connection");
       return;
     }
@@ -279,12 +281,15 @@
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     auto session = std::make_shared<Session>(std::move(socket), this->options.write_timeout);
     session->closing = this->closing;
-    this->sessions.insert(session);
+    this->sessions->insert(session);
     this->runtime.Spawn([this, session](Task& task) {
+      // Also runs when the task is unwound, possibly after the end of this server.
+      const std::shared_ptr<void> open(nullptr, [all = this->sessions, session](void*) {
+        session->Close();
+        all->erase(session);
+      });
       while (this->ServeRequest(task, *session)) {
       }
-      session->Close();
-      this->sessions.erase(session);
     });
   }
 
@@ -313,9 +318,17 @@
     const HttpRequest request = FromBeast(parser.get());
     // The handler may run for many minutes (a long stream), so only its writes have a time limit.
     session.stream.expires_never();
-    ++this->active;
-    this->options.handler(task, request, session);
-    --this->active;
+    {
+      ++*this->active;
+      const std::shared_ptr<void> counted(nullptr, [count = this->active](void*) { --*count; });
+      try {
+        this->options.handler(task, request, session);
+      } catch (const std::exception& error) {
+        LogError(kPart, "an unexpected exception ended the handler of a request",
+                 {{"target", request.Path()}, {"exception", error.what()}});
+        session.keep_alive = false;
+      }
+    }
     if (!session.answered) {
       session.Send(task, ErrorResponse(Error{ErrorCode::kInternal, "the handler sent no response",
                                              "", Ran::kUnknown}));
@@ -358,8 +371,10 @@
   Runtime& runtime;
   HttpServer::Builder options;
   asio::ip::tcp::acceptor acceptor;
-  std::set<std::shared_ptr<Session>> sessions;
-  std::size_t active = 0;
+  // Shared with the tasks of the sessions.
+  std::shared_ptr<std::set<std::shared_ptr<Session>>> sessions =
+      std::make_shared<std::set<std::shared_ptr<Session>>>();
+  std::shared_ptr<std::size_t> active = std::make_shared<std::size_t>(0);
   bool closing = false;
 };
 
--- a/anvilcroft/lease_keeper.cc
+++ b/anvilcroft/lease_keeper.cc
@@ -39,7 +39,7 @@
       on_change(std::move(on_change)) {}
 
 void LeaseKeeper::Start() {
-  this->runtime.Spawn([this](Task& task) { this->Run(task); });
+  this->runtime.SpawnService("lease", [this](Task& task) { this->Run(task); });
 }
 
 void LeaseKeeper::Run(Task& task) {
--- a/anvilcroft/platform_view.cc
+++ b/anvilcroft/platform_view.cc
@@ -20,8 +20,10 @@
     : runtime(runtime), store(store), pool(pool), on_change(std::move(on_change)) {}
 
 void PlatformView::Start() {
-  this->runtime.Spawn([this](Task& task) { this->FollowOperatorTable(task); });
-  this->runtime.Spawn([this](Task& task) { this->FollowTargetTable(task); });
+  this->runtime.SpawnService("follow the operator's table",
+                             [this](Task& task) { this->FollowOperatorTable(task); });
+  this->runtime.SpawnService("follow the table of targets",
+                             [this](Task& task) { this->FollowTargetTable(task); });
 }
 
 Result<RangeResult> PlatformView::ReadAll(Task& task, const std::string& table) {
--- a/anvilcroft/runtime.cc
+++ b/anvilcroft/runtime.cc
@@ -2,8 +2,10 @@
 
 #include <boost/asio/post.hpp>
 #include <csignal>
+#include <exception>
 #include <utility>
 
+#include "anvilcroft/log.h"
 #include "anvilcroft/runtime_impl.h"
 
 namespace anvilcroft {
@@ -16,6 +18,23 @@
 
 Runtime::~Runtime() = default;
 
+namespace {
+
+// Runs `body` and returns whether no std::exception left it. The exception that unwinds a task is
+// of another type and passes.
+bool RunGuarded(const std::string& name, const Runtime::Body& body, Task& task) {
+  try {
+    body(task);
+    return true;
+  } catch (const std::exception& error) {
+    LogError("runtime", "an unexpected exception ended a task",
+             {{"task", name}, {"exception", error.what()}});
+    return false;
+  }
+}
+
+}  // namespace
+
 void Runtime::Spawn(Body body) {
   // asio::spawn of Boost 1.74 runs the body immediately if called on the runtime's thread. Posting
   // it defers the body until the current task waits or ends.
@@ -24,12 +43,20 @@
         this->impl->io,
         [this, body = std::move(body)](boost::asio::yield_context yield) {
           Task task(*this, yield);
-          body(task);
+          RunGuarded("task", body, task);
         },
         boost::coroutines::attributes(detail::RuntimeImpl::kStackBytes));
   });
 }
 
+void Runtime::SpawnService(std::string name, Body body) {
+  this->Spawn([name = std::move(name), body = std::move(body)](Task& task) {
+    while (!RunGuarded(name, body, task)) {
+      SleepUntil(task, SteadyNow() + kServiceRestartPause);
+    }
+  });
+}
+
 void Runtime::Run() {
   auto guard = boost::asio::make_work_guard(this->impl->io);
   this->impl->io.run();
--- a/anvilcroft/runtime.h
+++ b/anvilcroft/runtime.h
@@ -21,6 +21,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 
 #include "anvilcroft/time.h"
 
@@ -41,9 +42,15 @@
   Runtime(const Runtime&) = delete;
   Runtime& operator=(const Runtime&) = delete;
 
-  // Starts a task. `body` does not run before the current task waits or ends.
+  // Starts a task. `body` does not run before the current task waits or ends. A std::exception that
+  // leaves `body` ends this task only and is logged.
   void Spawn(Body body);
 
+  // Starts a task that runs for as long as the process. If a std::exception leaves `body`, it is
+  // logged and `body` runs again after kServiceRestartPause. `name` identifies the task in the log.
+  void SpawnService(std::string name, Body body);
+  static constexpr Duration kServiceRestartPause = milliseconds(500);
+
   // Runs tasks until Stop() is called.
   void Run();
 
--- a/testing/http_peer_test.cc
+++ b/testing/http_peer_test.cc
@@ -139,6 +139,36 @@
   });
 }
 
+// Guards against an order that counts as accepted because the response to an earlier order arrived
+// twice: the engine would be taken for one that loads the weights.
+TEST_CASE("a second copy of the response to an order is not taken for the next one",
+          "[http][peer]") {
+  std::unique_ptr<ScriptedPeer> peer;
+  int orders = 0;
+  peer = std::make_unique<ScriptedPeer>([&](Task& task, Socket& socket) {
+    while (!ScriptedPeer::ReadRequest(task, socket).empty()) {
+      const std::string accepted = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+      const std::string busy = "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n";
+      peer->Write(task, socket, ++orders == 1 ? accepted : busy);
+      if (orders > 1) continue;
+      SleepUntil(task, SteadyNow() + milliseconds(60));
+      peer->Write(task, socket, accepted);
+    }
+  });
+  platform::EngineClient client(peer->runtime);
+  RunTask(peer->runtime, [&](Task& task) {
+    platform::WeightOrder order;
+    order.model = "m";
+    const auto send = [&] {
+      return client.SendOrder(task, peer->Target(), order, [] { return true; });
+    };
+    CHECK(send() == platform::OrderOutcome::kAccepted);
+    CHECK(send() == platform::OrderOutcome::kBusy);
+    SleepUntil(task, SteadyNow() + milliseconds(100));
+    CHECK(send() == platform::OrderOutcome::kBusy);
+  });
+}
+
 // Guards against the use of a response that carries no id or that of another request.
 TEST_CASE("a response without the id of the request is an error", "[http][peer]") {
   std::unique_ptr<ScriptedPeer> peer;
