Move fewer items, and order engines sooner after a change of the owner

Causes and changes: a successor that takes over at once waited for the rest of the former lease, up to 3 s, before it ordered weights, where the killed owner itself would have come back and ordered at once. It now waits 0.3 s after a holder whose process has ended, and 1 s after an offer.

Test: 'a successor orders engines once the former holder cannot'.

--- a/anvilcroft/lease_keeper.cc
+++ b/anvilcroft/lease_keeper.cc
@@ -11,6 +11,10 @@
 constexpr char kPart[] = "lease";
 constexpr Duration kCallTimeout = milliseconds(500);       // a slow store answers within 300 ms
 constexpr Duration kOfferReadTimeout = milliseconds(150);  // a slow store is no reason to take over
+// Orders of a process that has ended arrive within the latency of the network, those of a holder
+// that has offered its lease also within the timeout of an order.
+constexpr Duration kEndedSettleTime = milliseconds(300);
+constexpr Duration kOfferSettleTime = milliseconds(1000);
 constexpr int kCloseWatchers = 3;  // instances that may acquire the lease and read its row often
 
 // The row as returned by a write whose condition failed, if `self` still holds the lease in `term`.
@@ -60,7 +64,7 @@
       if (this->view.read && !this->released && this->held.fencing == 0 &&
           preceding < kCloseWatchers &&
           MayAcquire(this->view, this->settings.self, BootNow(), takeover)) {
-        this->Acquire(task);
+        this->Acquire(task, ended ? std::optional<Duration>(kEndedSettleTime) : std::nullopt);
       }
       if (this->held.fencing == 0) {
         pause = preceding < kCloseWatchers ? this->settings.watch_interval
@@ -114,10 +118,10 @@
       current.holder != offered.holder || current.term != offered.term) {
     return HandoverAnswer::kDeclined;
   }
-  return this->Acquire(task);
+  return this->Acquire(task, kOfferSettleTime);
 }
 
-HandoverAnswer LeaseKeeper::Acquire(Task& task) {
+HandoverAnswer LeaseKeeper::Acquire(Task& task, std::optional<Duration> settle_time) {
   const OwnerRecord former = this->view.record;
   const BootTime former_changed_at = this->view.changed_at;
   OwnerRecord record;
@@ -134,9 +138,8 @@
   this->held.offered = false;
   this->held.fencing = written->version;
   this->held.valid_until = sent + this->settings.lease_duration - kSafetyMargin;
-  const bool no_other_holder = former.holder.empty() || former.holder == this->settings.self;
-  this->held.orders_from =
-      no_other_holder ? sent : former_changed_at + this->settings.lease_duration;
+  this->held.orders_from = OrdersFrom(former.holder, former_changed_at, this->settings.self, sent,
+                                      this->settings.lease_duration, settle_time);
   LogInfo(kPart, "acquired the lease",
           {{"key", this->settings.key},
            {"former", former.holder},
--- a/anvilcroft/lease_keeper.h
+++ b/anvilcroft/lease_keeper.h
@@ -91,7 +91,9 @@
   void ReadRow(Task& task, Duration timeout);
   // Writes the row on the condition that its version is the one last observed.
   Result<CommitResult> Write(Task& task, const OwnerRecord& record, TimePoint deadline);
-  HandoverAnswer Acquire(Task& task);
+  // `settle_time`: time after which no order of the former holder is on its way any more, if it is
+  // known to send no further ones.
+  HandoverAnswer Acquire(Task& task, std::optional<Duration> settle_time);
   void Renew(Task& task);
   void HandleFailedRenewal(Task& task);
   void MarkLost(const char* reason);
--- a/anvilcroft/owner_lease.cc
+++ b/anvilcroft/owner_lease.cc
@@ -1,5 +1,7 @@
 #include "anvilcroft/owner_lease.h"
 
+#include <algorithm>
+
 #include "anvilcroft/json.h"
 
 namespace anvilcroft {
@@ -31,6 +33,14 @@
   return next;
 }
 
+BootTime OrdersFrom(const std::string& former_holder, BootTime former_changed_at,
+                    const std::string& self, BootTime now, Duration lease_duration,
+                    std::optional<Duration> settle_time) {
+  if (former_holder.empty() || former_holder == self) return now;
+  const BootTime expiry = former_changed_at + lease_duration;
+  return settle_time ? std::min(expiry, now + *settle_time) : expiry;
+}
+
 bool MayAcquire(const LeaseView& view, const std::string& self, BootTime now,
                 Duration takeover_after) {
   if (!view.read) return false;
--- a/anvilcroft/owner_lease.h
+++ b/anvilcroft/owner_lease.h
@@ -7,11 +7,12 @@
 // Load pattern: any instance may be killed, frozen, suspended or cut off from the store at any
 // moment. A successor acquires the lease after LeaseSettings::takeover_after without a renewal. It
 // starts serving batch jobs at once, because an item may run twice, but orders engines only once
-// the former holder's lease has expired.
+// the former holder's lease has expired, or sooner if the former holder certainly sends no orders.
 //
 // The functions are pure; lease_keeper.h makes the calls to the store.
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <tuple>
 
@@ -54,6 +55,12 @@
 bool MayAcquire(const LeaseView& view, const std::string& self, BootTime now,
                 Duration takeover_after);
 
+// When a holder that acquires the lease at `now` may order engines. `former_holder` is that of the
+// row before, last changed at `former_changed_at`. `settle_time`: see LeaseKeeper::Acquire.
+BootTime OrdersFrom(const std::string& former_holder, BootTime former_changed_at,
+                    const std::string& self, BootTime now, Duration lease_duration,
+                    std::optional<Duration> settle_time);
+
 // A lease that this instance holds.
 struct HeldLease {
   int64_t fencing = 0;
--- a/anvilcroft/straggler_plan.cc
+++ b/anvilcroft/straggler_plan.cc
@@ -1,6 +1,7 @@
 #include "anvilcroft/straggler_plan.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace anvilcroft {
 namespace {
@@ -9,8 +10,10 @@
 
 // Time to resume on another engine: a round trip, processing of the prompt, and the first event.
 constexpr double kMoveCostMs = 90;
-// A move must save at least this many ms, since its forecast is uncertain.
-constexpr double kMinGainMs = 250;
+// A move must save at least this many ms. Most slow phases end sooner than the forecast says, since
+// engines are often slow for a fraction of a second; an engine that is silent is rather lost.
+constexpr double kMinGainMs = 600;
+constexpr double kMinGainSilentMs = 150;
 // Smaller differences between the usual paces of two engines are within the error of the estimates.
 constexpr double kMinPaceRatio = 1.3;
 constexpr double kMaxFailureShare = 0.3;  // failure probability of an engine that receives items
@@ -56,8 +59,14 @@
   struct Candidate {
     double left_ms = 0;
     PaceForecast pace;
+    double min_gain_ms = 0;
     const RunningItem* item = nullptr;
   };
+  // Most engines have no slow phase and no faster one beside them, and need no comparison with all.
+  double fastest_ms = std::numeric_limits<double>::infinity();
+  for (const PlacementEngine& engine : engines) {
+    fastest_ms = std::min(fastest_ms, engine.pace.event_ms);
+  }
   std::vector<Candidate> candidates;
   for (const RunningItem& item : items) {
     if (item.moves >= kMaxMoves) continue;
@@ -68,7 +77,9 @@
         std::chrono::duration_cast<Duration>(Millis(kLongSilenceEvents * engine->pace.event_ms)));
     if (item.events_here < kMinEventsBeforeMove && item.since_event < long_silence) continue;
     const PaceForecast pace = AfterSilence(engine->pace, item.since_event);
-    candidates.push_back({LeftMs(item, pace), pace, &item});
+    if (pace.slow_left_ms <= 0 && pace.event_ms < fastest_ms * kMinPaceRatio) continue;
+    const double min_gain_ms = item.since_event < long_silence ? kMinGainMs : kMinGainSilentMs;
+    candidates.push_back({LeftMs(item, pace), pace, min_gain_ms, &item});
   }
   std::sort(candidates.begin(), candidates.end(),
             [](const Candidate& a, const Candidate& b) { return a.left_ms > b.left_ms; });
@@ -84,7 +95,7 @@
         best_gain = gain;
       }
     }
-    if (best == nullptr || best_gain < kMinGainMs) continue;
+    if (best == nullptr || best_gain < candidate.min_gain_ms) continue;
     ++best->running;
     moves.push_back(candidate.item->key);
   }
--- a/testing/engine_pace_test.cc
+++ b/testing/engine_pace_test.cc
@@ -56,6 +56,8 @@
   RecordEvents(noisy, 40, 0, 2000);
   RecordEvents(noisy, 100, 2000, 2300);
   CHECK_FALSE(Moves(noisy.ForecastAt(At(2300)), 150));
+  RecordEvents(noisy, 100, 2300, 2900);
+  CHECK_FALSE(Moves(noisy.ForecastAt(At(2900)), 150));
 }
 
 // Guards against long items that move from engine to engine because the others are idle and seem a
--- a/testing/platform_decisions_test.cc
+++ b/testing/platform_decisions_test.cc
@@ -254,6 +254,20 @@
   CHECK(truncated->texts.count({"job", "a"}) == 0);
 }
 
+// Guards against weights that no engine loads for three seconds after each change of the owner, and
+// against orders while those of the former holder may still arrive.
+TEST_CASE("a successor orders engines once the former holder cannot", "[lease]") {
+  const auto at = [](int millis) { return BootTime(milliseconds(millis)); };
+  const auto from = [&](const std::string& former, std::optional<Duration> settle) {
+    return OrdersFrom(former, at(9000), "self", at(10000), seconds(3), settle);
+  };
+  CHECK(from("", std::nullopt) == at(10000));
+  CHECK(from("self", std::nullopt) == at(10000));
+  CHECK(from("other", std::nullopt) == at(12000));
+  CHECK(from("other", milliseconds(300)) == at(10300));
+  CHECK(from("other", seconds(5)) == at(12000));
+}
+
 // Guards against work on a lease that another instance may have accepted.
 TEST_CASE("an offered lease is not valid", "[lease]") {
   HeldLease lease;
