Do not take a sample for a straggler before one poll interval

A sample is a straggler after twice the median time of its group, which has no lower bound; in this test the median is microseconds, and a stall of some milliseconds is enough.

--- a/anvilcroft/group_runner.cc
+++ b/anvilcroft/group_runner.cc
@@ -134,7 +134,8 @@
   const auto done = std::count_if(this->samples.begin(), this->samples.end(),
                                   [](const auto& sample) { return sample->done; });
   if (done * 4 < static_cast<std::ptrdiff_t>(this->samples.size()) * 3) return;
-  const Duration limit = 2 * Median(this->durations);
+  // A shorter time is within the delays of a busy machine, and a second copy would gain little.
+  const Duration limit = std::max<Duration>(2 * Median(this->durations), kStragglerPoll);
   for (const auto& sample : this->samples) {
     if (sample->done || sample->reissued || !sample->running) continue;
     if (now - sample->started <= limit) continue;
