Log request limits of targets with this instance's calls by purpose

Logs and metrics could not tell whether the requests above the limit of a target are live requests, scoring calls, items or orders, nor when the target named its limit. Nothing is decided by it.

--- a/anvilcroft/front_instance.cc
+++ b/anvilcroft/front_instance.cc
@@ -15,6 +15,7 @@
 #include "anvilcroft/log.h"
 #include "anvilcroft/platform_view.h"
 #include "anvilcroft/process_stats.h"
+#include "anvilcroft/request_limiter.h"
 #include "platform/ingress.h"
 #include "platform/store_client.h"
 
@@ -77,7 +78,8 @@
               [this](const char* call, const char* outcome, Duration took) {
                 this->CountStoreCall(call, outcome, took);
               }),
-        engines(this->runtime),
+        limiter(this->metrics),
+        engines(this->runtime, this->MakeCallHooks()),
         view(this->runtime, this->store, this->pool, [this] { this->OnPlatformChange(); }),
         directory(this->runtime, this->store, SelfRecord(settings), settings.StoreWritesPerS()),
         forwarder(
@@ -256,6 +258,17 @@
     return hooks;
   }
 
+  platform::CallHooks MakeCallHooks() {
+    platform::CallHooks hooks;
+    hooks.on_call = [this](const TargetEntry& target, CallPurpose purpose) {
+      this->limiter.OnCall(target, purpose, SteadyNow());
+    };
+    hooks.on_answer = [this](const TargetEntry& target, std::optional<double> limit) {
+      this->limiter.OnAnswer(target, limit, SteadyNow());
+    };
+    return hooks;
+  }
+
   Result<ServiceRoute> FindRoute(const std::string& host, const std::string& path) {
     const auto routes = this->view.Routes();
     if (!routes) return Fail(ErrorCode::kNotReady, "no configuration has been read yet");
@@ -386,6 +399,7 @@
   Metrics metrics;
   platform::StoreClient store;
   bool store_reachable = true;
+  RequestLimiter limiter;
   platform::EngineClient engines;
   TargetPool pool;
   PlatformView view;
