--- a/fakes/platform_engine.cc
+++ b/fakes/platform_engine.cc
@@ -9,6 +9,12 @@
 
 using nlohmann::json;
 
+namespace {
+
+constexpr char kLimitField[] = "Server-Limit";
+
+}  // namespace
+
 PlatformEngine::PlatformEngine(Runtime& runtime, std::string id, std::string model)
     : server(runtime, "127.0.0.1:0"), id(std::move(id)), model(std::move(model)) {
   this->server.SetHandler([this](Task& task, const HttpRequest& request, HttpReply& reply) {
@@ -46,7 +52,13 @@
   return text;
 }
 
+void PlatformEngine::Answer(Task& task, HttpResponse::Builder answer, HttpReply& reply) {
+  if (this->request_limit) answer.SetHeader(kLimitField, std::to_string(*this->request_limit));
+  reply.Send(task, answer.Build());
+}
+
 void PlatformEngine::Handle(Task& task, const HttpRequest& request, HttpReply& reply) {
+  this->arrivals.push_back(SteadyNow());
   const HttpHeaders& headers = request.Headers();
   const std::string expected(headers.Find("X-Expect-Instance"));
   if (!expected.empty() && expected != this->id) {
@@ -55,14 +67,12 @@
   }
   if (request.Path() == "/api/order") return this->HandleOrder(task, request, reply);
   if (request.Path() == "/api/report") {
-    reply.Send(
-        task,
-        JsonResponse(
-            200, DumpJson({{"Busy", false},
-                           {"Sequence", this->orders},
-                           {"Running", 0},
-                           {"Waiting", 0},
-                           {"Models", {{{"Name", this->model}, {"Version", this->version}}}}})));
+    const json report = {{"Busy", false},
+                         {"Sequence", this->orders},
+                         {"Running", 0},
+                         {"Waiting", 0},
+                         {"Models", {{{"Name", this->model}, {"Version", this->version}}}}};
+    this->Answer(task, HttpResponse::Builder().SetJson(DumpJson(report)), reply);
     return;
   }
   const std::string attempt(headers.Find("X-Attempt-Id"));
@@ -74,7 +84,7 @@
     answer.SetStatus(status).SetHeader("X-Attempt-Id", attempt).SetJson("{}");
     if (status == 503) answer.SetHeader("X-Not-Executed", "1");
     if (status != 503) this->started.push_back(attempt);
-    reply.Send(task, answer.Build());
+    this->Answer(task, answer, reply);
     return;
   }
   if (!this->model.empty()) return this->Generate(task, request, reply);
@@ -82,12 +92,13 @@
   const auto caller_disconnected = reply.CallerDisconnected();
   if (!this->server.Delay(task, this->event_time)) return;
   if (caller_disconnected->Cancelled()) ++this->cancelled[attempt];
-  reply.Send(task, HttpResponse::Builder()
-                       .SetHeader("X-Attempt-Id", attempt)
-                       .SetHeader("X-Server-Stamp", "stamp." + this->id + "." + attempt)
-                       .SetHeader("X-Instance-Load", "1,0,4")
-                       .SetBody("body of " + attempt)
-                       .Build());
+  this->Answer(task,
+               HttpResponse::Builder()
+                   .SetHeader("X-Attempt-Id", attempt)
+                   .SetHeader("X-Server-Stamp", "stamp." + this->id + "." + attempt)
+                   .SetHeader("X-Instance-Load", "1,0,4")
+                   .SetBody("body of " + attempt),
+               reply);
 }
 
 void PlatformEngine::Generate(Task& task, const HttpRequest& request, HttpReply& reply) {
@@ -104,10 +115,13 @@
   }
   this->started.push_back(item);
   const auto caller_disconnected = reply.CallerDisconnected();
-  const HttpHeaders answer({{"X-Attempt-Id", item},
-                            {"Content-Type", "text/event-stream"},
-                            {"X-Weight-Versions", std::to_string(this->version)},
-                            {"X-Server-Stamp", "stamp." + item}});
+  HttpHeaders answer({{"X-Attempt-Id", item},
+                      {"Content-Type", "text/event-stream"},
+                      {"X-Weight-Versions", std::to_string(this->version)},
+                      {"X-Server-Stamp", "stamp." + item}});
+  if (this->request_limit) {
+    answer = answer.With(kLimitField, std::to_string(*this->request_limit));
+  }
   if (!reply.BeginStream(task, 200, answer)) return;
   const std::string after(headers.Find("Last-Event-Id"));
   if (!after.empty()) ++this->resumed_runs;
@@ -151,7 +165,7 @@
       ++this->orders;
     }
   }
-  reply.Send(task, JsonResponse(status, "{}"));
+  this->Answer(task, HttpResponse::Builder().SetStatus(status).SetJson("{}"), reply);
 }
 
 }  // namespace anvilcroft::fakes
--- a/fakes/platform_engine.h
+++ b/fakes/platform_engine.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -38,10 +39,13 @@
   // Statuses that answer the next requests without a run, by request id. Each request removes the
   // first one. A 503 is marked as not executed; other statuses count as executed.
   std::map<std::string, std::vector<int>> planned_statuses;
+  // If set, all answers name this limit, in requests a second.
+  std::optional<double> request_limit;
   int events_per_item = 6;
   Duration event_time = milliseconds(5);
 
-  // Requests and orders that the target received.
+  // Requests, orders and reads of the report that the target received.
+  std::vector<TimePoint> arrivals;
   std::vector<std::string> started;      // ids of executed requests, in order
   std::map<std::string, int> cancelled;  // runs whose caller disconnected, by request id
   std::vector<int64_t> accepted_fences;  // fencing tokens of the accepted orders
@@ -49,6 +53,8 @@
   int resumed_runs = 0;  // runs that were requested to resume after an event
 
  private:
+  // Sends `answer` with the fields that every answer has.
+  void Answer(Task& task, HttpResponse::Builder answer, HttpReply& reply);
   void Handle(Task& task, const HttpRequest& request, HttpReply& reply);
   void Generate(Task& task, const HttpRequest& request, HttpReply& reply);
   void HandleOrder(Task& task, const HttpRequest& request, HttpReply& reply);
