Keep the request limits of targets with one keeper of permits per target

Callers and operators saw targets that are short of capacity get up to twice the requests that they say they take (LIMIT), on every site with traffic on a limited service.

Cause: no instance read the limit. The class: a bound that holds for all instances together, on a path where each instance decides alone. Reading it would not have been enough: up to ten instances use one target, and an instance that starts knows nothing. The same path is used by retries, hedges, items, scoring calls, orders and reports.

Change: one live instance, chosen by rendezvous hashing, keeps the permits of a target and gives each request of all instances a time at which it may be sent. Every method of EngineClient takes a SendPermit, so that no call can bypass it. Without the keeper a standby grants a quarter of the limit; both together stay below the one and a half times that the rule allows, and permits are granted 1.2 s ahead at most, because a successor does not know them. The keeper writes the limit among the entries of the instances, whose feed all instances follow already, and an instance serves no requests before it has read them. Requests that no target takes in time are refused at once with the time of the next permit as Retry-After.

--- a/anvilcroft/batch_context.h
+++ b/anvilcroft/batch_context.h
@@ -15,6 +15,7 @@
 #include "anvilcroft/live_forwarder.h"
 #include "anvilcroft/metrics.h"
 #include "anvilcroft/owned_job.h"
+#include "anvilcroft/request_limiter.h"
 #include "anvilcroft/route_table.h"
 #include "anvilcroft/target_pool.h"
 #include "platform/engine_client.h"
@@ -26,6 +27,7 @@
   MetadataStore& metadata;
   BatchStore& store;
   platform::EngineClient& engines;
+  RequestLimiter& limiter;
   LiveForwarder& live;
   TargetPool& pool;
   LeaseKeeper& lease;
--- a/anvilcroft/batch_owner.cc
+++ b/anvilcroft/batch_owner.cc
@@ -261,6 +261,12 @@
     if (target->consecutive_no_responses > 0) {
       engine.slots = std::min(engine.slots, engine.running + 1);
     }
+    if (const auto permit_wait = this->context.limiter.NextPermit(target->entry, now)) {
+      // One run at a time waits for a permit, so that the others can go elsewhere meanwhile.
+      const bool full = state.awaiting_permit > 0 || *permit_wait > RequestLimiter::kMaxWait;
+      engine.slots = std::min(engine.slots, engine.running + (full ? 0 : 1));
+      engine.permit_wait = *permit_wait;
+    }
     engine.long_items = long_items[id];
     engine.pace = this->context.engine_tracker.Forecast(state, now);
     engine.failure_share = FailureProbability(*target, now);
--- a/anvilcroft/engine_tracker.h
+++ b/anvilcroft/engine_tracker.h
@@ -32,6 +32,7 @@
   TimePoint busy_until;
   std::optional<int64_t> orders_accepted;  // since the engine's start; nullopt: not known
   std::map<std::string, int> running;      // own runs by model
+  int awaiting_permit = 0;                 // of these, runs that wait for a permit to be sent
   EnginePace pace;
 
   // Share of the slots that this instance's runs use.
--- a/anvilcroft/front_directory.cc
+++ b/anvilcroft/front_directory.cc
@@ -14,6 +14,9 @@
 constexpr char kHeartbeatTable[] = "front-heartbeats";
 // Key of the watcher's row among the entries. Names of instances contain no exclamation mark.
 constexpr char kWatchKey[] = "!watch";
+// Prefix of the keys of request limits among the entries, followed by the id of a target.
+constexpr char kLimitPrefix[] = "!limit/";
+constexpr std::size_t kLimitPrefixSize = sizeof kLimitPrefix - 1;
 constexpr Duration kCallTimeout = milliseconds(800);
 constexpr Duration kFeedWait = milliseconds(1000);
 constexpr Duration kRetryPause = milliseconds(100);
@@ -47,6 +50,10 @@
   return addresses;
 }
 
+RowId FrontDirectory::LimitRowId(const std::string& target) {
+  return {kEntryTable, "", kLimitPrefix + target};
+}
+
 FrontDirectory::FrontDirectory(Runtime& runtime, MetadataStore& store, FrontRecord self,
                                double store_writes_per_s)
     : runtime(runtime),
@@ -169,6 +176,10 @@
     }
     return;
   }
+  if (row.id.key.compare(0, kLimitPrefixSize, kLimitPrefix) == 0) {
+    if (this->limit_row_hook) this->limit_row_hook(row.id.key.substr(kLimitPrefixSize), row);
+    return;
+  }
   this->entries.erase(row.id.key);
   this->entry_versions.erase(row.id.key);
   if (row.removed) return;
@@ -189,6 +200,7 @@
              {"now", std::to_string(now_live.size())},
              {"watcher", this->watch.watcher}});
   }
+  if (now_live != this->live) ++this->live_version;
   this->live = std::move(now_live);
 }
 
--- a/anvilcroft/front_directory.h
+++ b/anvilcroft/front_directory.h
@@ -46,14 +46,27 @@
     this->self.internal_address = std::move(internal_address);
   }
 
+  // The row in which the request limit of a target is kept. It is among the entries, because all
+  // instances follow their feed.
+  static RowId LimitRowId(const std::string& target);
+
+  // Called with each row of LimitRowId() that is read or has changed. Set before Start.
+  using LimitRowHook = std::function<void(const std::string& target, const StoredRow& row)>;
+  void SetLimitRowHook(LimitRowHook hook) { this->limit_row_hook = std::move(hook); }
+
   void Start();
 
+  // Whether the entries have been read.
+  bool Following() const { return this->following; }
+
   // Stops the heartbeats and marks this instance's entry as leaving. Retries until `deadline`; logs
   // a warning if no write was confirmed.
   void AnnounceLeaving(Task& task, TimePoint deadline);
 
   // The instances that callers may use. Empty until the entries have been read once.
   const std::vector<FrontRecord>& LiveFronts() const { return this->live; }
+  // Increases whenever LiveFronts() changes.
+  int64_t LiveVersion() const { return this->live_version; }
 
   // Number of live instances that precede this one in the order of takeover, in which larger
   // machines come first.
@@ -96,6 +109,8 @@
   int64_t watch_version = 0;  // of the watcher's row; 0: there is none
   TimePoint watch_changed_at;
   std::vector<FrontRecord> live;
+  int64_t live_version = 0;
+  LimitRowHook limit_row_hook;
   bool following = false;  // the entries have been read
   TimePoint answered_at;   // last answer of the store to the feed or a heartbeat
   TimePoint grace_until;   // until then no further instance is taken for down
--- a/anvilcroft/front_instance.cc
+++ b/anvilcroft/front_instance.cc
@@ -78,16 +78,25 @@
               [this](const char* call, const char* outcome, Duration took) {
                 this->CountStoreCall(call, outcome, took);
               }),
-        limiter(this->metrics),
-        engines(this->runtime, this->MakeCallHooks()),
+        engines(this->runtime,
+                [this](const TargetEntry& target, std::optional<double> limit) {
+                  this->limiter->OnAnswer(target, limit, SteadyNow());
+                }),
         view(this->runtime, this->store, this->pool, [this] { this->OnPlatformChange(); }),
         directory(this->runtime, this->store, SelfRecord(settings), settings.StoreWritesPerS()),
+        limiter(RequestLimiter::Builder(this->runtime, this->metrics)
+                    .SetStore(this->store)
+                    .SetDirectory(this->directory)
+                    .SetPool(this->pool)
+                    .SetSelf(settings.InstanceId())
+                    .Build()),
         forwarder(
-            this->runtime, this->engines, this->pool, [this] { return this->view.Routes(); },
-            settings.Zone(), StableHash(settings.InstanceId())),
+            this->runtime, this->engines, *this->limiter, this->pool,
+            [this] { return this->view.Routes(); }, settings.Zone(),
+            StableHash(settings.InstanceId())),
         streamer(
-            this->engines, this->pool, [this] { return this->view.Routes(); }, settings.Zone(),
-            StableHash(settings.InstanceId()) + 1),
+            this->engines, *this->limiter, this->pool, [this] { return this->view.Routes(); },
+            settings.Zone(), StableHash(settings.InstanceId()) + 1),
         batch_store(this->store),
         batch_service(this->batch_store, this->store, [this] { return this->view.Routes(); }),
         lease_keeper(
@@ -100,6 +109,7 @@
                 this->store,
                 this->batch_store,
                 this->engines,
+                *this->limiter,
                 this->forwarder,
                 this->pool,
                 this->lease_keeper,
@@ -152,6 +162,7 @@
     this->lease_keeper.SetEndedQuery([this](Task& task, const std::string& holder) {
       return LeasePeers::HasEnded(task, this->directory.InternalAddress(holder));
     });
+    this->limiter->Start();
     this->view.Start();
     this->directory.Start();
     this->lease_keeper.Start();
@@ -220,7 +231,10 @@
     this->context.plan_inputs_changed.NotifyAll();
   }
 
-  bool Ready() const { return !this->stopping && this->view.Routes() != nullptr; }
+  // The directory also brings the request limits of targets.
+  bool Informed() const { return this->view.Routes() != nullptr && this->directory.Following(); }
+
+  bool Ready() const { return !this->stopping && this->Informed(); }
 
   platform::IngressHooks MakeHooks() {
     platform::IngressHooks hooks;
@@ -258,20 +272,9 @@
     return hooks;
   }
 
-  platform::CallHooks MakeCallHooks() {
-    platform::CallHooks hooks;
-    hooks.on_call = [this](const TargetEntry& target, CallPurpose purpose) {
-      this->limiter.OnCall(target, purpose, SteadyNow());
-    };
-    hooks.on_answer = [this](const TargetEntry& target, std::optional<double> limit) {
-      this->limiter.OnAnswer(target, limit, SteadyNow());
-    };
-    return hooks;
-  }
-
   Result<ServiceRoute> FindRoute(const std::string& host, const std::string& path) {
     const auto routes = this->view.Routes();
-    if (!routes) return Fail(ErrorCode::kNotReady, "no configuration has been read yet");
+    if (!this->Informed()) return Fail(ErrorCode::kNotReady, "no configuration has been read yet");
     const ServiceRoute* route = routes->Match(host, path);
     if (route == nullptr)
       return Fail(ErrorCode::kNotFound, "no route matches the request", host + path);
@@ -345,22 +348,29 @@
                                [this](Task& task, const HttpRequest& request, HttpReply& reply) {
                                  this->ingress.HandleReady(task, request, reply);
                                });
-    this->metrics_server =
-        start(this->settings.MetricsAddress(), this->metrics_address,
-              [this](Task& task, const HttpRequest& request, HttpReply& reply) {
-                if (request.Path() == LeasePeers::kOfferPath) {
-                  this->HandleLeaseOffer(task, request, reply);
-                  return;
-                }
-                if (request.Path() == LeasePeers::kPath) {
-                  reply.Send(task, JsonResponse(200, EncodeOwner(this->lease_keeper.LastRecord())));
-                  return;
-                }
-                reply.Send(task, HttpResponse::Builder()
-                                     .SetHeader("Content-Type", "text/plain; version=0.0.4")
-                                     .SetBody(this->metrics.Render() + ReadProcessStats().Render())
-                                     .Build());
-              });
+    this->metrics_server = start(
+        this->settings.MetricsAddress(), this->metrics_address,
+        [this](Task& task, const HttpRequest& request, HttpReply& reply) {
+          if (request.Path() == LeasePeers::kOfferPath) {
+            this->HandleLeaseOffer(task, request, reply);
+            return;
+          }
+          if (request.Path() == RequestLimiter::kPath) {
+            const auto answer = this->limiter->HandleRequest(request.Body(), SteadyNow());
+            reply.Send(task,
+                       answer ? HttpResponse::Builder().SetBody(EncodePermitAnswer(*answer)).Build()
+                              : ErrorResponse(answer.error()));
+            return;
+          }
+          if (request.Path() == LeasePeers::kPath) {
+            reply.Send(task, JsonResponse(200, EncodeOwner(this->lease_keeper.LastRecord())));
+            return;
+          }
+          reply.Send(task, HttpResponse::Builder()
+                               .SetHeader("Content-Type", "text/plain; version=0.0.4")
+                               .SetBody(this->metrics.Render() + ReadProcessStats().Render())
+                               .Build());
+        });
     return this->caller_server && this->directory_server && this->ready_server &&
            this->metrics_server;
   }
@@ -399,11 +409,11 @@
   Metrics metrics;
   platform::StoreClient store;
   bool store_reachable = true;
-  RequestLimiter limiter;
   platform::EngineClient engines;
   TargetPool pool;
   PlatformView view;
   FrontDirectory directory;
+  std::unique_ptr<RequestLimiter> limiter;
   LiveForwarder forwarder;
   LiveStreamer streamer;
   BatchStore batch_store;
--- a/anvilcroft/item_placement.cc
+++ b/anvilcroft/item_placement.cc
@@ -22,6 +22,7 @@
   double cost = TimeForEventsMs(engine.pace, std::max(1.0, item.events_left), load);
   if (item.prefer_newest && version < newest) cost *= 1 + kOldVersionPenalty;
   cost += engine.failure_share * kFailureCostMs;
+  cost += std::chrono::duration<double, std::milli>(engine.permit_wait).count();
   if (item.avoid.count(engine.id) != 0) cost += kAvoidCostMs;
   return cost;
 }
--- a/anvilcroft/item_placement.h
+++ b/anvilcroft/item_placement.h
@@ -60,6 +60,7 @@
   int running = 0;
   int long_items = 0;  // number of running items that are long
   PaceForecast pace{30, 0, 0};
+  Duration permit_wait = Duration::zero();  // until the engine takes the next request
   double failure_share = 0;                 // probability that its next request fails, 0 to 1
   std::map<std::string, int64_t> versions;  // by model
   std::set<std::string> loading;            // models that accept no items during their load
--- a/anvilcroft/item_runner.cc
+++ b/anvilcroft/item_runner.cc
@@ -16,6 +16,7 @@
 constexpr Duration kAvoidTime = seconds(3);  // failures of an engine last seconds
 constexpr Duration kScoreTimeout = milliseconds(2500);
 constexpr Duration kScorePause = milliseconds(60);
+constexpr Duration kMaxScorePause = milliseconds(500);
 constexpr Duration kMaxRunTime = seconds(60);  // longer than any run; the end of the job cancels it
 
 // Least urgent priority of runs in an engine's queue.
@@ -70,6 +71,17 @@
   });
 }
 
+Result<SendPermit> ItemRunner::AcquirePermit(Task& task, const TargetEntry& engine) {
+  if (EngineState* state = this->context.engine_tracker.Find(engine.id)) ++state->awaiting_permit;
+  auto permit =
+      this->context.limiter.Acquire(task, engine, CallPurpose::kItem, RequestLimiter::kMaxWait);
+  if (EngineState* state = this->context.engine_tracker.Find(engine.id)) {
+    state->awaiting_permit = std::max(0, state->awaiting_permit - 1);
+  }
+  this->context.plan_inputs_changed.NotifyAll();
+  return permit;
+}
+
 void ItemRunner::Run(Task& task, const std::shared_ptr<OwnedJob>& job, std::size_t index,
                      const TargetEntry& engine, int64_t version) {
   OwnedItem& item = job->items[index];
@@ -89,17 +101,25 @@
                                   .WithCancellation(run)
                                   .WithSendGuard([this, job] { return this->MaySend(*job); });
   TimePoint last_event = started;
-  const auto outcome = this->context.engines.Generate(
-      task, engine, request, options, [&](const platform::GenerationEvent& event) {
-        const TimePoint now = SteadyNow();
-        // The time to the first event includes the processing of the prompt.
-        if (event.number > resumed_after + 1) {
-          this->context.engine_tracker.RecordEventTime(engine.id, now - last_event, now);
-        }
-        last_event = now;
-        item.last_event = now;
-        item.text.Add(event.data, event.weight_version);
-      });
+  const auto on_event = [&](const platform::GenerationEvent& event) {
+    const TimePoint now = SteadyNow();
+    // The time to the first event includes the processing of the prompt.
+    if (event.number > resumed_after + 1) {
+      this->context.engine_tracker.RecordEventTime(engine.id, now - last_event, now);
+    }
+    last_event = now;
+    item.last_event = now;
+    item.text.Add(event.data, event.weight_version);
+  };
+  platform::GenerationOutcome outcome;
+  if (auto permit = this->AcquirePermit(task, engine)) {
+    last_event = item.last_event = SteadyNow();
+    outcome = this->context.engines.Generate(task, std::move(*permit), engine, request, options,
+                                             on_event);
+  } else {
+    outcome.kind = Kind::kNotExecuted;
+    outcome.reason = permit.error().message;
+  }
   const TimePoint now = SteadyNow();
   const bool cancelled = run->Cancelled();
   TargetOutcome health = TargetOutcome::kServed;
@@ -240,7 +260,9 @@
         this->Expire(job, index, "the scoring request failed as often as the routes allow");
         return;
       }
-      SleepUntil(task, SteadyNow() + kScorePause);
+      SleepUntil(task, SteadyNow() + std::max(kScorePause,
+                                              std::min(kMaxScorePause, outcome.retry_after.value_or(
+                                                                           Duration::zero()))));
     }
   }
   result.text = item.text.data;
--- a/anvilcroft/live_forwarder.cc
+++ b/anvilcroft/live_forwarder.cc
@@ -41,13 +41,20 @@
   bool may_have_run = false;  // according to the attempts that have ended
 };
 
-LiveForwarder::LiveForwarder(Runtime& runtime, platform::EngineClient& engines, TargetPool& pool,
-                             Routes routes, std::string zone, uint64_t seed)
+LiveForwarder::LiveForwarder(Runtime& runtime, platform::EngineClient& engines,
+                             RequestLimiter& limiter, TargetPool& pool, Routes routes,
+                             std::string zone, uint64_t seed)
     : runtime(runtime),
       engines(engines),
+      limiter(limiter),
       pool(pool),
       routes(std::move(routes)),
-      chooser(pool, std::move(zone), seed) {}
+      chooser(
+          pool,
+          [&limiter](const TargetEntry& target, TimePoint now) {
+            return limiter.NextPermit(target, now);
+          },
+          std::move(zone), seed) {}
 
 Duration LiveForwarder::HedgeDelay(const ServiceRoute& route, const std::string& service) const {
   const Duration max_delay =
@@ -60,8 +67,12 @@
 }
 
 void LiveForwarder::StartAttempt(const std::shared_ptr<AttemptGroup>& group,
-                                 const PoolTarget& target) {
-  const TargetEntry entry = target.entry;
+                                 const RouteChoice& choice) {
+  const TargetEntry entry = choice.target->entry;
+  const Duration max_permit_wait =
+      choice.unlimited_left ? kShortPermitWait
+                            : std::chrono::duration_cast<Duration>(
+                                  kPermitWaitShare * (group->request.deadline - SteadyNow()));
   const std::size_t index = group->attempts.size();
   group->attempts.emplace_back();
   group->attempts[index].target = entry.id;
@@ -69,13 +80,27 @@
   ++group->active;
   ++group->runs;
   this->pool.OnRequestStarted(entry.id);
-  this->runtime.Spawn([this, group, entry, index](Task& task) {
+  this->runtime.Spawn([this, group, entry, index, max_permit_wait](Task& task) {
+    const auto end = [&](Result<platform::ForwardReply> result) {
+      AttemptGroup::Attempt& attempt = group->attempts[index];
+      attempt.result = std::move(result);
+      attempt.ended = true;
+      --group->active;
+      group->changed.NotifyAll();
+    };
+    auto permit = this->limiter.Acquire(task, entry, CallPurpose::kRequest, max_permit_wait);
     const TimePoint started = SteadyNow();
+    if (!permit) {
+      this->pool.OnRequestFinished(entry.id, TargetOutcome::kAbandoned, Duration::zero(), started);
+      end(tl::unexpected<Error>(permit.error()));
+      return;
+    }
     const Duration time_left = group->request.deadline - started;
     CallOptions options =
         CallOptions(group->request.deadline, time_left).WithCancellation(group->cancellation);
     if (group->request.sent_before) options = options.WithFreshConnection();
-    auto result = this->engines.Forward(task, entry, group->request.message, time_left, options);
+    auto result = this->engines.Forward(task, std::move(*permit), entry, group->request.message,
+                                        time_left, options);
     const TimePoint ended = SteadyNow();
     TargetOutcome outcome = TargetOutcome::kServed;
     if (!result) {
@@ -92,11 +117,7 @@
     }
     if (result && result->load) this->pool.OnLoadReport(entry.id, *result->load, ended);
     this->pool.OnRequestFinished(entry.id, outcome, ended - started, ended);
-    AttemptGroup::Attempt& attempt = group->attempts[index];
-    attempt.result = std::move(result);
-    attempt.ended = true;
-    --group->active;
-    group->changed.NotifyAll();
+    end(std::move(result));
   });
 }
 
@@ -154,6 +175,8 @@
       }
       if (!attempt.result && attempt.result.error().ran == Ran::kNo) {
         --group->runs;
+        // The target has not been asked, so the next choice costs it nothing.
+        if (attempt.result.error().part == RequestLimiter::kErrorPart) continue;
         ++group->refusals;
         continue;
       }
@@ -176,9 +199,11 @@
                            (repeatable || (!group->may_have_run && group->active == 0));
     const bool hedge_due = group->active > 0 && now >= hedge_at;
     if (may_start && (group->active == 0 || (hedge_due && this->hedges.TryConsume()))) {
-      if (const PoolTarget* target = this->chooser.Choose(*route, group->tried, now)) {
-        hedge_at = now + this->HedgeDelay(*route, target->entry.service);
-        this->StartAttempt(group, *target);
+      const bool hedge = group->active > 0;
+      const RouteChoice choice = this->chooser.Choose(*route, group->tried, hedge, now);
+      if (choice.target != nullptr) {
+        hedge_at = now + this->HedgeDelay(*route, choice.target->entry.service);
+        this->StartAttempt(group, choice);
       } else if (group->active == 0) {
         break;
       } else {
@@ -200,8 +225,11 @@
   if (group->may_have_run) {
     return finish(LiveOutcome::Kind::kUnknown, "no target returned a complete response");
   }
-  return finish(LiveOutcome::Kind::kNotRun,
-                group->attempts.empty() ? "no target is available" : "no target ran the request");
+  outcome.retry_after = this->chooser.NextPermit(group->tried, SteadyNow());
+  return finish(LiveOutcome::Kind::kNotRun, group->attempts.empty() ? "no target is available"
+                                            : outcome.retry_after
+                                                ? "the targets take no more requests at present"
+                                                : "no target ran the request");
 }
 
 }  // namespace anvilcroft
--- a/anvilcroft/live_forwarder.h
+++ b/anvilcroft/live_forwarder.h
@@ -6,7 +6,8 @@
 // A repeatable request is sent to a second target when the first one fails or takes unusually long
 // (a hedge); the first complete response is used and the other attempt is cancelled. Any request is
 // sent to another target when a target reports that it did not run it. The outcome is kNotRun only
-// if no target can have run the request.
+// if no target can have run the request. Targets that limit their requests get no hedges, and other
+// requests only with a permit; a request that no target takes in time is refused at once.
 
 #include <functional>
 #include <memory>
@@ -15,6 +16,7 @@
 
 #include "anvilcroft/latency_window.h"
 #include "anvilcroft/live_request.h"
+#include "anvilcroft/request_limiter.h"
 #include "anvilcroft/retry_budget.h"
 #include "anvilcroft/route_chooser.h"
 #include "anvilcroft/route_table.h"
@@ -32,8 +34,8 @@
   static constexpr double kHedgeShare = 0.15;
   static constexpr double kHedgeBurst = 10;
 
-  LiveForwarder(Runtime& runtime, platform::EngineClient& engines, TargetPool& pool, Routes routes,
-                std::string zone, uint64_t seed);
+  LiveForwarder(Runtime& runtime, platform::EngineClient& engines, RequestLimiter& limiter,
+                TargetPool& pool, Routes routes, std::string zone, uint64_t seed);
 
   // Blocks the task until `request` has an outcome.
   LiveOutcome Serve(Task& task, const LiveRequest& request);
@@ -41,13 +43,14 @@
  private:
   struct AttemptGroup;
 
-  // Sends the request of `group` to `target` in a new task.
-  void StartAttempt(const std::shared_ptr<AttemptGroup>& group, const PoolTarget& target);
+  // Sends the request of `group` to the chosen target in a new task.
+  void StartAttempt(const std::shared_ptr<AttemptGroup>& group, const RouteChoice& choice);
   // How long an attempt may run before a second one is started.
   Duration HedgeDelay(const ServiceRoute& route, const std::string& service) const;
 
   Runtime& runtime;
   platform::EngineClient& engines;
+  RequestLimiter& limiter;
   TargetPool& pool;
   Routes routes;
   RouteChooser chooser;
--- a/anvilcroft/live_request.h
+++ b/anvilcroft/live_request.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "anvilcroft/cancellation.h"
@@ -17,6 +18,12 @@
 // made, doesn't count towards the route's limit on targets. After this many of them no further
 // attempt is started.
 constexpr int kMaxRefusals = 4;
+// Longest wait for a permit to send a request to a target that limits its requests, while another
+// target does not.
+constexpr Duration kShortPermitWait = milliseconds(25);
+// Without such a target, a request waits for a permit for at most this share of its time left, so
+// that a refused caller can come back in time.
+constexpr double kPermitWaitShare = 0.4;
 // No attempt is started with less time than this until the deadline.
 constexpr Duration kMinAttemptTime = milliseconds(5);
 
@@ -50,6 +57,8 @@
   std::string target;  // id of the last target tried
   int attempts = 0;
   int failures = 0;  // responses in which a target reported a failure
+  // kNotRun: when the caller may come back, if that is known.
+  std::optional<Duration> retry_after;
 };
 
 }  // namespace anvilcroft
--- a/anvilcroft/live_streamer.cc
+++ b/anvilcroft/live_streamer.cc
@@ -28,7 +28,8 @@
 
 }  // namespace
 
-platform::StreamOutcome LiveStreamer::RunAttempt(Task& task, const LiveRequest& request,
+platform::StreamOutcome LiveStreamer::RunAttempt(Task& task, SendPermit permit,
+                                                 const LiveRequest& request,
                                                  const ServiceRoute& route,
                                                  const TargetEntry& target,
                                                  platform::StreamPosition& position,
@@ -44,8 +45,8 @@
                                   .WithCancellation(request.caller_disconnected)
                                   .WithFreshConnection();
   this->pool.OnRequestStarted(target.id);
-  auto outcome =
-      this->engines.ForwardStream(task, target, request.message, options, position, hooks);
+  auto outcome = this->engines.ForwardStream(task, std::move(permit), target, request.message,
+                                             options, position, hooks);
   const TimePoint now = SteadyNow();
   const bool disconnected = request.caller_disconnected && request.caller_disconnected->Cancelled();
   if (outcome.reply.load) this->pool.OnLoadReport(target.id, *outcome.reply.load, now);
@@ -63,6 +64,7 @@
   int runs = 0;
   int refusals = 0;
   std::set<std::string> tried;
+  std::set<std::string> denied;  // targets that take no more requests at present
   std::optional<platform::ForwardReply> failure;
   platform::StreamHooks hooks;
   hooks.on_begin = [&](const HttpHeaders& headers) -> Result<void> {
@@ -97,19 +99,32 @@
     }
     const bool may_start =
         runs < route.max_targets && refusals < kMaxRefusals && (!may_have_run || route.resumable);
-    const PoolTarget* target = may_start ? this->chooser.Choose(route, tried, now) : nullptr;
-    if (target == nullptr && may_start && route.resumable && tried.size() > 1) {
+    RouteChoice choice;
+    if (may_start) choice = this->chooser.Choose(route, tried, false, now);
+    if (choice.target == nullptr && may_start && route.resumable && tried.size() > 1 &&
+        denied.empty()) {
       // All targets have been tried. All but the latest are tried again, since their failure may
       // have been temporary.
       tried = {result.target};
-      target = this->chooser.Choose(route, tried, now);
+      choice = this->chooser.Choose(route, tried, false, now);
     }
-    if (target == nullptr) break;
-    const TargetEntry entry = target->entry;
+    if (choice.target == nullptr) break;
+    const TargetEntry entry = choice.target->entry;
     tried.insert(entry.id);
+    const Duration max_permit_wait =
+        choice.unlimited_left
+            ? kShortPermitWait
+            : std::chrono::duration_cast<Duration>(kPermitWaitShare * (request.deadline - now));
+    auto permit = this->limiter.Acquire(task, entry, CallPurpose::kStream, max_permit_wait);
+    if (!permit) {
+      denied.insert(entry.id);
+      result.reason = permit.error().message;
+      continue;
+    }
     result.target = entry.id;
     ++result.attempts;
-    auto outcome = this->RunAttempt(task, request, route, entry, position, hooks);
+    auto outcome =
+        this->RunAttempt(task, std::move(*permit), request, route, entry, position, hooks);
     switch (outcome.kind) {
       case Kind::kComplete:
         if (!reply.End(task)) return finish(LiveOutcome::Kind::kDisconnected, "the write failed");
@@ -141,6 +156,7 @@
     return finish(LiveOutcome::Kind::kAnswered, "the target returned a server error");
   }
   if (may_have_run) return finish(LiveOutcome::Kind::kUnknown, result.reason);
+  result.retry_after = this->chooser.NextPermit(denied, SteadyNow());
   return finish(LiveOutcome::Kind::kNotRun,
                 tried.empty() ? "no target is available" : "no target ran the request");
 }
--- a/anvilcroft/live_streamer.h
+++ b/anvilcroft/live_streamer.h
@@ -13,6 +13,7 @@
 
 #include "anvilcroft/http_server.h"
 #include "anvilcroft/live_request.h"
+#include "anvilcroft/request_limiter.h"
 #include "anvilcroft/route_chooser.h"
 #include "anvilcroft/route_table.h"
 
@@ -28,12 +29,18 @@
   static constexpr Duration kMinIdleTimeout = milliseconds(1000);
   static constexpr int kIdleTimeoutFactor = 2;
 
-  LiveStreamer(platform::EngineClient& engines, TargetPool& pool, Routes routes, std::string zone,
-               uint64_t seed)
+  LiveStreamer(platform::EngineClient& engines, RequestLimiter& limiter, TargetPool& pool,
+               Routes routes, std::string zone, uint64_t seed)
       : engines(engines),
+        limiter(limiter),
         pool(pool),
         routes(std::move(routes)),
-        chooser(pool, std::move(zone), seed) {}
+        chooser(
+            pool,
+            [&limiter](const TargetEntry& target, TimePoint now) {
+              return limiter.NextPermit(target, now);
+            },
+            std::move(zone), seed) {}
 
   // Writes the stream to `reply`. If the outcome is neither kStreamed nor kInterrupted, nothing has
   // been written and the caller of this function sends the response.
@@ -41,12 +48,13 @@
 
  private:
   // Streams from `target` until its response ends, and updates its health in the pool.
-  platform::StreamOutcome RunAttempt(Task& task, const LiveRequest& request,
+  platform::StreamOutcome RunAttempt(Task& task, SendPermit permit, const LiveRequest& request,
                                      const ServiceRoute& route, const TargetEntry& target,
                                      platform::StreamPosition& position,
                                      const platform::StreamHooks& hooks);
 
   platform::EngineClient& engines;
+  RequestLimiter& limiter;
   TargetPool& pool;
   Routes routes;
   RouteChooser chooser;
--- /dev/null
+++ b/anvilcroft/permit_schedule.h
@@ -0,0 +1,72 @@
+#ifndef ANVILCROFT_PERMIT_SCHEDULE_H_
+#define ANVILCROFT_PERMIT_SCHEDULE_H_
+
+// Decides when requests may be sent to a target that takes a limited number of requests a second.
+// All functions are pure.
+//
+// Load pattern: many instances hold requests for the same target and together send many times what
+// it takes, whatever each of them does by itself. One instance, the target's keeper, therefore
+// gives each request of all instances a time at which it may be sent. A request that can't wait
+// that long is told when to ask again and goes elsewhere or is refused at once.
+//
+//   PermitSchedule schedule(limit, now);
+//   const PermitAnswer answer = schedule.Request(max_wait, now);
+//   if (answer.granted) ... send the request after answer.wait ...
+
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "anvilcroft/front_record.h"
+#include "anvilcroft/time.h"
+
+namespace anvilcroft {
+
+struct PermitAnswer {
+  bool granted = false;
+  // If granted: after this time the request may be sent. Otherwise: after this time another request
+  // may be granted.
+  Duration wait = Duration::zero();
+
+  friend bool operator==(const PermitAnswer& a, const PermitAnswer& b) {
+    return std::tie(a.granted, a.wait) == std::tie(b.granted, b.wait);
+  }
+  friend bool operator!=(const PermitAnswer& a, const PermitAnswer& b) { return !(a == b); }
+};
+
+class PermitSchedule {
+ public:
+  // Lower limits count as this one, because only a request shows that a limit has ended.
+  static constexpr double kMinPerSecond = 0.2;
+  // Permits that were not requested are kept for this long.
+  static constexpr Duration kMaxCredit = milliseconds(250);
+
+  // `per_second`: requests that the target takes in a second. The first permit is for one interval
+  // after `now`, because a former keeper may have granted one just before.
+  PermitSchedule(double per_second, TimePoint now);
+
+  // Changes the rate of the permits that are granted from now on.
+  void SetRate(double per_second);
+
+  // Grants a permit if the next one is at most `max_wait` away.
+  PermitAnswer Request(Duration max_wait, TimePoint now);
+
+ private:
+  Duration interval;
+  TimePoint next;  // time of the next permit
+};
+
+// The names of the instances that keep the permits of `target`, in the order in which they are
+// asked: the keeper, and a standby for requests that get no answer from it. Each is the best of
+// `fronts` by rendezvous hashing, so that all instances with the same list agree.
+constexpr std::size_t kPermitKeepers = 2;
+std::vector<std::string> PermitKeepers(const std::vector<FrontRecord>& fronts,
+                                       const std::string& target);
+
+// The share of a limit that the standby grants. Some instances may reach the keeper while others
+// ask the standby, and both together must stay well below one and a half times the limit.
+constexpr double kStandbyShare = 0.25;
+
+}  // namespace anvilcroft
+
+#endif  // ANVILCROFT_PERMIT_SCHEDULE_H_
--- a/anvilcroft/route_chooser.h
+++ b/anvilcroft/route_chooser.h
@@ -5,6 +5,8 @@
 // weights of the traffic split, then a target of that service by ChooseTarget().
 
 #include <cstdint>
+#include <functional>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -15,21 +17,35 @@
 
 namespace anvilcroft {
 
+// Time until the next permit for a target that limits its requests; nullopt: it does not.
+using PermitWait = std::function<std::optional<Duration>(const TargetEntry& target, TimePoint now)>;
+
+struct RouteChoice {
+  const PoolTarget* target = nullptr;  // null: no target is left
+  // Whether another target is left that does not limit its requests.
+  bool unlimited_left = false;
+};
+
 class RouteChooser {
  public:
   // `zone` is the availability zone of this instance. `seed` initializes the random generator.
-  RouteChooser(TargetPool& pool, std::string zone, uint64_t seed)
-      : pool(pool), zone(std::move(zone)), generator(seed) {}
+  RouteChooser(TargetPool& pool, PermitWait permit_wait, std::string zone, uint64_t seed)
+      : pool(pool), permit_wait(std::move(permit_wait)), zone(std::move(zone)), generator(seed) {}
+
+  // Chooses a target that is not in `tried`; if `unlimited` is set, only among targets that do not
+  // limit their requests. Services without such a target do not take part in the traffic split.
+  RouteChoice Choose(const ServiceRoute& route, const std::set<std::string>& tried, bool unlimited,
+                     TimePoint now);
 
-  // Returns a target that is not in `tried`, or null if there is none. Services without such a
-  // target do not take part in the traffic split.
-  const PoolTarget* Choose(const ServiceRoute& route, const std::set<std::string>& tried,
-                           TimePoint now);
+  // Time until the next permit for one of the targets in `ids`; nullopt: none of them limits its
+  // requests.
+  std::optional<Duration> NextPermit(const std::set<std::string>& ids, TimePoint now) const;
 
  private:
   double NextRandom();  // uniform in [0, 1)
 
   TargetPool& pool;
+  PermitWait permit_wait;
   std::string zone;
   std::mt19937_64 generator;
 };
--- a/anvilcroft/target_choice.cc
+++ b/anvilcroft/target_choice.cc
@@ -34,6 +34,8 @@
   const double queued = std::max(0.0, busy + 1 - slots) / slots;
   Millis expected = work * (1 + 0.3 * busy / slots + queued);
   if (target.entry.zone != context.zone) expected += kCrossZoneRoundTrip;
+  const auto permit_wait = context.permit_waits.find(target.entry.id);
+  if (permit_wait != context.permit_waits.end()) expected += Millis(permit_wait->second);
   expected += Millis(context.failure_cost) * FailureProbability(target, now);
   const int no_responses = std::min(target.consecutive_no_responses, kMaxCountedNoResponses);
   if (no_responses > 0 &&
--- a/anvilcroft/target_choice.h
+++ b/anvilcroft/target_choice.h
@@ -5,9 +5,10 @@
 //
 // Expected load: a few app targets with few slots each, shared by all instances. At any moment one
 // of them may be slow, full, failing or unresponsive. The choice minimizes the expected time to an
-// answer: service time, queueing behind requests that occupy the slots, network distance, and the
-// time lost by a failure.
+// answer: service time, queueing behind requests that occupy the slots, network distance, the wait
+// for a permit where a target limits its requests, and the time lost by a failure.
 
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -22,6 +23,8 @@
   Duration default_latency = milliseconds(30);  // for targets without a recent latency
   Duration failure_cost = milliseconds(200);    // time lost by a request that fails
   double random = 0;                            // uniform in [0, 1); breaks ties
+  // The targets that limit their requests, by id, with the time until the next permit.
+  std::map<std::string, Duration> permit_waits;
 };
 
 // The expected time until `target` answers a request that is sent now.
--- a/anvilcroft/weight_control.cc
+++ b/anvilcroft/weight_control.cc
@@ -181,14 +181,20 @@
         kMinParallel,
         static_cast<int>(std::lround(static_cast<double>(engines.size()) * kParallelShare)));
     for (const PlannedLoad& load : PlanLoads(engines, demands, parallel)) {
-      this->context.engine_tracker.Find(load.engine)->busy_until = now + kUnknownPause;
+      this->context.engine_tracker.Find(load.engine)->busy_until =
+          now + kUnknownPause + RequestLimiter::kMaxOrderWait;
       this->context.runtime.Spawn([this, load](Task& task) { this->SendOrder(task, load); });
     }
   }
 }
 
 bool WeightControl::QueryEngine(Task& task, const TargetEntry& entry) {
-  const auto report = this->context.engines.FetchReport(task, entry, SteadyNow() + kReportTimeout);
+  auto permit = this->context.limiter.Acquire(task, entry, CallPurpose::kReport,
+                                              RequestLimiter::kMaxOrderWait);
+  const auto report = permit
+                          ? this->context.engines.FetchReport(task, std::move(*permit), entry,
+                                                              SteadyNow() + kReportTimeout)
+                          : Result<platform::EngineReport>(tl::unexpected<Error>(permit.error()));
   EngineState* engine = this->context.engine_tracker.Find(entry.id);
   if (engine == nullptr || !engine->entry.IsSameStart(entry)) return false;
   const TimePoint now = SteadyNow();
@@ -221,6 +227,14 @@
       return;
     }
   }
+  auto permit = this->context.limiter.Acquire(task, entry, CallPurpose::kOrder,
+                                              RequestLimiter::kMaxOrderWait);
+  engine = this->context.engine_tracker.Find(load.engine);
+  if (engine == nullptr || !engine->orders_accepted) return;
+  if (!permit) {
+    engine->busy_until = SteadyNow() + kBusyPause;
+    return;
+  }
   platform::WeightOrder order;
   order.model = load.model;
   order.version = load.version;
@@ -228,8 +242,8 @@
   order.fencing = this->context.lease.Held().fencing;
   order.accepted_before = *engine->orders_accepted;
   const int64_t before = engine->versions[load.model];
-  const OrderOutcome outcome =
-      this->context.engines.SendOrder(task, entry, order, [this, fencing = order.fencing] {
+  const OrderOutcome outcome = this->context.engines.SendOrder(
+      task, std::move(*permit), entry, order, [this, fencing = order.fencing] {
         const HeldLease& lease = this->context.lease.Held();
         return lease.fencing == fencing && lease.MayOrderAt(BootNow());
       });
--- a/testing/http_peer_test.cc
+++ b/testing/http_peer_test.cc
@@ -126,8 +126,8 @@
     for (const std::string first : {"/in-use", "/right-behind", "/idle"}) {
       ++expected_connections;
       for (const std::string& id : {first, std::string("/next"), std::string("/third")}) {
-        const auto reply =
-            client.Forward(task, peer->Target(), RequestFor(id), seconds(5), Within(seconds(5)));
+        const auto reply = client.Forward(task, SendPermit::Unchecked(), peer->Target(),
+                                          RequestFor(id), seconds(5), Within(seconds(5)));
         INFO(first << " " << id << " " << (reply ? "" : reply.error().message));
         REQUIRE(reply);
         CHECK(reply->body == id);
@@ -161,7 +161,8 @@
     platform::WeightOrder order;
     order.model = "m";
     const auto send = [&] {
-      return client.SendOrder(task, peer->Target(), order, [] { return true; });
+      return client.SendOrder(task, SendPermit::Unchecked(), peer->Target(), order,
+                              [] { return true; });
     };
     CHECK(send() == platform::OrderOutcome::kAccepted);
     CHECK(send() == platform::OrderOutcome::kBusy);
@@ -181,8 +182,8 @@
   platform::EngineClient client(peer->runtime);
   RunTask(peer->runtime, [&](Task& task) {
     for (const std::string id : {"/none", "/b"}) {
-      const auto reply =
-          client.Forward(task, peer->Target(), RequestFor(id), seconds(5), Within(seconds(5)));
+      const auto reply = client.Forward(task, SendPermit::Unchecked(), peer->Target(),
+                                        RequestFor(id), seconds(5), Within(seconds(5)));
       REQUIRE_FALSE(reply);
       CHECK(reply.error().code == ErrorCode::kBadResponse);
       CHECK(reply.error().ran == Ran::kUnknown);
@@ -306,7 +307,8 @@
     request.path = "/p";
     const TimePoint started = SteadyNow();
     outcome = client.Generate(
-        task, peer->Target(), request, CallOptions(started + seconds(30), kStall),
+        task, SendPermit::Unchecked(), peer->Target(), request,
+        CallOptions(started + seconds(30), kStall),
         [&](const platform::GenerationEvent& event) { events.push_back(event.number); });
     took = SteadyNow() - started;
   });
