Do not take a run that waits for a permit for a straggler

Runs without a permit are left alone, the wait counts in placements and moves, and the permits of one second are kept, since a training step sends its requests at once. Adds tests of the decisions and of a keeper that is lost.

--- a/anvilcroft/batch_owner.cc
+++ b/anvilcroft/batch_owner.cc
@@ -286,6 +286,7 @@
     const bool single_version = route != nullptr && route->single_version;
     for (OwnedItem& item : job->items) {
       if (item.phase != ItemPhase::kRunning || !item.run || item.run->Cancelled()) continue;
+      if (item.awaiting_permit) continue;
       const EngineState* engine = this->context.engine_tracker.Find(item.engine);
       if (engine == nullptr) continue;
       RunningItem entry;
--- a/anvilcroft/item_runner.cc
+++ b/anvilcroft/item_runner.cc
@@ -71,13 +71,16 @@
   });
 }
 
-Result<SendPermit> ItemRunner::AcquirePermit(Task& task, const TargetEntry& engine) {
+Result<SendPermit> ItemRunner::AcquirePermit(Task& task, OwnedItem& item,
+                                             const TargetEntry& engine) {
+  item.awaiting_permit = true;
   if (EngineState* state = this->context.engine_tracker.Find(engine.id)) ++state->awaiting_permit;
   auto permit =
       this->context.limiter.Acquire(task, engine, CallPurpose::kItem, RequestLimiter::kMaxWait);
   if (EngineState* state = this->context.engine_tracker.Find(engine.id)) {
     state->awaiting_permit = std::max(0, state->awaiting_permit - 1);
   }
+  item.awaiting_permit = false;
   this->context.plan_inputs_changed.NotifyAll();
   return permit;
 }
@@ -112,7 +115,7 @@
     item.text.Add(event.data, event.weight_version);
   };
   platform::GenerationOutcome outcome;
-  if (auto permit = this->AcquirePermit(task, engine)) {
+  if (auto permit = this->AcquirePermit(task, item, engine)) {
     last_event = item.last_event = SteadyNow();
     outcome = this->context.engines.Generate(task, std::move(*permit), engine, request, options,
                                              on_event);
--- a/anvilcroft/item_runner.h
+++ b/anvilcroft/item_runner.h
@@ -39,8 +39,8 @@
   int Urgency(const OwnedJob& job) const;
   // Time without an event after which a run on `engine` fails.
   Duration MaxSilence(const std::string& engine) const;
-  // Waits for the permit to send a run to `engine`.
-  Result<SendPermit> AcquirePermit(Task& task, const TargetEntry& engine);
+  // Waits for the permit to send a run of `item` to `engine`.
+  Result<SendPermit> AcquirePermit(Task& task, OwnedItem& item, const TargetEntry& engine);
   void Run(Task& task, const std::shared_ptr<OwnedJob>& job, std::size_t index,
            const TargetEntry& engine, int64_t version);
   void Score(Task& task, const std::shared_ptr<OwnedJob>& job, std::size_t index);
--- a/anvilcroft/owned_job.h
+++ b/anvilcroft/owned_job.h
@@ -38,6 +38,8 @@
   TimePoint not_before;                    // earliest start of the next run, after a refusal
   std::map<std::string, TimePoint> avoid;  // engines to avoid after a failed run, and until when
   std::string engine;                      // the engine that runs it; empty: none
+  bool awaiting_permit = false;            // the run has not been sent, because its engine limits
+                                           // its requests
   TimePoint last_event;                    // time of the run's last event, or its start
   int64_t events_before_run = 0;           // text.events at the start of the run
   int runs = 0;                            // number of runs that this owner has started
--- a/anvilcroft/straggler_plan.cc
+++ b/anvilcroft/straggler_plan.cc
@@ -89,7 +89,8 @@
     double best_gain = 0;
     for (PlacementEngine& engine : engines) {
       if (!CanRun(*candidate.item, engine)) continue;
-      const double gain = GainMs(*candidate.item, candidate.pace, engine.pace);
+      const double gain =
+          GainMs(*candidate.item, candidate.pace, engine.pace) - Millis(engine.permit_wait).count();
       if (best == nullptr || gain > best_gain) {
         best = &engine;
         best_gain = gain;
--- a/testing/item_placement_test.cc
+++ b/testing/item_placement_test.cc
@@ -46,6 +46,19 @@
   CHECK(order == std::vector<std::size_t>{3, 2, 4, 0});
 }
 
+// Guards against items that wait for an engine which limits its requests while another one is free,
+// and against moves to such an engine that cost more than they gain.
+TEST_CASE("an engine that takes the next request later is chosen for what it costs",
+          "[placement]") {
+  PlacementEngine limited = Engine("limited", 1);
+  limited.permit_wait = milliseconds(700);
+  PlacementEngine other = Engine("other", 1, 3);
+  const auto placed = PlaceItems({Item(0, 10), Item(1, 10)}, {limited, other});
+  REQUIRE(placed.size() == 2);
+  CHECK(placed[0].engine == "other");
+  CHECK(placed[1].engine == "limited");
+}
+
 TEST_CASE("items run only where the version is allowed and not being loaded", "[placement]") {
   PlacementEngine old = Engine("old", 1);
   PlacementEngine loading = Engine("loading", 3);
--- a/testing/request_limit_test.cc
+++ b/testing/request_limit_test.cc
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <map>
 
+#include "anvilcroft/permit_schedule.h"
 #include "testing/platform_fixture.h"
 
 namespace anvilcroft {
@@ -180,6 +181,37 @@
   });
 }
 
+// Guards against a target that gets nothing, or too much, while the instance that keeps its permits
+// is lost and still listed.
+TEST_CASE("a standby grants permits while the keeper does not answer", "[limit]") {
+  LimitFixture fixture(2, 1);
+  FrontRecord lost;
+  lost.zone = "a";
+  lost.address = "127.0.0.1:1";  // nothing listens there
+  lost.internal_address = lost.address;
+  std::vector<FrontRecord> fronts(3);
+  fronts[0].instance = "n1";
+  fronts[1].instance = "n2";
+  for (int i = 0; lost.instance.empty() || PermitKeepers(fronts, "i-app")[0] != lost.instance;
+       ++i) {
+    lost.instance = "lost" + std::to_string(i);
+    fronts[2] = lost;
+  }
+  fixture.Run([&](Task& task) {
+    fixture.AwaitAllReady(task);
+    fixture.app.request_limit = 8;
+    const TimePoint named = SteadyNow();
+    fixture.SendLookups(task, 20, seconds(1));
+    lost.written_at = INT64_MAX / 4;  // its entry counts as a sign of life
+    fixture.store.Put("front-entries", lost.instance, EncodeFront(lost));
+    SleepUntil(task, named + kGrace);
+    const auto before = fixture.app.arrivals.size();
+    fixture.SendLookups(task, 20, seconds(5));
+    CHECK(fixture.app.arrivals.size() - before >= 5);
+    CHECK(MostInWindow(fixture.app, named + kGrace) <= Allowed(8));
+  });
+}
+
 // Guards against a limit that is kept after the target has stopped naming it.
 TEST_CASE("a target that no longer names a limit serves all requests again", "[limit]") {
   LimitFixture fixture(2, 1);
