Log the software version of targets and where streams go on

Logs could not tell which version of the engines' software generated the events of a stream. The lines about entries of targets name it, and the lines of live name the version, the event after which the caller took the stream up, and the last event. Nothing is decided by it.

--- a/anvilcroft/front_instance.cc
+++ b/anvilcroft/front_instance.cc
@@ -293,14 +293,19 @@
     this->metrics.Increment("anvilcroft_live_requests_total", {{"kind", kind}, {"outcome", name}});
     this->metrics.Observe("anvilcroft_live_request_seconds", {{"kind", kind}, {"outcome", name}},
                           std::chrono::duration<double>(took).count());
-    LogInfo("live", name,
-            {{"request", id},
-             {"status", std::to_string(outcome.reply.status)},
-             {"target", outcome.target},
-             {"attempts", std::to_string(outcome.attempts)},
-             {"reason", outcome.reason},
-             {"limit_ms", std::to_string(ToMillis(limit))},
-             {"ms", std::to_string(ToMillis(took))}});
+    LogFields fields = {{"request", id},
+                        {"status", std::to_string(outcome.reply.status)},
+                        {"target", outcome.target},
+                        {"attempts", std::to_string(outcome.attempts)},
+                        {"reason", outcome.reason},
+                        {"limit_ms", std::to_string(ToMillis(limit))},
+                        {"ms", std::to_string(ToMillis(took))}};
+    if (outcome.last_event > 0) {
+      fields.insert(fields.end(), {{"resumed_after", std::to_string(request.resume_after)},
+                                   {"last_event", std::to_string(outcome.last_event)},
+                                   {"software", outcome.software}});
+    }
+    LogInfo("live", name, fields);
     return outcome;
   }
 
--- a/anvilcroft/live_request.h
+++ b/anvilcroft/live_request.h
@@ -53,8 +53,10 @@
   };
   Kind kind = Kind::kNotRun;
   platform::ForwardReply reply;
-  std::string reason;  // for the log and the error message; may be empty
-  std::string target;  // id of the last target tried
+  std::string reason;      // for the log and the error message; may be empty
+  std::string target;      // id of the last target tried
+  std::string software;    // streams: version of the software that generated the last event
+  int64_t last_event = 0;  // streams: number of the last event forwarded
   int attempts = 0;
   int failures = 0;  // responses in which a target reported a failure
   // kNotRun: when the caller may come back, if that is known.
--- a/anvilcroft/live_streamer.cc
+++ b/anvilcroft/live_streamer.cc
@@ -125,6 +125,8 @@
     ++result.attempts;
     auto outcome =
         this->RunAttempt(task, std::move(*permit), request, route, entry, position, hooks);
+    if (position.last_event > result.last_event) result.software = entry.software;
+    result.last_event = position.last_event;
     switch (outcome.kind) {
       case Kind::kComplete:
         if (!reply.End(task)) return finish(LiveOutcome::Kind::kDisconnected, "the write failed");
--- a/anvilcroft/platform_view.cc
+++ b/anvilcroft/platform_view.cc
@@ -131,6 +131,7 @@
     LogInfo(kPart, "the entry of a target changed",
             {{"target", entry->id},
              {"service", entry->service},
+             {"software", entry->software},
              {"state", entry->draining ? "draining" : "ready"},
              {"started", std::to_string(entry->started_at)}});
   }
--- a/anvilcroft/target_entry.h
+++ b/anvilcroft/target_entry.h
@@ -17,6 +17,7 @@
   std::string id;
   WallMillis started_at = 0;  // together with `id` identifies one start of the target
   std::string service;
+  std::string software;  // version of the target's software; empty: not known
   Endpoint address;
   std::string zone;
   int slots = 1;                               // capacity in concurrent requests
@@ -30,10 +31,10 @@
   }
 
   friend bool operator==(const TargetEntry& a, const TargetEntry& b) {
-    return std::tie(a.id, a.started_at, a.service, a.address, a.zone, a.slots, a.draining,
-                    a.cold_remaining,
-                    a.versions) == std::tie(b.id, b.started_at, b.service, b.address, b.zone,
-                                            b.slots, b.draining, b.cold_remaining, b.versions);
+    return std::tie(a.id, a.started_at, a.service, a.software, a.address, a.zone, a.slots,
+                    a.draining, a.cold_remaining, a.versions) ==
+           std::tie(b.id, b.started_at, b.service, b.software, b.address, b.zone, b.slots,
+                    b.draining, b.cold_remaining, b.versions);
   }
   friend bool operator!=(const TargetEntry& a, const TargetEntry& b) { return !(a == b); }
 };
