--- a/fakes/platform_engine.cc
+++ b/fakes/platform_engine.cc
@@ -30,19 +30,33 @@
 
 std::string PlatformEngine::RegistrationEntry(const std::string& service,
                                               const std::string& zone) const {
-  json entry = {
-      {"Service", service}, {"Address", this->address}, {"Zone", zone},  {"Version", "v1"},
-      {"Slots", 4},         {"State", "ready"},         {"Sequence", 1}, {"ColdRemainingMs", 0},
-      {"born", 1000}};
+  json entry = {{"Service", service},
+                {"Address", this->address},
+                {"Zone", zone},
+                {"Version", this->software},
+                {"Slots", 4},
+                {"State", "ready"},
+                {"Sequence", 1},
+                {"ColdRemainingMs", 0},
+                {"born", this->started_at}};
   if (!this->model.empty()) {
     entry["Models"] = json::array({{{"Name", this->model}, {"Version", this->version}}});
   }
   return DumpJson(entry);
 }
 
-std::vector<std::string> PlatformEngine::Events(const std::string& item, int count) {
+void PlatformEngine::Restart(std::string new_software) {
+  this->software = std::move(new_software);
+  ++this->started_at;
+  this->orders = 0;
+  this->highest_fence = 0;
+}
+
+std::vector<std::string> PlatformEngine::Events(const std::string& item, int count,
+                                                const std::string& software) {
+  const std::string suffix = software == kSoftware ? "" : "@" + software;
   std::vector<std::string> events;
-  for (int i = 1; i <= count; ++i) events.push_back(item + "-" + std::to_string(i));
+  for (int i = 1; i <= count; ++i) events.push_back(item + "-" + std::to_string(i) + suffix);
   return events;
 }
 
@@ -125,7 +139,8 @@
   if (!reply.BeginStream(task, 200, answer)) return;
   const std::string after(headers.Find("Last-Event-Id"));
   if (!after.empty()) ++this->resumed_runs;
-  const auto events = Events(item, this->events_per_item);
+  const auto events = Events(item, this->events_per_item, this->software);
+  const int64_t start = this->started_at;
   int events_sent = 0;
   for (auto i = static_cast<std::size_t>(std::strtoul(after.c_str(), nullptr, 10));
        i < events.size(); ++i) {
@@ -134,6 +149,10 @@
       ++this->cancelled[item];
       return;
     }
+    if (this->started_at != start) {
+      reply.Abort();
+      return;
+    }
     reply.Write(task, "id: " + std::to_string(i + 1) + "\ndata: " + events[i] + "\n\n");
     if (this->break_after_events > 0 && ++events_sent >= this->break_after_events) {
       this->break_after_events = 0;
--- a/fakes/platform_engine.h
+++ b/fakes/platform_engine.h
@@ -23,13 +23,19 @@
   // Starts to listen and returns the bound address as "ip:port".
   Result<std::string> Start();
 
+  // Starts again with another version of the software: aborts its runs and forgets its orders.
+  void Restart(std::string software);
+
   // Returns the entry, as JSON text, with which the target registers at the platform.
   std::string RegistrationEntry(const std::string& service, const std::string& zone) const;
 
   FakeServer& Server() { return this->server; }
 
-  // The events that every run of `item` produces; the output is the same for each run.
-  static std::vector<std::string> Events(const std::string& item, int count);
+  // The events that every run of `item` produces; the output is the same for each run. Those of
+  // software versions other than kSoftware end with "@" and the version.
+  static constexpr const char* kSoftware = "v1";
+  static std::vector<std::string> Events(const std::string& item, int count,
+                                         const std::string& software = kSoftware);
   // The text of these events, joined by newlines.
   static std::string TextOf(const std::string& item, int count);
 
@@ -49,8 +55,9 @@
   std::vector<std::string> started;      // ids of executed requests, in order
   std::map<std::string, int> cancelled;  // runs whose caller disconnected, by request id
   std::vector<int64_t> accepted_fences;  // fencing tokens of the accepted orders
-  int64_t version = 1;
-  int resumed_runs = 0;  // runs that were requested to resume after an event
+  int64_t version = 1;                   // of the weights
+  std::string software = kSoftware;      // version of the software
+  int resumed_runs = 0;                  // runs that were requested to resume after an event
 
  private:
   // Sends `answer` with the fields that every answer has.
@@ -63,6 +70,7 @@
   std::string id;
   std::string model;
   std::string address;
+  int64_t started_at = 1000;
   int64_t orders = 0;
   int64_t highest_fence = 0;
 };
--- a/soak/site.cc
+++ b/soak/site.cc
@@ -99,18 +99,21 @@
   return {};
 }
 
-// Writes the entry of a target, and writes it again when its weight version has changed.
+// Writes the entry of a target, and writes it again when it has changed.
 void Site::SpawnRegistration(const fakes::PlatformEngine& target, const std::string& id,
                              const std::string& service, const std::string& link_address) {
   this->runtime.Spawn([this, &target, id, service, link_address](Task& task) {
-    int64_t listed = 0;
+    std::string listed;
     while (true) {
-      if (target.version != listed) {
+      std::string current;
+      if (this->unlisted.count(id) == 0) {
         json entry = json::parse(target.RegistrationEntry(service, "a"));
         entry["Address"] = link_address;
-        this->store.Put("servers", id, entry.dump());
-        listed = target.version;
+        current = entry.dump();
       }
+      if (current.empty() && !listed.empty()) this->store.Remove("servers", id);
+      if (!current.empty() && current != listed) this->store.Put("servers", id, current);
+      listed = current;
       SleepUntil(task, SteadyNow() + kRegistrationInterval);
     }
   });
@@ -151,6 +154,14 @@
   this->store.Put("op", "config", config.dump());
 }
 
+void Site::SetListed(const std::string& id, bool listed) {
+  if (listed) {
+    this->unlisted.erase(id);
+  } else {
+    this->unlisted.insert(id);
+  }
+}
+
 void Site::WriteModelVersion(int64_t version) {
   this->store.Put("op", std::string("version/") + kModel,
                   json{{"Model", kModel}, {"Version", version}}.dump());
--- a/soak/site.h
+++ b/soak/site.h
@@ -5,6 +5,7 @@
 // platform's metadata store. The store, the links and the fake targets run in this process.
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -64,6 +65,9 @@
   fakes::PlatformStore& Store() { return this->store; }
   int64_t ConfigurationVersion() const { return this->configuration_version; }
 
+  // Removes the entry of an engine from the store, or adds it again.
+  void SetListed(const std::string& id, bool listed);
+
   // How often targets ran the request `id`, in total.
   int CountRuns(const std::string& id) const;
 
@@ -79,6 +83,7 @@
   std::vector<std::unique_ptr<fakes::PlatformEngine>> apps;
   std::vector<std::unique_ptr<fakes::FakeLink>> target_links;
   std::vector<SoakInstance> instances;
+  std::set<std::string> unlisted;  // ids of targets without an entry
   int64_t configuration_version = 0;
 };
 
