Keep each stream on the software version that began it

Cause: entries of targets name the version, nothing read it, so each continuation chose among all targets. The class: a property of an earlier request that a later one depends on, known to nobody who serves the later one. All instances may be killed in between, so memory of an instance or of its peers is not enough.

Change: a stream goes on only at targets of the service and version that began it. Each service has a default version in the store. A stream that another version begins is recorded under the id of its attempt before the caller gets the first event, while the engine reads the prompt; a stream without a record was begun by the default. So an outage of the store stops neither streams of the default version nor their continuations within a response, and nothing is written while one version serves. A take-up whose origin is not known, or whose version has left, is refused at once.

--- a/anvilcroft/front_directory.cc
+++ b/anvilcroft/front_directory.cc
@@ -14,9 +14,7 @@
 constexpr char kHeartbeatTable[] = "front-heartbeats";
 // Key of the watcher's row among the entries. Names of instances contain no exclamation mark.
 constexpr char kWatchKey[] = "!watch";
-// Prefix of the keys of request limits among the entries, followed by the id of a target.
-constexpr char kLimitPrefix[] = "!limit/";
-constexpr std::size_t kLimitPrefixSize = sizeof kLimitPrefix - 1;
+constexpr char kSharedMark = '!';
 constexpr Duration kCallTimeout = milliseconds(800);
 constexpr Duration kFeedWait = milliseconds(1000);
 constexpr Duration kRetryPause = milliseconds(100);
@@ -50,8 +48,8 @@
   return addresses;
 }
 
-RowId FrontDirectory::LimitRowId(const std::string& target) {
-  return {kEntryTable, "", kLimitPrefix + target};
+RowId FrontDirectory::SharedRowId(const std::string& prefix, const std::string& name) {
+  return {kEntryTable, "", prefix + name};
 }
 
 FrontDirectory::FrontDirectory(Runtime& runtime, MetadataStore& store, FrontRecord self,
@@ -176,10 +174,12 @@
     }
     return;
   }
-  if (row.id.key.compare(0, kLimitPrefixSize, kLimitPrefix) == 0) {
-    if (this->limit_row_hook) this->limit_row_hook(row.id.key.substr(kLimitPrefixSize), row);
+  for (const auto& [prefix, hook] : this->shared_row_hooks) {
+    if (row.id.key.compare(0, prefix.size(), prefix) != 0) continue;
+    hook(row.id.key.substr(prefix.size()), row);
     return;
   }
+  if (row.id.key.front() == kSharedMark) return;  // of a newer version of this program
   this->entries.erase(row.id.key);
   this->entry_versions.erase(row.id.key);
   if (row.removed) return;
--- a/anvilcroft/front_directory.h
+++ b/anvilcroft/front_directory.h
@@ -46,13 +46,15 @@
     this->self.internal_address = std::move(internal_address);
   }
 
-  // The row in which the request limit of a target is kept. It is among the entries, because all
-  // instances follow their feed.
-  static RowId LimitRowId(const std::string& target);
-
-  // Called with each row of LimitRowId() that is read or has changed. Set before Start.
-  using LimitRowHook = std::function<void(const std::string& target, const StoredRow& row)>;
-  void SetLimitRowHook(LimitRowHook hook) { this->limit_row_hook = std::move(hook); }
+  // The row `name` of a kind of rows that all instances share. They are among the entries, because
+  // all instances follow their feed. `prefix` begins with an exclamation mark.
+  static RowId SharedRowId(const std::string& prefix, const std::string& name);
+
+  // Called with the name of each row of a kind that is read or has changed. Set before Start.
+  using SharedRowHook = std::function<void(const std::string& name, const StoredRow& row)>;
+  void SetSharedRowHook(std::string prefix, SharedRowHook hook) {
+    this->shared_row_hooks[std::move(prefix)] = std::move(hook);
+  }
 
   void Start();
 
@@ -110,10 +112,10 @@
   TimePoint watch_changed_at;
   std::vector<FrontRecord> live;
   int64_t live_version = 0;
-  LimitRowHook limit_row_hook;
-  bool following = false;  // the entries have been read
-  TimePoint answered_at;   // last answer of the store to the feed or a heartbeat
-  TimePoint grace_until;   // until then no further instance is taken for down
+  std::map<std::string, SharedRowHook> shared_row_hooks;  // by prefix
+  bool following = false;                                 // the entries have been read
+  TimePoint answered_at;  // last answer of the store to the feed or a heartbeat
+  TimePoint grace_until;  // until then no further instance is taken for down
 };
 
 }  // namespace anvilcroft
--- a/anvilcroft/front_instance.cc
+++ b/anvilcroft/front_instance.cc
@@ -90,13 +90,16 @@
                     .SetPool(this->pool)
                     .SetSelf(settings.InstanceId())
                     .Build()),
+        origins(this->runtime, this->store, this->directory, this->pool,
+                [this] { return this->view.Routes(); }),
         forwarder(
             this->runtime, this->engines, *this->limiter, this->pool,
             [this] { return this->view.Routes(); }, settings.Zone(),
             StableHash(settings.InstanceId())),
         streamer(
-            this->engines, *this->limiter, this->pool, [this] { return this->view.Routes(); },
-            settings.Zone(), StableHash(settings.InstanceId()) + 1),
+            this->engines, *this->limiter, this->origins, this->pool,
+            [this] { return this->view.Routes(); }, settings.Zone(),
+            StableHash(settings.InstanceId()) + 1),
         batch_store(this->store),
         batch_service(this->batch_store, this->store, [this] { return this->view.Routes(); }),
         lease_keeper(
@@ -163,6 +166,7 @@
       return LeasePeers::HasEnded(task, this->directory.InternalAddress(holder));
     });
     this->limiter->Start();
+    this->origins.Start();
     this->view.Start();
     this->directory.Start();
     this->lease_keeper.Start();
@@ -419,6 +423,7 @@
   PlatformView view;
   FrontDirectory directory;
   std::unique_ptr<RequestLimiter> limiter;
+  StreamOrigins origins;
   LiveForwarder forwarder;
   LiveStreamer streamer;
   BatchStore batch_store;
--- a/anvilcroft/live_forwarder.cc
+++ b/anvilcroft/live_forwarder.cc
@@ -200,7 +200,10 @@
     const bool hedge_due = group->active > 0 && now >= hedge_at;
     if (may_start && (group->active == 0 || (hedge_due && this->hedges.TryConsume()))) {
       const bool hedge = group->active > 0;
-      const RouteChoice choice = this->chooser.Choose(*route, group->tried, hedge, now);
+      const auto untried = [&group](const TargetEntry& target) {
+        return group->tried.count(target.id) == 0;
+      };
+      const RouteChoice choice = this->chooser.Choose(*route, untried, hedge, now);
       if (choice.target != nullptr) {
         hedge_at = now + this->HedgeDelay(*route, choice.target->entry.service);
         this->StartAttempt(group, choice);
--- a/anvilcroft/live_request.h
+++ b/anvilcroft/live_request.h
@@ -38,6 +38,10 @@
   bool sent_before = false;
   // Streams: number of the last event that the caller has received; 0: start from the beginning.
   int64_t resume_after = 0;
+  // Streams: id of the attempt that brought the caller its first event, if it has received any.
+  std::string resumes;
+  // Time within which the caller may take up the stream, in this or another attempt.
+  Duration caller_time = Duration::zero();
 };
 
 struct LiveOutcome {
--- a/anvilcroft/live_streamer.cc
+++ b/anvilcroft/live_streamer.cc
@@ -10,6 +10,10 @@
 
 using Kind = platform::StreamOutcome::Kind;
 
+// Retry-After of a stream that can't be taken up at present: targets and the store return within
+// seconds.
+constexpr Duration kUnknownOriginRetryAfter = milliseconds(500);
+
 TargetOutcome ToTargetOutcome(const platform::StreamOutcome& outcome) {
   switch (outcome.kind) {
     case Kind::kComplete:
@@ -56,89 +60,167 @@
   return outcome;
 }
 
-LiveOutcome LiveStreamer::Serve(Task& task, const LiveRequest& request, HttpReply& reply) {
-  LiveOutcome result;
-  platform::StreamPosition position{request.resume_after, 0};
+// What is known about one request while it is served.
+struct LiveStreamer::Progress {
+  explicit Progress(const LiveRequest& request) : position{request.resume_after, 0} {}
+
+  platform::StreamPosition position;
+  // Of the events that the caller has; nullopt: it has none.
+  std::optional<StreamOrigin> origin;
+  // The record of the origin, if one has been started.
+  std::shared_ptr<OriginWrite> record;
+  bool record_failed = false;  // nothing may be forwarded
+  bool implied_only = false;  // records can't be written, so only such origins may begin the stream
+  Duration caller_time = Duration::zero();
+  std::string last_target;
+  std::set<std::string> tried;
+  std::set<std::string> denied;   // targets that take no more requests at present
   bool response_started = false;  // the status and headers have been sent
   bool may_have_run = false;
   int runs = 0;
   int refusals = 0;
-  std::set<std::string> tried;
-  std::set<std::string> denied;  // targets that take no more requests at present
+};
+
+Result<void> LiveStreamer::FindOrigin(Task& task, const LiveRequest& request, Progress& progress) {
+  progress.caller_time = request.caller_time;
+  progress.implied_only = !this->origins.CanRecord();
+  if (request.resume_after == 0) return {};
+  const auto table = this->routes();
+  const ServiceRoute* route = table ? table->Match(request.host, request.path) : nullptr;
+  if (route == nullptr || !route->resumable || route->split.empty()) return {};
+  auto origin = this->origins.Find(task, request.resumes, route->split.front().first);
+  if (!origin) return tl::unexpected<Error>(origin.error());
+  progress.origin = std::move(*origin);
+  return {};
+}
+
+RouteChoice LiveStreamer::ChooseTarget(const ServiceRoute& route, Progress& progress,
+                                       TimePoint now) {
+  const auto usable = [&](const TargetEntry& target) {
+    if (progress.tried.count(target.id) != 0) return false;
+    const StreamOrigin origin{target.service, target.software};
+    if (progress.origin) return origin == *progress.origin;
+    return !route.resumable || !progress.implied_only ||
+           this->origins.Implied(origin, progress.caller_time);
+  };
+  RouteChoice choice = this->chooser.Choose(route, usable, false, now);
+  if (choice.target == nullptr && route.resumable && !progress.tried.empty() &&
+      progress.denied.empty()) {
+    // All targets have been tried, and their failures may have been temporary. The latest one is
+    // tried again only if it is the only one that can continue the stream.
+    progress.tried = {progress.last_target};
+    choice = this->chooser.Choose(route, usable, false, now);
+    if (choice.target == nullptr && progress.origin) {
+      progress.tried.clear();
+      choice = this->chooser.Choose(route, usable, false, now);
+    }
+  }
+  return choice;
+}
+
+LiveOutcome LiveStreamer::Serve(Task& task, const LiveRequest& request, HttpReply& reply) {
+  LiveOutcome result;
+  Progress progress(request);
   std::optional<platform::ForwardReply> failure;
+  const auto finish = [&](LiveOutcome::Kind kind, std::string reason) {
+    result.kind = progress.response_started && kind != LiveOutcome::Kind::kStreamed
+                      ? LiveOutcome::Kind::kInterrupted
+                      : kind;
+    result.reason = std::move(reason);
+    return result;
+  };
+  if (const auto found = this->FindOrigin(task, request, progress); !found) {
+    result.retry_after = kUnknownOriginRetryAfter;
+    return finish(LiveOutcome::Kind::kNotRun, found.error().message);
+  }
   platform::StreamHooks hooks;
   hooks.on_begin = [&](const HttpHeaders& headers) -> Result<void> {
-    if (std::exchange(response_started, true)) return {};  // the headers of the first target stay
+    if (progress.record &&
+        this->origins.Confirm(task, *progress.record) != OriginWrite::State::kConfirmed) {
+      progress.record_failed = true;
+      return Fail(ErrorCode::kStoreUnavailable, "the software of the stream is not recorded");
+    }
+    // The headers of the first target stay.
+    if (std::exchange(progress.response_started, true)) return {};
     return reply.BeginStream(task, 200, headers);
   };
+  TargetEntry entry;
   hooks.on_event = [&](const platform::StreamEvent& event) {
+    if (!progress.origin) progress.origin = StreamOrigin{entry.service, entry.software};
     return reply.Write(task, event.bytes);
   };
-  const auto finish = [&](LiveOutcome::Kind kind, std::string reason) {
-    result.kind = response_started && kind != LiveOutcome::Kind::kStreamed
-                      ? LiveOutcome::Kind::kInterrupted
-                      : kind;
-    result.reason = std::move(reason);
-    return result;
-  };
   while (true) {
     const TimePoint now = SteadyNow();
     const auto table = this->routes();
     const ServiceRoute* found = table ? table->Match(request.host, request.path) : nullptr;
     if (found == nullptr) {
-      return finish(may_have_run ? LiveOutcome::Kind::kUnknown : LiveOutcome::Kind::kNoRoute,
-                    "no route matches the request");
+      return finish(
+          progress.may_have_run ? LiveOutcome::Kind::kUnknown : LiveOutcome::Kind::kNoRoute,
+          "no route matches the request");
     }
     const ServiceRoute route = *found;
     if (request.caller_disconnected && request.caller_disconnected->Cancelled()) {
       return finish(LiveOutcome::Kind::kDisconnected, "the caller disconnected");
     }
     if (now + kMinAttemptTime >= request.deadline) {
-      return finish(may_have_run ? LiveOutcome::Kind::kTimedOut : LiveOutcome::Kind::kNotRun,
-                    "the deadline of the request passed");
-    }
-    const bool may_start =
-        runs < route.max_targets && refusals < kMaxRefusals && (!may_have_run || route.resumable);
-    RouteChoice choice;
-    if (may_start) choice = this->chooser.Choose(route, tried, false, now);
-    if (choice.target == nullptr && may_start && route.resumable && tried.size() > 1 &&
-        denied.empty()) {
-      // All targets have been tried. All but the latest are tried again, since their failure may
-      // have been temporary.
-      tried = {result.target};
-      choice = this->chooser.Choose(route, tried, false, now);
+      return finish(
+          progress.may_have_run ? LiveOutcome::Kind::kTimedOut : LiveOutcome::Kind::kNotRun,
+          "the deadline of the request passed");
     }
+    const bool may_start = progress.runs < route.max_targets && progress.refusals < kMaxRefusals &&
+                           (!progress.may_have_run || route.resumable);
+    if (!may_start) break;
+    const RouteChoice choice = this->ChooseTarget(route, progress, now);
     if (choice.target == nullptr) break;
-    const TargetEntry entry = choice.target->entry;
-    tried.insert(entry.id);
+    entry = choice.target->entry;
+    progress.tried.insert(entry.id);
     const Duration max_permit_wait =
         choice.unlimited_left
             ? kShortPermitWait
             : std::chrono::duration_cast<Duration>(kPermitWaitShare * (request.deadline - now));
     auto permit = this->limiter.Acquire(task, entry, CallPurpose::kStream, max_permit_wait);
     if (!permit) {
-      denied.insert(entry.id);
+      progress.denied.insert(entry.id);
       result.reason = permit.error().message;
       continue;
     }
-    result.target = entry.id;
+    progress.last_target = result.target = entry.id;
     ++result.attempts;
+    const StreamOrigin origin{entry.service, entry.software};
+    const bool recorded = progress.record && progress.record->origin == origin;
+    if (!progress.origin && route.resumable && !recorded &&
+        (progress.record || !this->origins.Implied(origin, request.caller_time))) {
+      progress.record = this->origins.StartRecord(request.message.id, origin, request.caller_time,
+                                                  progress.record, SteadyNow());
+    }
     auto outcome =
-        this->RunAttempt(task, std::move(*permit), request, route, entry, position, hooks);
-    if (position.last_event > result.last_event) result.software = entry.software;
-    result.last_event = position.last_event;
+        this->RunAttempt(task, std::move(*permit), request, route, entry, progress.position, hooks);
+    if (progress.position.last_event > result.last_event) result.software = entry.software;
+    result.last_event = progress.position.last_event;
     switch (outcome.kind) {
       case Kind::kComplete:
         if (!reply.End(task)) return finish(LiveOutcome::Kind::kDisconnected, "the write failed");
         return finish(LiveOutcome::Kind::kStreamed, "");
       case Kind::kHookFailed:
-        return finish(LiveOutcome::Kind::kDisconnected, outcome.reason);
+        if (!progress.record_failed) {
+          return finish(LiveOutcome::Kind::kDisconnected, outcome.reason);
+        }
+        // A record that may still be written would speak against any other software.
+        if (progress.record->state != OriginWrite::State::kNotWritten) {
+          return finish(LiveOutcome::Kind::kUnknown, "the software of the stream is not recorded");
+        }
+        progress.record = nullptr;
+        progress.record_failed = false;
+        progress.implied_only = true;
+        progress.may_have_run = true;
+        ++progress.runs;
+        break;
       case Kind::kNotRun:
-        ++refusals;
+        ++progress.refusals;
         break;
       case Kind::kAnswered:
-        ++runs;
-        may_have_run = true;
+        ++progress.runs;
+        progress.may_have_run = true;
         if (outcome.reply.status < 500) {
           result.reply = std::move(outcome.reply);
           return finish(LiveOutcome::Kind::kAnswered, "");
@@ -147,20 +229,27 @@
         failure = std::move(outcome.reply);
         break;
       case Kind::kBroken:
-        ++runs;
-        may_have_run = true;
+        ++progress.runs;
+        progress.may_have_run = true;
         break;
     }
     result.reason = outcome.reason;
+    // The next record of the attempt replaces this one, so it must be known how it ended.
+    if (progress.record) this->origins.Confirm(task, *progress.record);
   }
   if (failure) {
     result.reply = std::move(*failure);
     return finish(LiveOutcome::Kind::kAnswered, "the target returned a server error");
   }
-  if (may_have_run) return finish(LiveOutcome::Kind::kUnknown, result.reason);
-  result.retry_after = this->chooser.NextPermit(denied, SteadyNow());
+  if (progress.may_have_run) return finish(LiveOutcome::Kind::kUnknown, result.reason);
+  result.retry_after = this->chooser.NextPermit(progress.denied, SteadyNow());
+  if (progress.origin && progress.tried.empty()) {
+    result.retry_after = kUnknownOriginRetryAfter;
+    return finish(LiveOutcome::Kind::kNotRun,
+                  "no target has the software version that began the stream");
+  }
   return finish(LiveOutcome::Kind::kNotRun,
-                tried.empty() ? "no target is available" : "no target ran the request");
+                progress.tried.empty() ? "no target is available" : "no target ran the request");
 }
 
 }  // namespace anvilcroft
--- a/anvilcroft/live_streamer.h
+++ b/anvilcroft/live_streamer.h
@@ -6,6 +6,10 @@
 // When the target of a resumable stream fails or stops sending, the stream continues on another
 // target after its last complete event, within the same response. Any other stream runs at most
 // once: another target is tried only if the previous one reports that it did not run the request.
+//
+// A stream, also one that its caller takes up, goes on only at targets of the service and the
+// software version that began it (stream_origin.h). If there is none, the request is refused at
+// once.
 
 #include <functional>
 #include <memory>
@@ -16,6 +20,7 @@
 #include "anvilcroft/request_limiter.h"
 #include "anvilcroft/route_chooser.h"
 #include "anvilcroft/route_table.h"
+#include "anvilcroft/stream_origins.h"
 
 namespace anvilcroft {
 
@@ -29,10 +34,11 @@
   static constexpr Duration kMinIdleTimeout = milliseconds(1000);
   static constexpr int kIdleTimeoutFactor = 2;
 
-  LiveStreamer(platform::EngineClient& engines, RequestLimiter& limiter, TargetPool& pool,
-               Routes routes, std::string zone, uint64_t seed)
+  LiveStreamer(platform::EngineClient& engines, RequestLimiter& limiter, StreamOrigins& origins,
+               TargetPool& pool, Routes routes, std::string zone, uint64_t seed)
       : engines(engines),
         limiter(limiter),
+        origins(origins),
         pool(pool),
         routes(std::move(routes)),
         chooser(
@@ -47,6 +53,12 @@
   LiveOutcome Serve(Task& task, const LiveRequest& request, HttpReply& reply);
 
  private:
+  struct Progress;
+
+  // Decides at which targets `request` may begin or go on. Fails if that is not known.
+  Result<void> FindOrigin(Task& task, const LiveRequest& request, Progress& progress);
+  // Chooses the next target; null if there is none.
+  RouteChoice ChooseTarget(const ServiceRoute& route, Progress& progress, TimePoint now);
   // Streams from `target` until its response ends, and updates its health in the pool.
   platform::StreamOutcome RunAttempt(Task& task, SendPermit permit, const LiveRequest& request,
                                      const ServiceRoute& route, const TargetEntry& target,
@@ -55,6 +67,7 @@
 
   platform::EngineClient& engines;
   RequestLimiter& limiter;
+  StreamOrigins& origins;
   TargetPool& pool;
   Routes routes;
   RouteChooser chooser;
--- a/anvilcroft/request_limiter.cc
+++ b/anvilcroft/request_limiter.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr char kPart[] = "limits";
+// Prefix of the keys of limits among the entries of instances.
+constexpr char kRowPrefix[] = "!limit/";
 constexpr Duration kStoreTimeout = milliseconds(700);
 constexpr Duration kWriteRetryPause = milliseconds(300);
 constexpr Duration kCleanInterval = seconds(5);
@@ -40,9 +42,10 @@
       http(builder.runtime) {}
 
 void RequestLimiter::Start() {
-  this->directory.SetLimitRowHook([this](const std::string& target, const StoredRow& row) {
-    this->ApplyRow(target, row, SteadyNow());
-  });
+  this->directory.SetSharedRowHook(kRowPrefix,
+                                   [this](const std::string& target, const StoredRow& row) {
+                                     this->ApplyRow(target, row, SteadyNow());
+                                   });
   this->runtime.SpawnService("remove old limits", [this](Task& task) {
     while (true) {
       SleepUntil(task, SteadyNow() + kCleanInterval);
@@ -245,7 +248,7 @@
 void RequestLimiter::WriteRow(Task& task, const std::string& target) {
   const LimitStatement* statement = this->limits.Find(target);
   if (statement == nullptr) return;
-  const RowId id = FrontDirectory::LimitRowId(target);
+  const RowId id = FrontDirectory::SharedRowId(kRowPrefix, target);
   const std::optional<double> limit = statement->per_second;
   RowBatch::Builder batch;
   if (limit) {
@@ -272,9 +275,9 @@
     if (listed(target) || this->KeepersOf(target).front() != this->self) continue;
     this->rows.erase(target);
     this->runtime.Spawn([this, target = target](Task& task) {
-      this->store.Commit(task,
-                         RowBatch::Builder().Remove(FrontDirectory::LimitRowId(target)).Build(),
-                         SteadyNow() + kStoreTimeout);
+      this->store.Commit(
+          task, RowBatch::Builder().Remove(FrontDirectory::SharedRowId(kRowPrefix, target)).Build(),
+          SteadyNow() + kStoreTimeout);
     });
   }
   this->limits.Retain(listed);
--- a/anvilcroft/route_chooser.cc
+++ b/anvilcroft/route_chooser.cc
@@ -20,8 +20,8 @@
   return std::uniform_real_distribution<double>(0, 1)(this->generator);
 }
 
-RouteChoice RouteChooser::Choose(const ServiceRoute& route, const std::set<std::string>& tried,
-                                 bool unlimited, TimePoint now) {
+RouteChoice RouteChooser::Choose(const ServiceRoute& route, const Usable& usable, bool unlimited,
+                                 TimePoint now) {
   ChoiceContext context;
   int unlimited_left = 0;
   std::vector<std::pair<double, std::vector<const PoolTarget*>>> options;
@@ -29,7 +29,7 @@
   for (const auto& [service, weight] : route.split) {
     std::vector<const PoolTarget*> candidates;
     for (const PoolTarget* target : this->pool.AcceptingTargets(service)) {
-      if (weight <= 0 || tried.count(target->entry.id) != 0) continue;
+      if (weight <= 0 || !usable(target->entry)) continue;
       const auto wait = this->permit_wait(target->entry, now);
       if (wait && unlimited) continue;
       if (wait) {
--- a/anvilcroft/route_chooser.h
+++ b/anvilcroft/route_chooser.h
@@ -32,9 +32,12 @@
   RouteChooser(TargetPool& pool, PermitWait permit_wait, std::string zone, uint64_t seed)
       : pool(pool), permit_wait(std::move(permit_wait)), zone(std::move(zone)), generator(seed) {}
 
-  // Chooses a target that is not in `tried`; if `unlimited` is set, only among targets that do not
-  // limit their requests. Services without such a target do not take part in the traffic split.
-  RouteChoice Choose(const ServiceRoute& route, const std::set<std::string>& tried, bool unlimited,
+  // Whether a request may be sent to a target.
+  using Usable = std::function<bool(const TargetEntry& target)>;
+
+  // Chooses a usable target; if `unlimited` is set, only among targets that do not limit their
+  // requests. Services without such a target do not take part in the traffic split.
+  RouteChoice Choose(const ServiceRoute& route, const Usable& usable, bool unlimited,
                      TimePoint now);
 
   // Time until the next permit for one of the targets in `ids`; nullopt: none of them limits its
