Keep the text of an item on one software version

Cause: as for callers' streams, nothing read the version. Change: a text knows its version, also where it is saved, handed over or carried; a continuation counts only the events that are left, an engine of another version has all of them to generate and starts the text anew, and a running item is moved within its version only. So an item does not wait for a version that is leaving. A text that an older build has saved names no version and is generated again.

--- a/anvilcroft/batch_owner.cc
+++ b/anvilcroft/batch_owner.cc
@@ -71,6 +71,8 @@
   if (route.single_version && !item.text.versions.empty()) {
     entry.only_version = item.text.versions.front();
   }
+  entry.software = item.text.software;
+  entry.events_done = static_cast<double>(item.text.events);
   entry.priority = route.priority;
   entry.events_left = OrderingEventsLeft(job, item);
   entry.prefer_newest = entry.events_left > kPreferNewestEvents;
@@ -234,10 +236,23 @@
   if (waiting.empty()) return;
   for (const Placement& placement : PlaceItems(std::move(waiting), this->DescribeEngines(now))) {
     const auto& [job, index] = items_by_key[placement.key];
+    if (placement.anew) this->DropText(*job, index, placement.engine);
     this->runner.Start(job, index, placement.engine, placement.version);
   }
 }
 
+void BatchOwner::DropText(OwnedJob& job, std::size_t index, const std::string& engine) {
+  OwnedItem& item = job.items[index];
+  LogInfo(kPart, "starting a text anew on another software version",
+          {{"item", item.item.id},
+           {"batch", job.head.id},
+           {"engine", engine},
+           {"software", item.text.software},
+           {"events", std::to_string(item.text.events)}});
+  item.text = ItemText();
+  item.saved_events = 0;
+}
+
 std::vector<PlacementEngine> BatchOwner::DescribeEngines(TimePoint now) {
   std::map<std::string, int> long_items;  // by engine
   for (const auto& [id, job] : this->context.jobs) {
@@ -256,6 +271,7 @@
     PlacementEngine engine;
     engine.id = id;
     engine.service = state.entry.service;
+    engine.software = state.entry.software;
     engine.slots = state.entry.slots;
     for (const auto& [model, running] : state.running) engine.running += running;
     if (target->consecutive_no_responses > 0) {
@@ -298,6 +314,7 @@
       if (single_version && !item.text.versions.empty()) {
         entry.only_version = item.text.versions.front();
       }
+      if (item.text.events > 0) entry.software = item.text.software;
       entry.events_left = EventsLeft(*job, item);
       entry.events_here = item.text.events - item.events_before_run;
       entry.since_event = now - item.last_event;
--- a/anvilcroft/batch_owner.h
+++ b/anvilcroft/batch_owner.h
@@ -61,6 +61,8 @@
   // Gives up waiting items that are too old or have failed too often.
   void ExpireItems();
   void PlaceWaitingItems(TimePoint now);
+  // Drops the text of an item that starts anew on `engine`.
+  static void DropText(OwnedJob& job, std::size_t index, const std::string& engine);
   void MoveStragglers(TimePoint now);
   // The engines that may receive items now.
   std::vector<PlacementEngine> DescribeEngines(TimePoint now);
--- a/anvilcroft/batch_records.cc
+++ b/anvilcroft/batch_records.cc
@@ -192,6 +192,7 @@
                               {"data", ToBinary(text.data)},
                               {"versions", text.versions},
                               {"last_version", text.last_version},
+                              {"software", text.software},
                               {"complete", text.complete}});
   if (value.size() > kMaxRowBytes) return std::nullopt;
   return value;
@@ -204,6 +205,7 @@
   ItemText text;
   text.events = fields.Integer("events", 0, INT64_MAX);
   text.last_version = fields.Integer("last_version", 0, INT64_MAX);
+  text.software = fields.StringOr("software", "");
   text.complete = fields.Bool("complete");
   for (const json& version : fields.Array("versions", 100000)) {
     if (version.is_number_integer()) text.versions.push_back(version.get<int64_t>());
--- a/anvilcroft/item_placement.cc
+++ b/anvilcroft/item_placement.cc
@@ -14,12 +14,18 @@
 // others are much slower.
 constexpr double kAvoidCostMs = 1000;
 
+// Whether `engine` can't continue the text of `item`.
+bool StartsAnew(const WaitingItem& item, const PlacementEngine& engine) {
+  return item.events_done > 0 && item.software != engine.software;
+}
+
 // Expected time for `item` on `engine`, in ms, with the penalties above. `newest`: newest version
 // of the item's model on any engine.
 double CostMs(const WaitingItem& item, const PlacementEngine& engine, int64_t version,
               int64_t newest) {
   const double load = static_cast<double>(engine.running) / engine.slots;
-  double cost = TimeForEventsMs(engine.pace, std::max(1.0, item.events_left), load);
+  const double events = item.events_left + (StartsAnew(item, engine) ? item.events_done : 0);
+  double cost = TimeForEventsMs(engine.pace, std::max(1.0, events), load);
   if (item.prefer_newest && version < newest) cost *= 1 + kOldVersionPenalty;
   cost += engine.failure_share * kFailureCostMs;
   cost += std::chrono::duration<double, std::milli>(engine.permit_wait).count();
@@ -64,7 +70,9 @@
       const int64_t version = found == engine.versions.end() ? 0 : found->second;
       if (!item.model.empty() && found == engine.versions.end()) continue;
       if (version < item.min_version) continue;
-      if (item.only_version != 0 && version != item.only_version) continue;
+      if (item.only_version != 0 && version != item.only_version && !StartsAnew(item, engine)) {
+        continue;
+      }
       const double cost = CostMs(item, engine, version, newest[item.model]);
       if (best == nullptr || cost < best_cost) {
         best = &engine;
@@ -76,7 +84,7 @@
     ++best->running;
     if (item.events_left >= kLongItemEvents) ++best->long_items;
     --free_slots;
-    placements.push_back(Placement{item.key, best->id, best_version});
+    placements.push_back(Placement{item.key, best->id, best_version, StartsAnew(item, *best)});
   }
   return placements;
 }
--- a/anvilcroft/item_placement.h
+++ b/anvilcroft/item_placement.h
@@ -7,7 +7,8 @@
 // trainer waits for most of the groups, so the slowest of those determines how long the step takes.
 // The items of groups that the trainer can do without are placed last. Among the others, items of
 // more urgent routes are placed first, then those that must be part of the step, then the longest.
-// Each item is placed on the engine on which it is expected to finish first.
+// Each item is placed on the engine on which it is expected to finish first; an engine that can't
+// continue its text has all of it to generate.
 //
 // An engine slows down when its last slots are filled. While it runs a long item, short items may
 // fill at most kUsableShareWithLongItem of its slots, because the step waits for the long item and
@@ -45,7 +46,11 @@
   int64_t min_version = 0;
   // The only version that may continue the text, which must be of one version; 0: any version.
   int64_t only_version = 0;
-  int priority = 0;  // of the route; 0 is the most urgent
+  // Version of the software that generated the text so far. An engine with another one starts the
+  // text anew. Only with `events_done`.
+  std::string software;
+  double events_done = 0;  // events of the text so far
+  int priority = 0;        // of the route; 0 is the most urgent
   ItemRank rank = ItemRank::kNormal;
   double events_left = 0;  // expected number of events still to be generated
   // A later step may need the text, and accepts newer versions only.
@@ -56,6 +61,7 @@
 struct PlacementEngine {
   std::string id;
   std::string service;
+  std::string software;  // version
   int slots = 1;
   int running = 0;
   int long_items = 0;  // number of running items that are long
@@ -70,6 +76,7 @@
   std::size_t key = 0;
   std::string engine;
   int64_t version = 0;  // weight version that the engine is expected to have loaded
+  bool anew = false;    // the engine can't continue the text and starts it anew
 };
 
 // Returns at most one placement for each item. The placements never exceed the free slots of an
--- a/anvilcroft/item_runner.cc
+++ b/anvilcroft/item_runner.cc
@@ -113,6 +113,7 @@
     last_event = now;
     item.last_event = now;
     item.text.Add(event.data, event.weight_version);
+    item.text.software = engine.software;
   };
   platform::GenerationOutcome outcome;
   if (auto permit = this->AcquirePermit(task, item, engine)) {
--- a/anvilcroft/straggler_plan.cc
+++ b/anvilcroft/straggler_plan.cc
@@ -43,6 +43,7 @@
 // Whether `item` can be moved to `engine`.
 bool CanRun(const RunningItem& item, const PlacementEngine& engine) {
   if (engine.id == item.engine || engine.service != item.service) return false;
+  if (!item.software.empty() && engine.software != item.software) return false;
   if (engine.running >= engine.slots || engine.loading.count(item.model) != 0) return false;
   if (engine.failure_share > kMaxFailureShare) return false;
   const auto version = engine.versions.find(item.model);
--- a/testing/item_placement_test.cc
+++ b/testing/item_placement_test.cc
@@ -59,6 +59,41 @@
   CHECK(placed[1].engine == "limited");
 }
 
+// Guards against texts that are continued by another version of the software, and against items
+// that wait for an engine of their own version however long it takes.
+TEST_CASE("a text is continued by its software version or started anew", "[placement]") {
+  PlacementEngine same = Engine("same", 1);
+  same.software = "v1";
+  PlacementEngine other = Engine("other", 1);
+  other.software = "v2";
+  WaitingItem item = Item(0, 10);
+  item.software = "v1";
+  item.events_done = 15;
+  auto placed = PlaceItems({item}, {other, same});
+  REQUIRE(placed.size() == 1);
+  CHECK(placed[0].engine == "same");
+  CHECK_FALSE(placed[0].anew);
+  same.running = same.slots;
+  placed = PlaceItems({item}, {other, same});
+  REQUIRE(placed.size() == 1);
+  CHECK(placed[0].engine == "other");
+  CHECK(placed[0].anew);
+  // A running item is not moved to the other version, which would start anew.
+  RunningItem running;
+  running.engine = "slow";
+  running.service = "model";
+  running.model = "m";
+  running.software = "v1";
+  running.events_left = 60;
+  running.events_here = 10;
+  PlacementEngine slow = Engine("slow", 1);
+  slow.software = "v1";
+  slow.pace = {300, 300, 5000};
+  CHECK(PlanMoves({running}, {slow, other}).empty());
+  same.running = 0;
+  CHECK(PlanMoves({running}, {slow, other, same}).size() == 1);
+}
+
 TEST_CASE("items run only where the version is allowed and not being loaded", "[placement]") {
   PlacementEngine old = Engine("old", 1);
   PlacementEngine loading = Engine("loading", 3);
