--- a/anvilcroft/request_limiter.cc
+++ b/anvilcroft/request_limiter.cc
@@ -233,40 +233,40 @@
   });
 }
 
-void RequestLimiter::WriteRow(const std::string& target) {
+bool RequestLimiter::RowIsCurrent(const std::string& target) const {
   const LimitStatement* statement = this->limits.Find(target);
-  if (statement == nullptr) return;
+  if (statement == nullptr) return true;
   const auto row = this->rows.find(target);
-  const auto written = row == this->rows.end() ? std::nullopt : row->second;
-  if (!DiffersMuch(statement->per_second, written) || !this->writing.insert(target).second) return;
+  return !DiffersMuch(statement->per_second, row == this->rows.end() ? std::nullopt : row->second);
+}
+
+void RequestLimiter::WriteRow(const std::string& target) {
+  if (this->RowIsCurrent(target) || !this->writing.insert(target).second) return;
   this->runtime.Spawn([this, target](Task& task) {
-    this->WriteRow(task, target);
+    while (!this->RowIsCurrent(target)) this->WriteRow(task, target);
     this->writing.erase(target);
   });
 }
 
 void RequestLimiter::WriteRow(Task& task, const std::string& target) {
-  const LimitStatement* statement = this->limits.Find(target);
-  if (statement == nullptr) return;
+  const LimitStatement statement = *this->limits.Find(target);
   const RowId id = FrontDirectory::SharedRowId(kRowPrefix, target);
-  const std::optional<double> limit = statement->per_second;
   RowBatch::Builder batch;
-  if (limit) {
-    const int64_t age_ms = ToMillis(SteadyNow() - statement->said_at);
-    batch.Put(id, EncodeLimitRow(
-                      {statement->started_at, *limit, this->store.StoreTime(BootNow()) - age_ms}));
+  if (statement.per_second) {
+    const int64_t age_ms = ToMillis(SteadyNow() - statement.said_at);
+    batch.Put(id, EncodeLimitRow({statement.started_at, *statement.per_second,
+                                  this->store.StoreTime(BootNow()) - age_ms}));
   } else {
     batch.Remove(id);
   }
   const auto committed = this->store.Commit(task, batch.Build(), SteadyNow() + kStoreTimeout);
   if (committed) {
-    this->rows[target] = limit;
-  } else {
-    // The next request for a permit writes it again.
-    LogInfo(kPart, "could not write the request limit of a target",
-            {{"target", target}, {"error", ErrorCodeName(committed.error().code)}});
-    SleepUntil(task, SteadyNow() + kWriteRetryPause);
+    this->rows[target] = statement.per_second;
+    return;
   }
+  LogInfo(kPart, "could not write the request limit of a target; trying again",
+          {{"target", target}, {"error", ErrorCodeName(committed.error().code)}});
+  SleepUntil(task, SteadyNow() + kWriteRetryPause);
 }
 
 void RequestLimiter::RemoveOldTargets() {
--- a/anvilcroft/request_limiter.h
+++ b/anvilcroft/request_limiter.h
@@ -97,6 +97,8 @@
   // Writes the limit of a target to the metadata store, or removes the row if there is none.
   void WriteRow(const std::string& target);
   void WriteRow(Task& task, const std::string& target);
+  // Whether the row says the same as the latest statement about the target.
+  bool RowIsCurrent(const std::string& target) const;
   // Forgets targets that are no longer listed and removes their rows.
   void RemoveOldTargets();
 
