Add request limits and software versions to the soak

Two more kinds of faults, generated apart so that a seed keeps its faults: a target names a limit, and an engine is replaced by one with another software version. Streams are taken up at any instance, and no stream or text may hold events of two versions.

--- a/fakes/platform_engine.cc
+++ b/fakes/platform_engine.cc
@@ -48,6 +48,7 @@
 void PlatformEngine::Restart(std::string new_software) {
   this->software = std::move(new_software);
   ++this->started_at;
+  this->id = this->id.substr(0, this->id.find('.')) + "." + std::to_string(this->started_at);
   this->orders = 0;
   this->highest_fence = 0;
 }
@@ -60,9 +61,11 @@
   return events;
 }
 
-std::string PlatformEngine::TextOf(const std::string& item, int count) {
+std::string PlatformEngine::TextOf(const std::string& item, int count,
+                                   const std::string& software) {
   std::string text;
-  for (const std::string& event : Events(item, count)) text += (text.empty() ? "" : "\n") + event;
+  for (const std::string& event : Events(item, count, software))
+    text += (text.empty() ? "" : "\n") + event;
   return text;
 }
 
--- a/fakes/platform_engine.h
+++ b/fakes/platform_engine.h
@@ -23,9 +23,12 @@
   // Starts to listen and returns the bound address as "ip:port".
   Result<std::string> Start();
 
-  // Starts again with another version of the software: aborts its runs and forgets its orders.
+  // Starts again with another version of the software and another id, as an engine that replaces
+  // this one: aborts its runs and forgets its orders.
   void Restart(std::string software);
 
+  const std::string& Id() const { return this->id; }
+
   // Returns the entry, as JSON text, with which the target registers at the platform.
   std::string RegistrationEntry(const std::string& service, const std::string& zone) const;
 
@@ -37,7 +40,8 @@
   static std::vector<std::string> Events(const std::string& item, int count,
                                          const std::string& software = kSoftware);
   // The text of these events, joined by newlines.
-  static std::string TextOf(const std::string& item, int count);
+  static std::string TextOf(const std::string& item, int count,
+                            const std::string& software = kSoftware);
 
   // If positive, the next run that sends this many events is aborted in the middle of the next
   // event, and the field is reset to 0.
--- a/soak/clients.cc
+++ b/soak/clients.cc
@@ -5,7 +5,9 @@
 #include <utility>
 
 #include "anvilcroft/json.h"
+#include "anvilcroft/sse_parser.h"
 #include "fakes/platform_caller.h"
+#include "soak/fault_schedule.h"
 
 namespace anvilcroft::soak {
 namespace {
@@ -16,6 +18,7 @@
 constexpr Duration kStepLimit = seconds(20);      // then the trainer ends the step, complete or not
 constexpr Duration kRecoveryLimit = seconds(30);  // after the last fault
 constexpr Duration kCallInterval = milliseconds(40);  // between the calls of one caller
+constexpr int kStreamAttempts = 4;                    // of one stream
 constexpr int kGroups = 4;
 constexpr int kItemsPerGroup = 3;
 constexpr std::size_t kMaxViolations = 20;
@@ -94,23 +97,67 @@
 }
 
 void Clients::CallStreamRoute(Task& task) {
-  const int events = this->site.Engines().front()->events_per_item;
   while (!this->stopping) {
-    const std::string id = "d" + std::to_string(this->random() % 1'000'000'000);
-    std::string expected;
-    int number = 0;
-    for (const std::string& event : fakes::PlatformEngine::Events(id, events)) {
-      expected += "id: " + std::to_string(++number) + "\ndata: " + event + "\n\n";
+    this->ReadStream(task, "d" + std::to_string(this->random() % 1'000'000'000));
+    SleepUntil(task, SteadyNow() + kCallInterval);
+  }
+}
+
+void Clients::ReadStream(Task& task, const std::string& name) {
+  const auto events = static_cast<std::size_t>(this->site.Engines().front()->events_per_item);
+  std::vector<std::string> data;
+  std::string first_attempt;
+  for (int attempt = 0; attempt < kStreamAttempts; ++attempt) {
+    const std::string id = name + "." + std::to_string(attempt);
+    HttpHeaders headers =
+        fakes::CallerRequest("POST", "/draft/1", id, "q", std::to_string(ToMillis(kCallLimit)))
+            .Headers();
+    if (!data.empty()) {
+      headers =
+          headers.With("Last-Event-Id", std::to_string(data.size())).With("Resumes", first_attempt);
     }
-    const auto answer =
-        this->Send(task, this->RandomFront(), "POST", "/draft/1", id, "q", kCallLimit);
-    const bool served = answer && answer->Status() == 200;
-    ++this->counts[served ? "streams_served" : "streams_failed"];
-    if (served && answer->Body() != expected) {
-      this->AddViolation("stream " + id + " completed with wrong events");
+    const auto opened =
+        this->http.OpenStream(task, *ParseEndpoint(this->RandomFront()),
+                              HttpRequest::Builder()
+                                  .SetMethod("POST")
+                                  .SetTarget("/draft/1")
+                                  .SetHeaders(headers)
+                                  .SetBody("q")
+                                  .Build(),
+                              CallOptions(SteadyNow() + kCallLimit).WithFreshConnection());
+    SseParser parser;
+    bool ended = false;
+    while (opened && (*opened)->Status() == 200 && !ended) {
+      const auto piece = (*opened)->Read(task);
+      if (!piece) break;
+      ended = !*piece;
+      const auto parsed = ended ? Result<std::vector<SseEvent>>() : parser.Feed(**piece);
+      if (!parsed) break;
+      for (const SseEvent& event : *parsed) {
+        if (event.id != std::to_string(data.size() + 1)) {
+          this->AddViolation("stream " + id + " has event " + event.id + " after " +
+                             std::to_string(data.size()));
+        }
+        if (first_attempt.empty()) first_attempt = id;
+        data.push_back(event.data);
+      }
+    }
+    if (ended && parser.AtBoundary()) {
+      if (data.size() != events) this->AddViolation("stream " + id + " ended early");
+      ++this->counts[attempt == 0 ? "streams_served" : "streams_taken_up"];
+      break;
     }
+    if (attempt + 1 == kStreamAttempts) ++this->counts["streams_failed"];
     SleepUntil(task, SteadyNow() + kCallInterval);
   }
+  std::set<std::string> software;
+  for (const std::string& event : data) {
+    const std::size_t at = event.find('@');
+    software.insert(at == std::string::npos ? "" : event.substr(at));
+  }
+  if (software.size() > 1) {
+    this->AddViolation("stream " + name + " was joined from several software versions");
+  }
 }
 
 bool Clients::SubmitJob(Task& task, const std::string& id, const std::string& body) {
@@ -218,9 +265,10 @@
   if (value.value("State", "") != "completed")
     return this->AddViolation(at + item + " is not completed");
   const int events = this->site.Engines().front()->events_per_item;
-  if (value.value("Text", "") != fakes::PlatformEngine::TextOf(item, events)) {
-    this->AddViolation(at + item + " has a wrong text");
-  }
+  const std::string text = value.value("Text", "");
+  const bool whole = text == fakes::PlatformEngine::TextOf(item, events) ||
+                     text == fakes::PlatformEngine::TextOf(item, events, kSecondSoftware);
+  if (!whole) this->AddViolation(at + item + " has a wrong text");
   for (const json& version : value["Versions"]) {
     if (version.get<int64_t>() < job.min_version)
       this->AddViolation(at + item + " was generated with too old a version");
--- a/soak/clients.h
+++ b/soak/clients.h
@@ -51,6 +51,8 @@
   void CallUnsafeRoute(Task& task);
   // Calls the route `draft`, which answers with a stream of events.
   void CallStreamRoute(Task& task);
+  // Reads one stream, which is taken up at any instance when it breaks off, and checks its events.
+  void ReadStream(Task& task, const std::string& name);
   // Submits a job for each step, reads its results and ends it.
   void RunTrainer(Task& task);
   // Submits a job, retrying until it is accepted. Returns false if the soak stops and every attempt
--- a/soak/fault_schedule.cc
+++ b/soak/fault_schedule.cc
@@ -1,5 +1,6 @@
 #include "soak/fault_schedule.h"
 
+#include <algorithm>
 #include <csignal>
 #include <memory>
 #include <random>
@@ -12,7 +13,11 @@
 using fakes::FakeLink;
 using fakes::FaultPlan;
 
-constexpr int kKinds = static_cast<int>(FaultKind::kConfigure) + 1;
+// Kinds up to kConfigure, and the later ones, are generated separately, so that a seed keeps its
+// faults when a kind is added.
+constexpr int kFirstKinds = static_cast<int>(FaultKind::kConfigure) + 1;
+constexpr int kKinds = static_cast<int>(FaultKind::kUpgrade) + 1;
+constexpr int kMaxLateGapMs = 4000;  // between the starts of faults of the later kinds
 // Ranges of the gaps between the starts of faults and of their durations. Some durations are
 // shorter and some are longer than the lease of 3 s.
 constexpr int kMinGapMs = 200;
@@ -124,6 +129,18 @@
     case FaultKind::kConfigure:
       site.WriteConfiguration(site.ConfigurationVersion() + 1);
       break;
+    case FaultKind::kTargetLimit: {
+      auto& targets = fault.index % 2 == 0 ? site.Engines() : site.Apps();
+      auto& target = *targets[fault.index / 2 % targets.size()];
+      target.request_limit = 1 + static_cast<double>(fault.index % 20);
+      SleepUntil(task, end);
+      target.request_limit.reset();
+      break;
+    }
+    case FaultKind::kUpgrade:
+      engine.Restart(engine.software == kSecondSoftware ? fakes::PlatformEngine::kSoftware
+                                                        : kSecondSoftware);
+      break;
   }
 }
 
@@ -133,7 +150,8 @@
   constexpr const char* kNames[kKinds] = {
       "kill",         "freeze",     "stop",         "reload",        "store_down",
       "store_silent", "store_slow", "store_loses",  "history_lost",  "store_cut",
-      "store_muted",  "target_cut", "target_muted", "engine_breaks", "configure"};
+      "store_muted",  "target_cut", "target_muted", "engine_breaks", "configure",
+      "target_limit", "upgrade"};
   return kNames[static_cast<int>(kind)];
 }
 
@@ -143,15 +161,21 @@
     return std::uniform_int_distribution<int>(low, high)(random);
   };
   std::vector<Fault> faults;
-  for (Duration start = milliseconds(between(kMinGapMs, kMaxGapMs)); start < span;
-       start += milliseconds(between(kMinGapMs, kMaxGapMs))) {
-    Fault fault;
-    fault.kind = static_cast<FaultKind>(between(0, kKinds - 1));
-    fault.start = start;
-    fault.duration = milliseconds(between(kMinDurationMs, kMaxDurationMs));
-    fault.index = static_cast<std::size_t>(between(0, 1000));
-    faults.push_back(fault);
-  }
+  const auto generate = [&](int first_kind, int last_kind, int max_gap_ms) {
+    for (Duration start = milliseconds(between(kMinGapMs, max_gap_ms)); start < span;
+         start += milliseconds(between(kMinGapMs, max_gap_ms))) {
+      Fault fault;
+      fault.kind = static_cast<FaultKind>(between(first_kind, last_kind));
+      fault.start = start;
+      fault.duration = milliseconds(between(kMinDurationMs, kMaxDurationMs));
+      fault.index = static_cast<std::size_t>(between(0, 1000));
+      faults.push_back(fault);
+    }
+  };
+  generate(0, kFirstKinds - 1, kMaxGapMs);
+  generate(kFirstKinds, kKinds - 1, kMaxLateGapMs);
+  std::stable_sort(faults.begin(), faults.end(),
+                   [](const Fault& a, const Fault& b) { return a.start < b.start; });
   return faults;
 }
 
--- a/soak/fault_schedule.h
+++ b/soak/fault_schedule.h
@@ -29,8 +29,13 @@
   kTargetMuted,   // the link of all instances to a target carries no data
   kEngineBreaks,  // one run of an engine is aborted after 1 to 20 events
   kConfigure,     // the operator writes a new version of the configuration
+  kTargetLimit,   // a target names a request limit of 1 to 20 a second
+  kUpgrade,       // an engine is replaced by one with the other of two software versions
 };
 
+// The software version of engines besides fakes::PlatformEngine::kSoftware.
+constexpr char kSecondSoftware[] = "v2";
+
 struct Fault {
   FaultKind kind = FaultKind::kKill;
   Duration start{0};  // since the start of InjectFaults
--- a/soak/site.cc
+++ b/soak/site.cc
@@ -58,7 +58,7 @@
     const auto link_address = link->Start();
     if (!link_address) return tl::unexpected<Error>(link_address.error());
     this->target_links.push_back(std::move(link));
-    this->SpawnRegistration(*list.back(), id, service, *link_address);
+    this->SpawnRegistration(*list.back(), service, *link_address);
     return {};
   };
   for (int i = 0; i < this->options.engines; ++i) {
@@ -100,19 +100,18 @@
 }
 
 // Writes the entry of a target, and writes it again when it has changed.
-void Site::SpawnRegistration(const fakes::PlatformEngine& target, const std::string& id,
-                             const std::string& service, const std::string& link_address) {
-  this->runtime.Spawn([this, &target, id, service, link_address](Task& task) {
+void Site::SpawnRegistration(const fakes::PlatformEngine& target, const std::string& service,
+                             const std::string& link_address) {
+  this->runtime.Spawn([this, &target, service, link_address](Task& task) {
+    std::string listed_id;
     std::string listed;
     while (true) {
-      std::string current;
-      if (this->unlisted.count(id) == 0) {
-        json entry = json::parse(target.RegistrationEntry(service, "a"));
-        entry["Address"] = link_address;
-        current = entry.dump();
-      }
-      if (current.empty() && !listed.empty()) this->store.Remove("servers", id);
-      if (!current.empty() && current != listed) this->store.Put("servers", id, current);
+      json entry = json::parse(target.RegistrationEntry(service, "a"));
+      entry["Address"] = link_address;
+      const std::string current = entry.dump();
+      if (current != listed) this->store.Put("servers", target.Id(), current);
+      if (!listed_id.empty() && listed_id != target.Id()) this->store.Remove("servers", listed_id);
+      listed_id = target.Id();
       listed = current;
       SleepUntil(task, SteadyNow() + kRegistrationInterval);
     }
@@ -154,14 +153,6 @@
   this->store.Put("op", "config", config.dump());
 }
 
-void Site::SetListed(const std::string& id, bool listed) {
-  if (listed) {
-    this->unlisted.erase(id);
-  } else {
-    this->unlisted.insert(id);
-  }
-}
-
 void Site::WriteModelVersion(int64_t version) {
   this->store.Put("op", std::string("version/") + kModel,
                   json{{"Model", kModel}, {"Version", version}}.dump());
--- a/soak/site.h
+++ b/soak/site.h
@@ -5,7 +5,6 @@
 // platform's metadata store. The store, the links and the fake targets run in this process.
 
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -65,16 +64,13 @@
   fakes::PlatformStore& Store() { return this->store; }
   int64_t ConfigurationVersion() const { return this->configuration_version; }
 
-  // Removes the entry of an engine from the store, or adds it again.
-  void SetListed(const std::string& id, bool listed);
-
   // How often targets ran the request `id`, in total.
   int CountRuns(const std::string& id) const;
 
  private:
   // Starts a task that keeps the entry of `target` in the store up to date.
-  void SpawnRegistration(const fakes::PlatformEngine& target, const std::string& id,
-                         const std::string& service, const std::string& link_address);
+  void SpawnRegistration(const fakes::PlatformEngine& target, const std::string& service,
+                         const std::string& link_address);
 
   Runtime& runtime;
   SiteOptions options;
@@ -83,7 +79,6 @@
   std::vector<std::unique_ptr<fakes::PlatformEngine>> apps;
   std::vector<std::unique_ptr<fakes::FakeLink>> target_links;
   std::vector<SoakInstance> instances;
-  std::set<std::string> unlisted;  // ids of targets without an entry
   int64_t configuration_version = 0;
 };
 
