Know when the next permit comes after one that had to wait

After a permit with a wait none is kept, so the next one is at least an interval later: the choice of a target and the placement of items count that wait, and requests that can't wait so long are refused without a call. Adds a test of streams under a limit.

--- a/anvilcroft/permit_schedule.cc
+++ b/anvilcroft/permit_schedule.cc
@@ -6,15 +6,12 @@
 #include "anvilcroft/hash.h"
 
 namespace anvilcroft {
-namespace {
 
-Duration IntervalOf(double per_second) {
+Duration PermitSchedule::IntervalOf(double per_second) {
   return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(1 / std::max(per_second, PermitSchedule::kMinPerSecond)));
+      std::chrono::duration<double>(1 / std::max(per_second, kMinPerSecond)));
 }
 
-}  // namespace
-
 PermitSchedule::PermitSchedule(double per_second, TimePoint now)
     : interval(IntervalOf(per_second)), next(now + this->interval) {}
 
--- a/anvilcroft/permit_schedule.h
+++ b/anvilcroft/permit_schedule.h
@@ -38,14 +38,17 @@
  public:
   // Lower limits count as this one, because only a request shows that a limit has ended.
   static constexpr double kMinPerSecond = 0.2;
-  // Permits that were not requested are kept for this long, so that a target may get the requests of
-  // a whole second at once, as when a training step starts.
+  // Permits that were not requested are kept for this long, so that a target may get the requests
+  // of a whole second at once, as when a training step starts.
   static constexpr Duration kMaxCredit = milliseconds(1000);
 
   // `per_second`: requests that the target takes in a second. The first permit is for one interval
   // after `now`, because a former keeper may have granted one just before.
   PermitSchedule(double per_second, TimePoint now);
 
+  // Time between permits at a rate.
+  static Duration IntervalOf(double per_second);
+
   // Changes the rate of the permits that are granted from now on.
   void SetRate(double per_second);
 
--- a/anvilcroft/request_limiter.cc
+++ b/anvilcroft/request_limiter.cc
@@ -78,7 +78,14 @@
       return Fail(ErrorCode::kOverloaded, "the target takes no more requests at present",
                   kErrorPart);
     }
-    if (outcome.wait > Duration::zero()) SleepUntil(task, SteadyNow() + outcome.wait);
+    if (outcome.wait > Duration::zero()) {
+      // No permit is kept, so the next one is at least an interval later.
+      const TimePoint granted_at = SteadyNow() + outcome.wait;
+      const auto per_second = this->limits.LimitOf(target.id, target.started_at);
+      this->next_permits[target.id] =
+          granted_at + (per_second ? PermitSchedule::IntervalOf(*per_second) : Duration::zero());
+      SleepUntil(task, granted_at);
+    }
   }
   this->calls[target.id].Add(purpose, SteadyNow());
   this->metrics.Increment("anvilcroft_target_calls_total",
--- a/testing/request_limit_test.cc
+++ b/testing/request_limit_test.cc
@@ -63,8 +63,13 @@
     Duration slowest_refusal = Duration::zero();
   };
 
-  // Sends `per_second` lookups for `duration`, to the instances in turn, and waits for the answers.
   Answers SendLookups(Task& task, double per_second, Duration duration) {
+    return this->SendRequests(task, "/lookup/1", per_second, duration);
+  }
+
+  // Sends `per_second` requests for `duration`, to the instances in turn, and waits for the
+  // answers.
+  Answers SendRequests(Task& task, const std::string& path, double per_second, Duration duration) {
     Answers answers;
     int open = 0;
     const auto count =
@@ -75,10 +80,10 @@
       const std::string address =
           this->instances[static_cast<std::size_t>(i) % this->instances.size()]->FrontAddress();
       ++open;
-      this->runtime.Spawn([this, address, &answers, &open](Task& caller) {
+      this->runtime.Spawn([this, address, path, &answers, &open](Task& caller) {
         const std::string id = "r" + std::to_string(this->next_request++);
         const TimePoint sent = SteadyNow();
-        const auto answer = this->Send(caller, address, "POST", "/lookup/1", id, "", "1500");
+        const auto answer = this->Send(caller, address, "POST", path, id, "", "1500");
         const bool refusal = answer && (answer->Status() == 429 || answer->Status() == 503);
         if (answer && answer->Status() == 200) {
           ++answers.served;
@@ -181,6 +186,25 @@
   });
 }
 
+// Guards against streams, which are sent to other targets by other code, that bypass the limits.
+TEST_CASE("streams count towards a request limit", "[limit]") {
+  LimitFixture fixture(3, 1);
+  PlatformEngine& engine = fixture.AddEngine("i-e1");
+  PlatformEngine& second = fixture.AddEngine("i-e2");
+  fixture.Run([&](Task& task) {
+    fixture.AwaitAllReady(task);
+    for (PlatformEngine* target : {&engine, &second}) target->request_limit = 4;
+    const TimePoint named = SteadyNow();
+    const auto answers = fixture.SendRequests(task, "/draft/1", 30, seconds(9));
+    for (PlatformEngine* target : {&engine, &second}) {
+      CHECK(MostInWindow(*target, named + kGrace) <= Allowed(4));
+    }
+    CHECK(answers.served >= 50);
+    CHECK(answers.other == 0);
+    CHECK(answers.slowest_refusal < milliseconds(300));
+  });
+}
+
 // Guards against a target that gets nothing, or too much, while the instance that keeps its permits
 // is lost and still listed.
 TEST_CASE("a standby grants permits while the keeper does not answer", "[limit]") {
