Keep a removed entry from the failed call, not from its removal

The target leaves without a draining entry. Its removal came within 2.2 s after a failed call of the instance to the store, in this case one cut by a reset of connections, so its entry was kept for another 2.2 s from the removal, and up to 0.6 s longer until the next answer of the feed. Entries reappear within two seconds of the end of an outage, so the time counts from the last failed call, and a target is not chosen after it, whether or not the feed has answered.

The test "a target whose entry is removed is not used two seconds later" failed before.

--- a/anvilcroft/platform_view.cc
+++ b/anvilcroft/platform_view.cc
@@ -103,8 +103,10 @@
 
 Duration PlatformView::RemovalGrace(TimePoint now) const {
   const TimePoint failed = this->store.LastFailure();
-  const bool failed_recently = failed != TimePoint() && now - failed < kReappearGrace;
-  return failed_recently ? kReappearGrace : Duration::zero();
+  if (failed == TimePoint()) return Duration::zero();
+  // Entries reappear within a time from the end of an outage, not from their removal. An entry that
+  // was removed some time after the failure is that of a target that leaves.
+  return std::max(Duration::zero(), failed + kReappearGrace - now);
 }
 
 void PlatformView::ApplyTargetRow(const StoredRow& row, TimePoint now) {
--- a/anvilcroft/platform_view.h
+++ b/anvilcroft/platform_view.h
@@ -25,8 +25,8 @@
   // soon after this time.
   static constexpr Duration kFeedWait = milliseconds(600);
   static constexpr Duration kRetryPause = milliseconds(100);
-  // How long an entry that disappears shortly after a failed call to the store is kept, because it
-  // may reappear. Also how long after the failure this applies.
+  // An entry that disappears is kept until this long after the last failed call to the store,
+  // because it may reappear.
   static constexpr Duration kReappearGrace = milliseconds(2200);
 
   // `on_change` is called after each change of what is tracked.
--- a/anvilcroft/route_chooser.cc
+++ b/anvilcroft/route_chooser.cc
@@ -28,7 +28,7 @@
   double total = 0;
   for (const auto& [service, weight] : route.split) {
     std::vector<const PoolTarget*> candidates;
-    for (const PoolTarget* target : this->pool.AcceptingTargets(service)) {
+    for (const PoolTarget* target : this->pool.AcceptingTargets(service, now)) {
       if (weight <= 0 || !usable(target->entry)) continue;
       const auto wait = this->permit_wait(target->entry, now);
       if (wait && unlimited) continue;
--- a/anvilcroft/target_pool.cc
+++ b/anvilcroft/target_pool.cc
@@ -110,10 +110,14 @@
   return found == this->targets.end() ? nullptr : &found->second;
 }
 
-std::vector<const PoolTarget*> TargetPool::AcceptingTargets(const std::string& service) const {
+std::vector<const PoolTarget*> TargetPool::AcceptingTargets(const std::string& service,
+                                                            TimePoint now) const {
   std::vector<const PoolTarget*> list;
   for (const auto& [id, target] : this->targets) {
-    if (target.entry.service == service && !target.entry.draining) list.push_back(&target);
+    const bool removed = target.removal_at && *target.removal_at <= now;
+    if (target.entry.service == service && !target.entry.draining && !removed) {
+      list.push_back(&target);
+    }
   }
   return list;
 }
--- a/anvilcroft/target_pool.h
+++ b/anvilcroft/target_pool.h
@@ -74,8 +74,9 @@
   // Returns null if `id` is not in the pool.
   const PoolTarget* Find(const std::string& id) const;
 
-  // The targets of `service` that accept new requests, that is, are not draining.
-  std::vector<const PoolTarget*> AcceptingTargets(const std::string& service) const;
+  // The targets of `service` that accept new requests at `now`: they are not draining, and the
+  // grace period of none has ended.
+  std::vector<const PoolTarget*> AcceptingTargets(const std::string& service, TimePoint now) const;
 
   const std::map<std::string, PoolTarget>& All() const { return this->targets; }
 
--- a/testing/platform_front_test.cc
+++ b/testing/platform_front_test.cc
@@ -401,6 +401,28 @@
   });
 }
 
+// Guards against requests to a target that has left, because a single call to the store had failed
+// some time before its entry was removed.
+TEST_CASE("a target whose entry is removed is not used two seconds later", "[platform]") {
+  PlatformFixture fixture;
+  FrontInstance& instance = fixture.AddInstance("one");
+  fixture.Run([&](Task& task) {
+    fixture.AwaitReady(task, instance);
+    fixture.store.Server().SetFaults(*fakes::ChangeFaults({}, {{"mode", "down"}}));
+    SleepUntil(task, SteadyNow() + milliseconds(150));
+    fixture.store.Server().SetFaults(*fakes::ChangeFaults({}, {{"mode", "up"}}));
+    SleepUntil(task, SteadyNow() + milliseconds(1300));
+    fixture.store.Remove("servers", "i-app");
+    const TimePoint removed = SteadyNow();
+    SleepUntil(task, removed + milliseconds(1950));
+    fixture.app.started.clear();
+    while (SteadyNow() < removed + milliseconds(3000)) {
+      fixture.Send(task, instance.FrontAddress(), "POST", "/lookup/7", "late", "", "200");
+    }
+    CHECK(fixture.app.started.empty());
+  });
+}
+
 // Guards against an item that is not placed any more, or is given up, because several engines have
 // crashed while they ran it.
 TEST_CASE("an item under which many engines crashed is still run to its end", "[platform]") {
--- a/testing/target_choice_test.cc
+++ b/testing/target_choice_test.cc
@@ -55,11 +55,11 @@
   pool.OnLoadReport("c", LoadReport{4, 6, 4, 1}, kStart);
   ChoiceContext context;
   context.zone = "z";
-  CHECK(ChooseTarget(pool.AcceptingTargets("app"), context, kStart)->entry.id == "d");
+  CHECK(ChooseTarget(pool.AcceptingTargets("app", kStart), context, kStart)->entry.id == "d");
   context.excluded = {"d"};
-  CHECK(ChooseTarget(pool.AcceptingTargets("app"), context, kStart) != nullptr);
+  CHECK(ChooseTarget(pool.AcceptingTargets("app", kStart), context, kStart) != nullptr);
   context.excluded = {"a", "b", "c", "d"};
-  CHECK(ChooseTarget(pool.AcceptingTargets("app"), context, kStart) == nullptr);
+  CHECK(ChooseTarget(pool.AcceptingTargets("app", kStart), context, kStart) == nullptr);
   // Recorded failures and load reports lose their weight: a minute later all are nearly equal.
   const TimePoint later = kStart + seconds(60);
   context.excluded.clear();
@@ -75,9 +75,9 @@
   pool.Apply(AppTarget("near", "z"), kStart);
   ChoiceContext context;
   context.zone = "z";
-  CHECK(ChooseTarget(pool.AcceptingTargets("app"), context, kStart)->entry.id == "near");
+  CHECK(ChooseTarget(pool.AcceptingTargets("app", kStart), context, kStart)->entry.id == "near");
   for (int i = 0; i < 6; ++i) pool.OnRequestStarted("near");
-  CHECK(ChooseTarget(pool.AcceptingTargets("app"), context, kStart)->entry.id == "far");
+  CHECK(ChooseTarget(pool.AcceptingTargets("app", kStart), context, kStart)->entry.id == "far");
 }
 
 TEST_CASE("targets leave at once, or after the grace of an outage", "[target_pool]") {
@@ -89,13 +89,15 @@
   pool.Replace({}, kStart, seconds(2));
   pool.Expire(kStart + milliseconds(1900));
   CHECK(pool.Find("b") != nullptr);
+  CHECK(pool.AcceptingTargets("app", kStart + milliseconds(1900)).size() == 1);
+  CHECK(pool.AcceptingTargets("app", kStart + milliseconds(2000)).empty());
   pool.Apply(AppTarget("b", "z"), kStart + milliseconds(1950));
   pool.Expire(kStart + seconds(3));
   CHECK(pool.Find("b") != nullptr);
   TargetEntry draining = AppTarget("b", "z");
   draining.draining = true;
   pool.Apply(draining, kStart + seconds(4));
-  CHECK(pool.AcceptingTargets("app").empty());
+  CHECK(pool.AcceptingTargets("app", kStart).empty());
 }
 
 TEST_CASE("a restarted target has no history", "[target_pool]") {
