Let callers that name no attempt take up streams while one version serves

Before a default was known, every version counted as another one, which kept this and the case of an unreachable store from ever applying; mended.

--- a/anvilcroft/stream_origins.cc
+++ b/anvilcroft/stream_origins.cc
@@ -92,7 +92,8 @@
       }
       ServiceVersions& versions = this->services[service];
       for (const auto& [software, count] : targets) {
-        const bool is_default = versions.known && versions.known->software == software;
+        if (!versions.known) break;
+        const bool is_default = versions.known->software == software;
         (is_default ? versions.default_seen_at : versions.other_seen_at) = now;
       }
       const Duration absent = now - std::max(versions.default_seen_at, this->started_at);
@@ -124,11 +125,10 @@
                                                     stream_time, this->store.StoreTime(BootNow()));
 }
 
-bool StreamOrigins::OnlyDefaultServed(const std::string& service, TimePoint now) const {
+bool StreamOrigins::OtherSeenLately(const std::string& service, TimePoint now) const {
   const auto found = this->services.find(service);
-  if (found == this->services.end() || !found->second.known) return false;
-  return now - this->store.LastAnswer() < kMaxListAge &&
-         now - std::max(found->second.other_seen_at, this->started_at) > kMaxStreamTime;
+  return found != this->services.end() && found->second.other_seen_at != TimePoint() &&
+         now - found->second.other_seen_at <= kMaxStreamTime;
 }
 
 std::shared_ptr<OriginWrite> StreamOrigins::StartRecord(const std::string& attempt,
@@ -232,11 +232,10 @@
 
 Result<StreamOrigin> StreamOrigins::Find(Task& task, const std::string& attempt,
                                          const std::string& service) {
-  const auto unknown = [] {
-    return Fail(ErrorCode::kStoreUnavailable, "it is not known which software began the stream");
-  };
+  const TimePoint now = SteadyNow();
   const auto found = this->services.find(service);
   const bool has_default = found != this->services.end() && found->second.known.has_value();
+  bool only_default = has_default && !this->OtherSeenLately(service, now);
   if (!attempt.empty()) {
     RowRange range;
     const RowId id = RowOf(attempt);
@@ -254,8 +253,13 @@
     if (read && has_default) {
       return StreamOrigin{service, this->services[service].known->software};
     }
+    // Another version may have served before this process started, or since the last answer.
+    only_default = only_default && now - this->started_at > kMaxStreamTime &&
+                   now - this->store.LastAnswer() < kMaxListAge;
+  }
+  if (!only_default) {
+    return Fail(ErrorCode::kStoreUnavailable, "it is not known which software began the stream");
   }
-  if (!has_default || !this->OnlyDefaultServed(service, SteadyNow())) return unknown();
   return StreamOrigin{service, this->services[service].known->software};
 }
 
--- a/anvilcroft/stream_origins.h
+++ b/anvilcroft/stream_origins.h
@@ -85,8 +85,9 @@
   // Blocks the task until the record is durable or has failed.
   OriginWrite::State Confirm(Task& task, OriginWrite& write);
 
-  // Finds the origin of the stream whose first event `attempt` brought, on a route to `service`.
-  // Fails with kStoreUnavailable if it can't be known at present, with ran = no.
+  // Finds the origin of the stream whose first event `attempt` brought, on a route to `service`. An
+  // empty `attempt`, which the caller has not named, stands for the default version as long as no
+  // other one serves. Fails with kStoreUnavailable if it can't be known at present, with ran = no.
   Result<StreamOrigin> Find(Task& task, const std::string& attempt, const std::string& service);
 
  private:
@@ -96,8 +97,8 @@
   // Watches which versions serve, and writes the defaults of services with resumable streams.
   void WatchVersions(Task& task);
   void WriteDefault(Task& task, const std::string& service, const std::string& software);
-  // Whether no other version than the default has served lately, as far as a current list shows.
-  bool OnlyDefaultServed(const std::string& service, TimePoint now) const;
+  // Whether this instance has seen another version than the default within kMaxStreamTime.
+  bool OtherSeenLately(const std::string& service, TimePoint now) const;
 
   // Writes the queued records of one partition until there are none.
   void Flush(Task& task, const std::string& partition);
--- a/testing/software_version_test.cc
+++ b/testing/software_version_test.cc
@@ -42,6 +42,7 @@
 // A stream as its caller sees it, over several attempts.
 struct CallerStream {
   std::string name;
+  bool names_attempt = true;  // whether the caller names the attempt that began the stream
   int attempts = 0;
   int status = 0;             // of the last attempt; 0: no response
   std::string first_attempt;  // the one that brought the first event
@@ -58,8 +59,8 @@
   HttpHeaders headers =
       HttpHeaders({{"Host", "h.example"}, {"X-Attempt-Id", attempt}, {"X-Deadline-Ms", "20000"}});
   if (stream.last_event > 0) {
-    headers = headers.With("Last-Event-Id", std::to_string(stream.last_event))
-                  .With("Resumes", stream.first_attempt);
+    headers = headers.With("Last-Event-Id", std::to_string(stream.last_event));
+    if (stream.names_attempt) headers = headers.With("Resumes", stream.first_attempt);
   }
   stream.status = 0;
   const auto opened = http.OpenStream(task, *ParseEndpoint(address),
@@ -192,6 +193,34 @@
   });
 }
 
+// Guards against a caller that does not name the attempt which began its stream and is refused
+// while one version serves, or goes on at either version while two do.
+TEST_CASE("a stream is taken up without its first attempt while one version serves", "[software]") {
+  MixedFixture fixture;
+  for (const char* id : {"i-b1", "i-b2"}) fixture.store.Remove("servers", id);
+  FrontInstance& one = fixture.AddInstance("one");
+  FrontInstance& two = fixture.AddInstance("two");
+  fixture.Run([&](Task& task) {
+    fixture.AwaitReady(task, one);
+    fixture.AwaitReady(task, two);
+    SleepUntil(task, SteadyNow() + seconds(1));  // the default version is written
+    const auto take_up = [&] {
+      auto streams = BeginStreams(task, fixture.runtime, fixture.http, fixture.Addresses(), 8, 2);
+      for (CallerStream& stream : streams) stream.names_attempt = false;
+      TakeUpStreams(task, fixture.runtime, fixture.http, fixture.Addresses(), streams);
+      CHECK(CountJoined(streams) == 0);
+      return CountComplete(streams);
+    };
+    CHECK(take_up() == 8);
+    for (std::size_t i = 2; i < 4; ++i) {
+      fixture.store.Put("servers", fixture.engines[i]->Id(),
+                        fixture.engines[i]->RegistrationEntry("model", "a"));
+    }
+    SleepUntil(task, SteadyNow() + seconds(1));
+    CHECK(take_up() == 0);
+  });
+}
+
 // Guards against items whose text is continued by another software version after a broken run.
 TEST_CASE("the text of an item comes from one software version", "[software]") {
   MixedFixture fixture;
