--- a/anvilcroft/live_streamer.cc
+++ b/anvilcroft/live_streamer.cc
@@ -14,11 +14,6 @@
 // seconds.
 constexpr Duration kUnknownOriginRetryAfter = milliseconds(500);
 
-// Longest time without an event for which a stream waits for a permit. Callers give up a silent
-// stream after two seconds or later.
-constexpr Duration kMaxPermitHold = milliseconds(1500);
-constexpr Duration kMinPermitPause = milliseconds(20);
-
 TargetOutcome ToTargetOutcome(const platform::StreamOutcome& outcome) {
   switch (outcome.kind) {
     case Kind::kComplete:
@@ -149,11 +144,9 @@
     if (std::exchange(progress.response_started, true)) return {};
     return reply.BeginStream(task, 200, headers);
   };
-  TimePoint hold_until = SteadyNow() + kMaxPermitHold;
   TargetEntry entry;
   hooks.on_event = [&](const platform::StreamEvent& event) {
     if (!progress.origin) progress.origin = StreamOrigin{entry.service, entry.software};
-    hold_until = SteadyNow() + kMaxPermitHold;
     return reply.Write(task, event.bytes);
   };
   while (true) {
@@ -178,15 +171,7 @@
                            (!progress.may_have_run || route.resumable);
     if (!may_start) break;
     const RouteChoice choice = this->ChooseTarget(route, progress, now);
-    if (choice.target == nullptr) {
-      // A caller that is told "unknown" asks again at once, so a stream that may run again waits.
-      const auto next = this->chooser.NextPermit(progress.denied, now);
-      if (!next || !progress.may_have_run || now + *next >= hold_until) break;
-      SleepUntil(task, now + std::max<Duration>(*next, kMinPermitPause));
-      progress.denied.clear();
-      progress.tried = {progress.last_target};
-      continue;
-    }
+    if (choice.target == nullptr) break;
     entry = choice.target->entry;
     progress.tried.insert(entry.id);
     const Duration max_permit_wait =
