Use limited targets when nobody keeps their permits

It now grants its own requests its part of a quarter of the limit; keeper, standby and all instances that are alone stay below one and a half times the limit together.

--- a/anvilcroft/permit_schedule.cc
+++ b/anvilcroft/permit_schedule.cc
@@ -6,10 +6,34 @@
 #include "anvilcroft/hash.h"
 
 namespace anvilcroft {
+namespace {
+
+// Shares of a limit that the standby grants, and that all instances that are alone grant together.
+constexpr double kStandbyShare = 0.25;
+constexpr double kAloneShare = 0.25;
+// Least permits in a second of the keeper and the standby, and of an instance that is alone.
+constexpr double kMinRate = 0.2;
+constexpr double kMinAloneRate = 0.05;
+
+}  // namespace
+
+double PermitRate(double per_second, PermitRole role, std::size_t instances) {
+  switch (role) {
+    case PermitRole::kKeeper:
+      break;
+    case PermitRole::kStandby:
+      return std::max(per_second * kStandbyShare, kMinRate);
+    case PermitRole::kAlone:
+      return std::max(
+          per_second * kAloneShare / static_cast<double>(std::max<std::size_t>(1, instances)),
+          kMinAloneRate);
+  }
+  return std::max(per_second, kMinRate);
+}
 
 Duration PermitSchedule::IntervalOf(double per_second) {
   return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(1 / std::max(per_second, kMinPerSecond)));
+      std::chrono::duration<double>(1 / std::max(per_second, kMinAloneRate)));
 }
 
 PermitSchedule::PermitSchedule(double per_second, TimePoint now)
--- a/anvilcroft/permit_schedule.h
+++ b/anvilcroft/permit_schedule.h
@@ -36,14 +36,12 @@
 
 class PermitSchedule {
  public:
-  // Lower limits count as this one, because only a request shows that a limit has ended.
-  static constexpr double kMinPerSecond = 0.2;
   // Permits that were not requested are kept for this long, so that a target may get the requests
   // of a whole second at once, as when a training step starts.
   static constexpr Duration kMaxCredit = milliseconds(1000);
 
-  // `per_second`: requests that the target takes in a second. The first permit is for one interval
-  // after `now`, because a former keeper may have granted one just before.
+  // `per_second`: permits in a second, more than 0. The first one is for one interval after `now`,
+  // because a former keeper may have granted one just before.
   PermitSchedule(double per_second, TimePoint now);
 
   // Time between permits at a rate.
@@ -67,9 +65,18 @@
 std::vector<std::string> PermitKeepers(const std::vector<FrontRecord>& fronts,
                                        const std::string& target);
 
-// The share of a limit that the standby grants. Some instances may reach the keeper while others
-// ask the standby, and both together must stay well below one and a half times the limit.
-constexpr double kStandbyShare = 0.25;
+// As what an instance grants permits.
+enum class PermitRole {
+  kKeeper,
+  kStandby,
+  kAlone,  // to its own requests, because neither the keeper nor the standby answers
+};
+
+// Permits in a second that an instance grants in `role` for a target with a limit of `per_second`,
+// if there are `instances`. Some instances may reach the keeper while others ask the standby and
+// others reach neither, and all together must not exceed one and a half times the limit. The result
+// is never zero, because only a request shows that a limit has ended.
+double PermitRate(double per_second, PermitRole role, std::size_t instances);
 
 }  // namespace anvilcroft
 
--- a/anvilcroft/request_limiter.cc
+++ b/anvilcroft/request_limiter.cc
@@ -17,8 +17,6 @@
 constexpr Duration kCleanInterval = seconds(5);
 // Smaller changes of a limit are not written to the store. Keepers learn them from the requests.
 constexpr double kMinWrittenChange = 0.1;
-// Time after which a request without an answer from the keeper and the standby may try again.
-constexpr Duration kUnreachablePause = milliseconds(200);
 
 std::string Describe(const std::optional<double>& per_second) {
   return per_second ? std::to_string(*per_second) : "none";
@@ -59,22 +57,20 @@
   if (const auto known_wait = this->NextPermit(target, SteadyNow())) {
     const bool order = purpose == CallPurpose::kOrder || purpose == CallPurpose::kReport;
     max_wait = std::min(max_wait, order ? kMaxOrderWait : kMaxWait);
-    std::optional<PermitAnswer> answer;
+    PermitAnswer outcome;
     if (*known_wait > max_wait) {
-      answer = PermitAnswer{false, *known_wait};
+      outcome = PermitAnswer{false, *known_wait};
     } else {
       PermitRequest request = this->DescribeLimit(target.id, SteadyNow());
       request.max_wait = max_wait;
-      answer = this->Ask(task, std::move(request));
+      outcome = this->Ask(task, std::move(request));
     }
     this->metrics.Increment("anvilcroft_request_permits_total",
                             {{"purpose", CallPurposeName(purpose)},
-                             {"outcome", !answer           ? "unanswered"
-                                         : answer->granted ? "granted"
-                                                           : "denied"}});
-    const PermitAnswer outcome = answer.value_or(PermitAnswer{false, kUnreachablePause});
+                             {"outcome", outcome.granted ? "granted" : "denied"}});
     if (!outcome.granted) {
-      this->next_permits[target.id] = SteadyNow() + outcome.wait;
+      // A later permit may come sooner from the keeper once it answers again.
+      this->next_permits[target.id] = SteadyNow() + std::min(outcome.wait, kUnansweredPause);
       return Fail(ErrorCode::kOverloaded, "the target takes no more requests at present",
                   kErrorPart);
     }
@@ -154,17 +150,18 @@
               "instance");
   this->WriteRow(request->target);
   if (!request->wanted) return PermitAnswer{true, Duration::zero()};
-  return this->Grant(request->target, request->standby, request->max_wait, now);
+  return this->Grant(request->target, request->standby ? PermitRole::kStandby : PermitRole::kKeeper,
+                     request->max_wait, now);
 }
 
-PermitAnswer RequestLimiter::Grant(const std::string& target, bool standby, Duration max_wait,
+PermitAnswer RequestLimiter::Grant(const std::string& target, PermitRole role, Duration max_wait,
                                    TimePoint now) {
   const LimitStatement* statement = this->limits.Find(target);
   // The target has told this instance that its limit has ended.
   if (statement == nullptr || !statement->per_second) return {true, Duration::zero()};
-  const double rate = *statement->per_second * (standby ? kStandbyShare : 1);
+  const double rate = PermitRate(*statement->per_second, role, this->directory.LiveFronts().size());
   const auto [found, added] = this->schedules.try_emplace(
-      {target, standby}, Schedule{statement->started_at, PermitSchedule(rate, now)});
+      {target, role}, Schedule{statement->started_at, PermitSchedule(rate, now)});
   if (!added && found->second.started_at != statement->started_at) {
     found->second = Schedule{statement->started_at, PermitSchedule(rate, now)};
   }
@@ -195,24 +192,28 @@
   return found->second;
 }
 
-std::optional<PermitAnswer> RequestLimiter::Ask(Task& task, PermitRequest request) {
+PermitAnswer RequestLimiter::Ask(Task& task, PermitRequest request) {
   const std::vector<std::string> order = this->KeepersOf(request.target);
   for (std::size_t i = 0; i < order.size(); ++i) {
     request.standby = i > 0;
     if (order[i] == this->self) {
       this->WriteRow(request.target);
       if (!request.wanted) return PermitAnswer{true, Duration::zero()};
-      return this->Grant(request.target, request.standby, request.max_wait, SteadyNow());
+      return this->Grant(request.target,
+                         request.standby ? PermitRole::kStandby : PermitRole::kKeeper,
+                         request.max_wait, SteadyNow());
     }
     if (SteadyNow() < this->unanswered_until[order[i]]) continue;
-    if (const auto answer = this->AskPeer(task, order[i], request)) return answer;
+    if (const auto answer = this->AskPeer(task, order[i], request)) return *answer;
     this->unanswered_until[order[i]] = SteadyNow() + kUnansweredPause;
     LogInfo(kPart, "an instance that keeps the permits of a target did not answer",
             {{"target", request.target},
              {"instance", order[i]},
              {"standby", request.standby ? "true" : "false"}});
   }
-  return std::nullopt;
+  if (!request.wanted) return PermitAnswer{true, Duration::zero()};
+  this->metrics.Increment("anvilcroft_request_permits_alone_total", {});
+  return this->Grant(request.target, PermitRole::kAlone, request.max_wait, SteadyNow());
 }
 
 std::optional<PermitAnswer> RequestLimiter::AskPeer(Task& task, const std::string& instance,
--- a/anvilcroft/request_limiter.h
+++ b/anvilcroft/request_limiter.h
@@ -10,9 +10,9 @@
 //
 // One live instance, the keeper of the target (permit_schedule.h), grants the permits of all
 // instances. Without an answer from it, an instance asks the standby; without an answer from that
-// one either, nothing is sent. The keeper writes the limit to the metadata store, where all
-// instances see it, including those that start later. Requests to a target without a limit need no
-// call.
+// one either, it grants its own requests a small share of the limit. The keeper writes the limit to
+// the metadata store, where all instances see it, including those that start later. Requests to a
+// target without a limit need no call.
 
 #include <functional>
 #include <map>
@@ -82,11 +82,11 @@
   // Applies a statement about a target and returns whether its limit has changed. `source` is
   // logged.
   bool Apply(const std::string& target, const LimitStatement& statement, const char* source);
-  // The answer of this instance as the keeper or the standby of a target.
-  PermitAnswer Grant(const std::string& target, bool standby, Duration max_wait, TimePoint now);
-  // Sends `request` to the instances that keep the permits of its target, one after the other.
-  // nullopt: none has answered.
-  std::optional<PermitAnswer> Ask(Task& task, PermitRequest request);
+  // The answer of this instance in `role`.
+  PermitAnswer Grant(const std::string& target, PermitRole role, Duration max_wait, TimePoint now);
+  // Sends `request` to the instances that keep the permits of its target, one after the other. If
+  // none answers, the answer is that of this instance alone.
+  PermitAnswer Ask(Task& task, PermitRequest request);
   std::optional<PermitAnswer> AskPeer(Task& task, const std::string& instance,
                                       const PermitRequest& request);
   PermitRequest DescribeLimit(const std::string& target, TimePoint now) const;
@@ -111,12 +111,12 @@
   HttpClient http;
   RequestLimits limits;
   std::map<std::string, CallCounts> calls;  // by target
-  // Schedules of the targets of which this instance is the keeper or the standby.
+  // Schedules of the targets for which this instance has granted permits, by role.
   struct Schedule {
     WallMillis started_at = 0;  // start of the target
     PermitSchedule permits;
   };
-  std::map<std::pair<std::string, bool>, Schedule> schedules;
+  std::map<std::pair<std::string, PermitRole>, Schedule> schedules;
   std::map<std::string, std::vector<std::string>> keepers;  // by target
   int64_t keepers_version = -1;                             // of the live instances
   std::map<std::string, TimePoint> unanswered_until;        // by instance
