Log which request a target had when its process ended

A lost connection was told neither by a line nor by a metric, so a request that crashes its targets could not be told from targets that crash for another reason or from connections that are only reset. After a lost connection the instance now asks the target's host for a new one; if it is refused, the process has ended. The line names a fingerprint of path, caller and body, which is the same for all attempts of a request. No request is handled differently.

--- a/anvilcroft/crash_guard.cc
+++ b/anvilcroft/crash_guard.cc
@@ -9,9 +9,7 @@
 
 std::string CrashGuard::Fingerprint(const std::string& service, const std::string& operation,
                                     const std::string& body) {
-  // The lengths distinguish ("a", "bc") from ("ab", "c").
-  return HexDigest(std::to_string(service.size()) + ":" + service +
-                   std::to_string(operation.size()) + ":" + operation + body);
+  return HexDigestOf({service, operation, body});
 }
 
 Result<void> CrashGuard::Check(const std::string& fingerprint, TimePoint now) {
--- a/anvilcroft/front_instance.cc
+++ b/anvilcroft/front_instance.cc
@@ -6,6 +6,7 @@
 
 #include "anvilcroft/batch_owner.h"
 #include "anvilcroft/batch_service.h"
+#include "anvilcroft/crash_limiter.h"
 #include "anvilcroft/exit_code.h"
 #include "anvilcroft/front_directory.h"
 #include "anvilcroft/hash.h"
@@ -90,14 +91,15 @@
                     .SetPool(this->pool)
                     .SetSelf(settings.InstanceId())
                     .Build()),
+        crashes(this->metrics),
         origins(this->runtime, this->store, this->directory, this->pool,
                 [this] { return this->view.Routes(); }),
         forwarder(
-            this->runtime, this->engines, *this->limiter, this->pool,
+            this->runtime, this->engines, *this->limiter, this->crashes, this->pool,
             [this] { return this->view.Routes(); }, settings.Zone(),
             StableHash(settings.InstanceId())),
         streamer(
-            this->engines, *this->limiter, this->origins, this->pool,
+            this->engines, *this->limiter, this->crashes, this->origins, this->pool,
             [this] { return this->view.Routes(); }, settings.Zone(),
             StableHash(settings.InstanceId()) + 1),
         batch_store(this->store),
@@ -423,6 +425,7 @@
   PlatformView view;
   FrontDirectory directory;
   std::unique_ptr<RequestLimiter> limiter;
+  CrashLimiter crashes;
   StreamOrigins origins;
   LiveForwarder forwarder;
   LiveStreamer streamer;
--- a/anvilcroft/hash.cc
+++ b/anvilcroft/hash.cc
@@ -56,4 +56,14 @@
   return text;
 }
 
+std::string HexDigestOf(std::initializer_list<std::string_view> parts) {
+  std::string bytes;
+  for (const std::string_view& part : parts) {
+    // The last part ends with the bytes.
+    if (&part != parts.end() - 1) bytes += std::to_string(part.size()) + ":";
+    bytes += part;
+  }
+  return HexDigest(bytes);
+}
+
 }  // namespace anvilcroft
--- a/anvilcroft/hash.h
+++ b/anvilcroft/hash.h
@@ -5,6 +5,7 @@
 // differ between builds.
 
 #include <cstdint>
+#include <initializer_list>
 #include <string>
 #include <string_view>
 
@@ -20,6 +21,9 @@
 // First 128 bits of the SHA-256 of `bytes`, as 32 hexadecimal digits.
 std::string HexDigest(std::string_view bytes);
 
+// The digest of `parts`, whose lengths are taken into account: ("a", "bc") differs from ("ab", "c").
+std::string HexDigestOf(std::initializer_list<std::string_view> parts);
+
 }  // namespace anvilcroft
 
 #endif  // ANVILCROFT_HASH_H_
--- a/anvilcroft/live_forwarder.cc
+++ b/anvilcroft/live_forwarder.cc
@@ -29,7 +29,11 @@
     Result<platform::ForwardReply> result = Fail(ErrorCode::kInternal, "the attempt has not ended");
   };
 
+  AttemptGroup(CrashLimiter& limiter, const LiveRequest& request)
+      : request(request), crashes(limiter, this->request) {}
+
   LiveRequest request;
+  RequestCrashes crashes;
   std::string service;
   std::vector<Attempt> attempts;
   std::set<std::string> tried;  // ids of targets
@@ -42,11 +46,12 @@
 };
 
 LiveForwarder::LiveForwarder(Runtime& runtime, platform::EngineClient& engines,
-                             RequestLimiter& limiter, TargetPool& pool, Routes routes,
-                             std::string zone, uint64_t seed)
+                             RequestLimiter& limiter, CrashLimiter& crashes, TargetPool& pool,
+                             Routes routes, std::string zone, uint64_t seed)
     : runtime(runtime),
       engines(engines),
       limiter(limiter),
+      crashes(crashes),
       pool(pool),
       routes(std::move(routes)),
       chooser(
@@ -117,13 +122,16 @@
     }
     if (result && result->load) this->pool.OnLoadReport(entry.id, *result->load, ended);
     this->pool.OnRequestFinished(entry.id, outcome, ended - started, ended);
+    if (!result && outcome == TargetOutcome::kFailed &&
+        result.error().code == ErrorCode::kConnectionLost) {
+      group->crashes.OnConnectionLost(task, entry);
+    }
     end(std::move(result));
   });
 }
 
 LiveOutcome LiveForwarder::Serve(Task& task, const LiveRequest& request) {
-  auto group = std::make_shared<AttemptGroup>();
-  group->request = request;
+  auto group = std::make_shared<AttemptGroup>(this->crashes, request);
   this->hedges.OnRequest();
   std::shared_ptr<void> disconnect_hook;
   if (request.caller_disconnected) {
--- a/anvilcroft/live_forwarder.h
+++ b/anvilcroft/live_forwarder.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <string>
 
+#include "anvilcroft/crash_limiter.h"
 #include "anvilcroft/latency_window.h"
 #include "anvilcroft/live_request.h"
 #include "anvilcroft/request_limiter.h"
@@ -35,7 +36,8 @@
   static constexpr double kHedgeBurst = 10;
 
   LiveForwarder(Runtime& runtime, platform::EngineClient& engines, RequestLimiter& limiter,
-                TargetPool& pool, Routes routes, std::string zone, uint64_t seed);
+                CrashLimiter& crashes, TargetPool& pool, Routes routes, std::string zone,
+                uint64_t seed);
 
   // Blocks the task until `request` has an outcome.
   LiveOutcome Serve(Task& task, const LiveRequest& request);
@@ -51,6 +53,7 @@
   Runtime& runtime;
   platform::EngineClient& engines;
   RequestLimiter& limiter;
+  CrashLimiter& crashes;
   TargetPool& pool;
   Routes routes;
   RouteChooser chooser;
--- a/anvilcroft/live_request.h
+++ b/anvilcroft/live_request.h
@@ -36,6 +36,11 @@
   // Whether a request with this id has been sent before. A connection that carried it may still
   // deliver a second copy of the earlier response, so attempts use new connections.
   bool sent_before = false;
+  // Identifies the customer; empty if the caller has not told.
+  std::string caller;
+  // Whether the request is refused once targets have crashed under it (crash_limiter.h). False for
+  // calls on behalf of batch items, which are owed in any case.
+  bool crash_limited = false;
   // Streams: number of the last event that the caller has received; 0: start from the beginning.
   int64_t resume_after = 0;
   // Streams: id of the attempt that brought the caller its first event, if it has received any.
--- a/anvilcroft/live_streamer.cc
+++ b/anvilcroft/live_streamer.cc
@@ -121,6 +121,7 @@
 LiveOutcome LiveStreamer::Serve(Task& task, const LiveRequest& request, HttpReply& reply) {
   LiveOutcome result;
   Progress progress(request);
+  RequestCrashes crashes(this->crashes, request);
   std::optional<platform::ForwardReply> failure;
   const auto finish = [&](LiveOutcome::Kind kind, std::string reason) {
     result.kind = progress.response_started && kind != LiveOutcome::Kind::kStreamed
@@ -231,6 +232,7 @@
       case Kind::kBroken:
         ++progress.runs;
         progress.may_have_run = true;
+        if (outcome.connection_lost) crashes.OnConnectionLost(task, entry);
         break;
     }
     result.reason = outcome.reason;
--- a/anvilcroft/live_streamer.h
+++ b/anvilcroft/live_streamer.h
@@ -15,6 +15,7 @@
 #include <memory>
 #include <string>
 
+#include "anvilcroft/crash_limiter.h"
 #include "anvilcroft/http_server.h"
 #include "anvilcroft/live_request.h"
 #include "anvilcroft/request_limiter.h"
@@ -34,10 +35,12 @@
   static constexpr Duration kMinIdleTimeout = milliseconds(1000);
   static constexpr int kIdleTimeoutFactor = 2;
 
-  LiveStreamer(platform::EngineClient& engines, RequestLimiter& limiter, StreamOrigins& origins,
-               TargetPool& pool, Routes routes, std::string zone, uint64_t seed)
+  LiveStreamer(platform::EngineClient& engines, RequestLimiter& limiter, CrashLimiter& crashes,
+               StreamOrigins& origins, TargetPool& pool, Routes routes, std::string zone,
+               uint64_t seed)
       : engines(engines),
         limiter(limiter),
+        crashes(crashes),
         origins(origins),
         pool(pool),
         routes(std::move(routes)),
@@ -67,6 +70,7 @@
 
   platform::EngineClient& engines;
   RequestLimiter& limiter;
+  CrashLimiter& crashes;
   StreamOrigins& origins;
   TargetPool& pool;
   Routes routes;
