--- a/fakes/platform_engine.cc
+++ b/fakes/platform_engine.cc
@@ -53,6 +53,17 @@
   this->highest_fence = 0;
 }
 
+void PlatformEngine::Crash() {
+  this->crashes.push_back(SteadyNow());
+  this->server.Crash();
+  this->server.Loop().Spawn([this](Task& task) {
+    SleepUntil(task, SteadyNow() + this->restart_time);
+    this->Restart(this->software);
+    this->server.Reopen();
+    if (this->on_restart) this->on_restart();
+  });
+}
+
 std::vector<std::string> PlatformEngine::Events(const std::string& item, int count,
                                                 const std::string& software) {
   const std::string suffix = software == kSoftware ? "" : "@" + software;
@@ -104,10 +115,19 @@
     this->Answer(task, answer, reply);
     return;
   }
+  if (this->crashing_bodies.count(request.Body()) != 0) {
+    this->started.push_back(attempt);
+    this->Crash();
+    reply.Abort();
+    return;
+  }
   if (!this->model.empty()) return this->Generate(task, request, reply);
   this->started.push_back(attempt);
   const auto caller_disconnected = reply.CallerDisconnected();
-  if (!this->server.Delay(task, this->event_time)) return;
+  if (!this->server.Delay(task, this->event_time)) {
+    reply.Abort();
+    return;
+  }
   if (caller_disconnected->Cancelled()) ++this->cancelled[attempt];
   this->Answer(task,
                HttpResponse::Builder()
@@ -147,7 +167,10 @@
   int events_sent = 0;
   for (auto i = static_cast<std::size_t>(std::strtoul(after.c_str(), nullptr, 10));
        i < events.size(); ++i) {
-    if (!this->server.Delay(task, this->event_time)) return;
+    if (!this->server.Delay(task, this->event_time)) {
+      reply.Abort();
+      return;
+    }
     if (caller_disconnected->Cancelled()) {
       ++this->cancelled[item];
       return;
--- a/fakes/platform_engine.h
+++ b/fakes/platform_engine.h
@@ -5,6 +5,7 @@
 // streams, weight orders with fencing tokens, and status reports.
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -27,6 +28,9 @@
   // this one: aborts its runs and forgets its orders.
   void Restart(std::string software);
 
+  // Ends the process and starts it again after `restart_time`.
+  void Crash();
+
   const std::string& Id() const { return this->id; }
 
   // Returns the entry, as JSON text, with which the target registers at the platform.
@@ -51,6 +55,12 @@
   std::map<std::string, std::vector<int>> planned_statuses;
   // If set, all answers name this limit, in requests a second.
   std::optional<double> request_limit;
+  // A request with one of these bodies crashes the target as soon as it begins to run. The target is
+  // back after `restart_time`, as another start under another id.
+  std::set<std::string> crashing_bodies;
+  Duration restart_time = milliseconds(300);
+  std::vector<TimePoint> crashes;
+  std::function<void()> on_restart;  // the target listens again and may register; may be empty
   int events_per_item = 6;
   Duration event_time = milliseconds(5);
 
