Close the sockets of the parent in the processes that tests start

Instances that a test or the soak starts inherited the listening sockets and connections of its fakes. A fake that closed a connection left it open for the instance, and one that stopped to listen could not listen again ("Address already in use").

--- a/fakes/child_process.cc
+++ b/fakes/child_process.cc
@@ -33,6 +33,8 @@
   ::posix_spawn_file_actions_adddup2(&actions, pipe_ends[1], STDOUT_FILENO);
   ::posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log_file.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0644);
+  // A child that holds the sockets of this process would keep its closed connections open.
+  ::posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   pid_t pid = 0;
   const int spawn_error = ::posix_spawn(&pid, argv[0], &actions, nullptr, argv.data(), environ);
   ::posix_spawn_file_actions_destroy(&actions);
