--- a/soak/site.cc
+++ b/soak/site.cc
@@ -54,6 +54,10 @@
     list.push_back(std::make_unique<fakes::PlatformEngine>(this->runtime, id, model));
     const auto started = list.back()->Start();
     if (!started) return tl::unexpected<Error>(started.error());
+    if (!this->options.link_targets) {
+      this->SpawnRegistration(*list.back(), service, *started);
+      return {};
+    }
     auto link = fakes::FakeLink::Builder(this->runtime).SetTarget(*ParseEndpoint(*started)).Build();
     const auto link_address = link->Start();
     if (!link_address) return tl::unexpected<Error>(link_address.error());
--- a/soak/site.h
+++ b/soak/site.h
@@ -22,6 +22,7 @@
   int instances = 4;
   int engines = 3;
   int apps = 2;
+  bool link_targets = true;  // false: instances connect to the targets themselves
 };
 
 // An instance: its process, which may be down, and the state that outlives a restart.
@@ -59,7 +60,7 @@
   std::vector<SoakInstance>& Instances() { return this->instances; }
   std::vector<std::unique_ptr<fakes::PlatformEngine>>& Engines() { return this->engines; }
   std::vector<std::unique_ptr<fakes::PlatformEngine>>& Apps() { return this->apps; }
-  // One link for each target, which all instances share.
+  // One link for each target, which all instances share; none without link_targets.
   std::vector<std::unique_ptr<fakes::FakeLink>>& TargetLinks() { return this->target_links; }
   fakes::PlatformStore& Store() { return this->store; }
   int64_t ConfigurationVersion() const { return this->configuration_version; }
--- a/testing/platform_software_test.cc
+++ b/testing/platform_software_test.cc
@@ -1,16 +1,12 @@
 // Tests that the text of a stream or of an item comes from one version of the engines' software,
 // because the outputs of two versions do not fit together and engines do not check it.
 
-#include <unistd.h>
-
 #include <catch2/catch.hpp>
-#include <csignal>
-#include <filesystem>
 #include <set>
 
 #include "anvilcroft/sse_parser.h"
-#include "soak/site.h"
 #include "testing/platform_fixture.h"
+#include "testing/process_site.h"
 
 namespace anvilcroft {
 namespace {
@@ -22,6 +18,13 @@
 constexpr int kMaxJoined = 2;
 constexpr double kMinTakenUp = 0.5;
 
+soak::SiteOptions ProcessSiteOptions() {
+  soak::SiteOptions options;
+  options.instances = 3;
+  options.engines = 6;
+  return options;
+}
+
 // The software version of an event of PlatformEngine::Events().
 std::string SoftwareOf(const std::string& event) {
   const std::size_t at = event.find('@');
@@ -245,69 +248,10 @@
   });
 }
 
-// A site of real instance processes with engines of two software versions.
-class ProcessSite {
- public:
-  ProcessSite()
-      : folder(std::filesystem::temp_directory_path() / ("software-" + std::to_string(getpid()))),
-        site(this->runtime, Options(this->folder)),
-        http(this->runtime) {}
-  ~ProcessSite() {
-    this->runtime.EndTasks();
-    for (auto& instance : this->site.Instances()) instance.process.reset();
-    std::filesystem::remove_all(this->folder);
-  }
-
-  static soak::SiteOptions Options(const std::filesystem::path& folder) {
-    std::filesystem::create_directories(folder);
-    soak::SiteOptions options;
-    options.binary = ANVILCROFT_BINARY;
-    options.directory = folder.string();
-    options.instances = 3;
-    options.engines = 6;
-    return options;
-  }
-
-  std::vector<std::string> Addresses() {
-    std::vector<std::string> addresses;
-    for (const auto& instance : this->site.Instances()) addresses.push_back(instance.front);
-    return addresses;
-  }
-
-  // Waits until every instance serves requests.
-  void AwaitServing(Task& task) {
-    for (const std::string& address : this->Addresses()) {
-      REQUIRE(testing::WaitUntil(
-          task,
-          [&] {
-            const auto answer =
-                this->http.Call(task, *ParseEndpoint(address),
-                                fakes::CallerRequest("POST", "/lookup/1", "ready", "", "2000"),
-                                CallOptions(SteadyNow() + seconds(2)).WithFreshConnection());
-            return answer && answer->Status() == 200;
-          },
-          seconds(30)));
-    }
-  }
-
-  // Kills all instances at the same moment and starts them again.
-  void KillAllInstances(Task& task) {
-    for (auto& instance : this->site.Instances()) instance.process->Signal(SIGKILL);
-    SleepUntil(task, SteadyNow() + milliseconds(300));
-    for (auto& instance : this->site.Instances()) REQUIRE(this->site.StartProcess(instance));
-    this->AwaitServing(task);
-  }
-
-  std::filesystem::path folder;
-  Runtime runtime;
-  soak::Site site;
-  HttpClient http;
-};
-
 // Guards against streams whose software version nobody knows any more, because all instances were
 // killed between the break and the take-up.
 TEST_CASE("streams keep their software version when all instances are killed", "[software]") {
-  ProcessSite processes;
+  testing::ProcessSite processes(ProcessSiteOptions());
   testing::RunTask(processes.runtime, [&](Task& task) {
     REQUIRE(processes.site.Start());
     for (auto& engine : processes.site.Engines()) engine->event_time = milliseconds(25);
@@ -334,7 +278,7 @@
 // Guards against streams of a version that has left, which are taken up after all instances were
 // killed and go on at the new version as if it had begun them.
 TEST_CASE("streams of a software version that has left do not go on", "[software]") {
-  ProcessSite processes;
+  testing::ProcessSite processes(ProcessSiteOptions());
   testing::RunTask(processes.runtime, [&](Task& task) {
     REQUIRE(processes.site.Start());
     for (auto& engine : processes.site.Engines()) engine->event_time = milliseconds(25);
