Refuse requests that crash their targets, at all instances

Cause: serve kept no count of crashes. Every attempt of a caller, at every instance, ended as many targets as the route allows.

Evidence: 158 targets ended under one fingerprint in 8 s, two for each of 79 attempts.

Why this works: each crash is a row that all instances follow, so the count outlives attempts and instances. After three crashes a request is sent as one of two trials only, which a conditional write gives to one instance. A crash is the end of the process, told by a refused connection, so resets and partitions count nothing, and a request that completes is forgotten.

--- a/anvilcroft/front_instance.cc
+++ b/anvilcroft/front_instance.cc
@@ -91,7 +91,7 @@
                     .SetPool(this->pool)
                     .SetSelf(settings.InstanceId())
                     .Build()),
-        crashes(this->metrics),
+        crashes(this->runtime, this->store, this->directory, this->metrics),
         origins(this->runtime, this->store, this->directory, this->pool,
                 [this] { return this->view.Routes(); }),
         forwarder(
@@ -168,6 +168,7 @@
       return LeasePeers::HasEnded(task, this->directory.InternalAddress(holder));
     });
     this->limiter->Start();
+    this->crashes.Start();
     this->origins.Start();
     this->view.Start();
     this->directory.Start();
--- a/anvilcroft/hash.h
+++ b/anvilcroft/hash.h
@@ -21,7 +21,8 @@
 // First 128 bits of the SHA-256 of `bytes`, as 32 hexadecimal digits.
 std::string HexDigest(std::string_view bytes);
 
-// The digest of `parts`, whose lengths are taken into account: ("a", "bc") differs from ("ab", "c").
+// The digest of `parts`, whose lengths are taken into account: ("a", "bc") differs from ("ab",
+// "c").
 std::string HexDigestOf(std::initializer_list<std::string_view> parts);
 
 }  // namespace anvilcroft
--- a/anvilcroft/live_forwarder.cc
+++ b/anvilcroft/live_forwarder.cc
@@ -146,9 +146,11 @@
   LiveOutcome outcome;
   std::size_t index = 0;
   std::optional<platform::ForwardReply> failure;
-  TimePoint hedge_at = TimePoint::max();  // max: no second attempt is planned
+  TimePoint hedge_at = TimePoint::max();      // max: no second attempt is planned
+  std::optional<Duration> crash_retry_after;  // set if the request is refused for its crashes
   const auto finish = [&](LiveOutcome::Kind kind, std::string reason) {
     group->cancellation->Cancel();
+    if (kind == LiveOutcome::Kind::kNotRun) group->crashes.OnNotRun();
     outcome.kind = kind;
     outcome.reason = std::move(reason);
     outcome.attempts = static_cast<int>(group->attempts.size());
@@ -172,6 +174,7 @@
       const bool unsigned_success =
           attempt.result && attempt.result->status / 100 == 2 && attempt.result->signature.empty();
       if (attempt.result && attempt.result->status < 500 && !unsigned_success) {
+        if (!attempt.result->signature.empty()) group->crashes.OnCompleted();
         outcome.reply = std::move(*attempt.result);
         return finish(LiveOutcome::Kind::kAnswered, "");
       }
@@ -206,8 +209,16 @@
                            group->refusals < kMaxRefusals &&
                            (repeatable || (!group->may_have_run && group->active == 0));
     const bool hedge_due = group->active > 0 && now >= hedge_at;
-    if (may_start && (group->active == 0 || (hedge_due && this->hedges.TryConsume()))) {
+    if (may_start && (group->active == 0 ||
+                      (hedge_due && group->crashes.MayHedge() && this->hedges.TryConsume()))) {
       const bool hedge = group->active > 0;
+      if (!hedge) {
+        const CrashAdmission admission = group->crashes.Admit(task);
+        if (!admission.allowed) {
+          crash_retry_after = admission.retry_after;
+          break;
+        }
+      }
       const auto untried = [&group](const TargetEntry& target) {
         return group->tried.count(target.id) == 0;
       };
@@ -236,6 +247,10 @@
   if (group->may_have_run) {
     return finish(LiveOutcome::Kind::kUnknown, "no target returned a complete response");
   }
+  if (crash_retry_after) {
+    outcome.retry_after = crash_retry_after;
+    return finish(LiveOutcome::Kind::kNotRun, kCrashReason);
+  }
   outcome.retry_after = this->chooser.NextPermit(group->tried, SteadyNow());
   return finish(LiveOutcome::Kind::kNotRun, group->attempts.empty() ? "no target is available"
                                             : outcome.retry_after
--- a/anvilcroft/live_streamer.cc
+++ b/anvilcroft/live_streamer.cc
@@ -123,7 +123,9 @@
   Progress progress(request);
   RequestCrashes crashes(this->crashes, request);
   std::optional<platform::ForwardReply> failure;
+  std::optional<Duration> crash_retry_after;  // set if the request is refused for its crashes
   const auto finish = [&](LiveOutcome::Kind kind, std::string reason) {
+    if (kind == LiveOutcome::Kind::kNotRun) crashes.OnNotRun();
     result.kind = progress.response_started && kind != LiveOutcome::Kind::kStreamed
                       ? LiveOutcome::Kind::kInterrupted
                       : kind;
@@ -171,6 +173,12 @@
     const bool may_start = progress.runs < route.max_targets && progress.refusals < kMaxRefusals &&
                            (!progress.may_have_run || route.resumable);
     if (!may_start) break;
+    const CrashAdmission admission = crashes.Admit(task);
+    if (!admission.allowed) {
+      crash_retry_after = admission.retry_after;
+      result.reason = kCrashReason;
+      break;
+    }
     const RouteChoice choice = this->ChooseTarget(route, progress, now);
     if (choice.target == nullptr) break;
     entry = choice.target->entry;
@@ -200,6 +208,7 @@
     result.last_event = progress.position.last_event;
     switch (outcome.kind) {
       case Kind::kComplete:
+        crashes.OnCompleted();
         if (!reply.End(task)) return finish(LiveOutcome::Kind::kDisconnected, "the write failed");
         return finish(LiveOutcome::Kind::kStreamed, "");
       case Kind::kHookFailed:
@@ -244,6 +253,10 @@
     return finish(LiveOutcome::Kind::kAnswered, "the target returned a server error");
   }
   if (progress.may_have_run) return finish(LiveOutcome::Kind::kUnknown, result.reason);
+  if (crash_retry_after) {
+    result.retry_after = crash_retry_after;
+    return finish(LiveOutcome::Kind::kNotRun, kCrashReason);
+  }
   result.retry_after = this->chooser.NextPermit(progress.denied, SteadyNow());
   if (progress.origin && progress.tried.empty()) {
     result.retry_after = kUnknownOriginRetryAfter;
--- a/fakes/platform_engine.h
+++ b/fakes/platform_engine.h
@@ -55,8 +55,8 @@
   std::map<std::string, std::vector<int>> planned_statuses;
   // If set, all answers name this limit, in requests a second.
   std::optional<double> request_limit;
-  // A request with one of these bodies crashes the target as soon as it begins to run. The target is
-  // back after `restart_time`, as another start under another id.
+  // A request with one of these bodies crashes the target as soon as it begins to run. The target
+  // is back after `restart_time`, as another start under another id.
   std::set<std::string> crashing_bodies;
   Duration restart_time = milliseconds(300);
   std::vector<TimePoint> crashes;
--- a/testing/platform_crash_test.cc
+++ b/testing/platform_crash_test.cc
@@ -1,15 +1,11 @@
 // Tests that a request that crashes its targets reaches only a few of them, and that requests under
 // which targets crashed for other reasons are served.
 
-#include <unistd.h>
-
 #include <algorithm>
 #include <catch2/catch.hpp>
-#include <csignal>
-#include <filesystem>
 
-#include "soak/site.h"
 #include "testing/platform_fixture.h"
+#include "testing/process_site.h"
 
 namespace anvilcroft {
 namespace {
@@ -131,6 +127,38 @@
   });
 }
 
+// Guards against a count that ends with the instances that keep it.
+TEST_CASE("a request that crashed targets is refused after all instances were killed", "[crash]") {
+  soak::SiteOptions options;
+  options.instances = 3;
+  options.apps = 6;
+  options.link_targets = false;
+  testing::ProcessSite processes(options);
+  testing::RunTask(processes.runtime, [&](Task& task) {
+    REQUIRE(processes.site.Start());
+    processes.AwaitServing(task);
+    Targets apps;
+    for (auto& app : processes.site.Apps()) {
+      app->crashing_bodies = {kCrashing};
+      apps.push_back(app.get());
+    }
+    const std::vector<std::string> addresses = processes.Addresses();
+    const auto send = [&](int count) {
+      for (int i = 0; i < count; ++i) {
+        processes.Send(task, addresses[static_cast<std::size_t>(i) % addresses.size()], "/lookup/1",
+                       "c" + std::to_string(i), kCrashing);
+        SleepUntil(task, SteadyNow() + milliseconds(100));
+      }
+    };
+    for (int round = 0; round < 3; ++round) {
+      send(20);
+      processes.KillAllInstances(task);
+    }
+    send(20);
+    CheckFewCrashes(apps);
+  });
+}
+
 // Guards against a refusal of requests under which targets crashed for another reason.
 TEST_CASE("a request under which targets crashed for another reason is served", "[crash]") {
   CrashFixture fixture(2);
