Log when an instance cannot reach any target, and when it can again

An instance that cannot reach a target now probes others with new connections until one accepts; if three different ones cannot be reached, it logs that it is cut off, with the number of targets tried and the time since the first failure. No request is handled differently.

--- a/anvilcroft/front_instance.cc
+++ b/anvilcroft/front_instance.cc
@@ -17,6 +17,7 @@
 #include "anvilcroft/platform_view.h"
 #include "anvilcroft/process_stats.h"
 #include "anvilcroft/request_limiter.h"
+#include "anvilcroft/target_paths.h"
 #include "platform/ingress.h"
 #include "platform/store_client.h"
 
@@ -79,10 +80,15 @@
               [this](const char* call, const char* outcome, Duration took) {
                 this->CountStoreCall(call, outcome, took);
               }),
-        engines(this->runtime,
-                [this](const TargetEntry& target, std::optional<double> limit) {
-                  this->limiter->OnAnswer(target, limit, SteadyNow());
-                }),
+        engines(
+            this->runtime,
+            [this](const TargetEntry& target, std::optional<double> limit) {
+              this->limiter->OnAnswer(target, limit, SteadyNow());
+            },
+            [this](const TargetEntry& target, platform::PathOutcome outcome) {
+              this->paths.OnOutcome(target, outcome, SteadyNow());
+            }),
+        paths(this->runtime, this->pool, this->metrics, StableHash(settings.InstanceId()) + 2),
         view(this->runtime, this->store, this->pool, [this] { this->OnPlatformChange(); }),
         directory(this->runtime, this->store, SelfRecord(settings), settings.StoreWritesPerS()),
         limiter(RequestLimiter::Builder(this->runtime, this->metrics)
@@ -169,6 +175,7 @@
     });
     this->limiter->Start();
     this->crashes.Start();
+    this->paths.Start();
     this->origins.Start();
     this->view.Start();
     this->directory.Start();
@@ -423,6 +430,7 @@
   bool store_reachable = true;
   platform::EngineClient engines;
   TargetPool pool;
+  TargetPaths paths;
   PlatformView view;
   FrontDirectory directory;
   std::unique_ptr<RequestLimiter> limiter;
--- a/anvilcroft/http_client.cc
+++ b/anvilcroft/http_client.cc
@@ -175,6 +175,7 @@
   HttpStreamImpl(std::shared_ptr<Connection> connection, const CallOptions& options,
                  Release release)
       : connection(std::move(connection)),
+        new_connection(!this->connection->reused),
         options(options),
         release(std::move(release)),
         cancel(CloseOnCancel(this->options, this->connection)) {}
@@ -199,6 +200,7 @@
 
   int Status() const override { return this->parser->get().result_int(); }
   const HttpHeaders& Headers() const override { return this->headers; }
+  bool NewConnection() const override { return this->new_connection; }
 
   Result<std::optional<std::string>> Read(Task& task, TimePoint limit) override {
     std::string& body = this->parser->get().body();
@@ -266,6 +268,7 @@
   }
 
   std::shared_ptr<Connection> connection;
+  bool new_connection;
   CallOptions options;
   Release release;
   std::shared_ptr<void> cancel;
--- a/anvilcroft/http_client.h
+++ b/anvilcroft/http_client.h
@@ -40,6 +40,8 @@
 
   virtual int Status() const = 0;
   virtual const HttpHeaders& Headers() const = 0;
+  // Whether the connection was opened for this request.
+  virtual bool NewConnection() const = 0;
 
   // Waits for the next part of the body and returns it, or nullopt at the end of the body. Fails as
   // HttpClient::Call does, with kConnectionLost for a truncated body. The progress timeout applies
