--- a/fakes/fake_link.cc
+++ b/fakes/fake_link.cc
@@ -13,6 +13,7 @@
 #include "anvilcroft/http_router.h"
 #include "anvilcroft/http_server.h"
 #include "anvilcroft/json.h"
+#include "anvilcroft/log.h"
 #include "anvilcroft/runtime_impl.h"
 
 namespace anvilcroft::fakes {
@@ -73,7 +74,11 @@
   if (name == "cut") return FakeLink::Mode::kCut;
   if (name == "silent") return FakeLink::Mode::kSilent;
   if (name == "silent_all") return FakeLink::Mode::kSilentAll;
-  return Fail(ErrorCode::kInvalidArgument, "must be up, cut, silent or silent_all", "mode");
+  if (name == "unreachable") return FakeLink::Mode::kUnreachable;
+  if (name == "refuse") return FakeLink::Mode::kRefuse;
+  if (name == "refuse_new") return FakeLink::Mode::kRefuseNew;
+  return Fail(ErrorCode::kInvalidArgument,
+              "must be up, cut, silent, silent_all, unreachable, refuse or refuse_new", "mode");
 }
 
 }  // namespace
@@ -109,28 +114,25 @@
   Result<std::string> Start() override {
     const auto parsed = ParseEndpoint(this->listen);
     if (!parsed) return tl::unexpected<Error>(parsed.error());
-    const asio::ip::tcp::endpoint local(asio::ip::make_address(parsed->ip), parsed->port);
-    error_code failed;
-    this->acceptor.open(local.protocol(), failed);
-    if (!failed) this->acceptor.set_option(asio::socket_base::reuse_address(true), failed);
-    if (!failed) this->acceptor.bind(local, failed);
-    if (!failed) this->acceptor.listen(asio::socket_base::max_listen_connections, failed);
+    this->local = asio::ip::tcp::endpoint(asio::ip::make_address(parsed->ip), parsed->port);
+    const error_code failed = this->Listen();
     if (failed) {
       return Fail(ErrorCode::kInvalidArgument, "cannot listen: " + failed.message(), this->listen);
     }
+    this->local = this->acceptor.local_endpoint();
     auto bound = this->control->Start();
     if (!bound) return bound;
     this->control_address = *bound;
-    this->runtime.Spawn([this](Task& task) { this->Accept(task); });
-    return Endpoint{parsed->ip, this->acceptor.local_endpoint().port()}.ToString();
+    return Endpoint{parsed->ip, this->local.port()}.ToString();
   }
 
   std::string ControlAddress() const override { return this->control_address; }
 
   void SetMode(Mode value) override {
+    if (value != this->mode) this->ChangeListener(value);
     this->mode = value;
     for (const RelayPtr& relay : this->OpenRelays()) {
-      if (value == Mode::kCut) relay->Reset();
+      if (value == Mode::kCut || value == Mode::kRefuse) relay->Reset();
       if (value == Mode::kSilent) relay->silenced = true;
       relay->changed.NotifyAll();
     }
@@ -139,6 +141,40 @@
   void SetQuality(const Quality& value) override { this->quality = value; }
 
  private:
+  static bool Refuses(Mode mode) { return mode == Mode::kRefuse || mode == Mode::kRefuseNew; }
+
+  // Opens the listener and starts to accept connections.
+  error_code Listen() {
+    error_code failed;
+    this->acceptor.open(this->local.protocol(), failed);
+    if (!failed) this->acceptor.set_option(asio::socket_base::reuse_address(true), failed);
+    if (!failed) this->acceptor.bind(this->local, failed);
+    if (!failed) this->acceptor.listen(asio::socket_base::max_listen_connections, failed);
+    if (!failed) this->runtime.Spawn([this](Task& task) { this->Accept(task); });
+    return failed;
+  }
+
+  // Closes the listener, or fills its queue so that the system ignores new connections, as `next`
+  // requires, or undoes it.
+  void ChangeListener(Mode next) {
+    error_code failed;
+    if (Refuses(this->mode) && !Refuses(next)) failed = this->Listen();
+    if (this->mode == Mode::kUnreachable && next != Mode::kUnreachable) {
+      this->queue_fillers.clear();
+      this->acceptor.listen(asio::socket_base::max_listen_connections, failed);
+      this->runtime.Spawn([this](Task& task) { this->Accept(task); });
+    }
+    if (Refuses(next) && !Refuses(this->mode)) this->acceptor.close(failed);
+    if (next == Mode::kUnreachable && this->mode != Mode::kUnreachable) {
+      this->acceptor.cancel(failed);
+      this->acceptor.listen(0, failed);
+      // A queue of length 0 holds one connection.
+      this->queue_fillers.emplace_back(this->runtime.Impl().io);
+      this->queue_fillers.back().connect(this->local, failed);
+    }
+    if (failed) LogError("link", "cannot change the listener", {{"error", failed.message()}});
+  }
+
   // The connections that at least one task still serves.
   std::vector<RelayPtr> OpenRelays() {
     std::vector<RelayPtr> open;
@@ -235,7 +271,9 @@
   }
 
   void WaitWhilePartitioned(Task& task, Relay& relay) {
-    while (this->mode == Mode::kSilentAll && !relay.closed) relay.changed.Wait(task);
+    while ((this->mode == Mode::kSilentAll || this->mode == Mode::kUnreachable) && !relay.closed) {
+      relay.changed.Wait(task);
+    }
   }
 
   void Read(Task& task, Relay& relay, asio::ip::tcp::socket& from, Flow& flow) {
@@ -291,6 +329,8 @@
   Quality quality;
   std::mt19937_64 random;
   asio::ip::tcp::acceptor acceptor;
+  asio::ip::tcp::endpoint local;
+  std::list<asio::ip::tcp::socket> queue_fillers;
   HttpRouter router;
   std::unique_ptr<HttpServer> control;
   std::string control_address;
--- a/fakes/fake_link.h
+++ b/fakes/fake_link.h
@@ -35,6 +35,12 @@
     // A partition: no connection delivers a byte until a later kUp. All of them continue then, as
     // TCP connections do once their retransmissions arrive.
     kSilentAll,
+    // A partition as kSilentAll, in which new connections are not established either.
+    kUnreachable,
+    // Resets the open connections and refuses new ones.
+    kRefuse,
+    // The open connections work, and new ones are refused.
+    kRefuseNew,
   };
 
   // The delays that apply to each chunk of data.
--- a/fakes/platform_store.cc
+++ b/fakes/platform_store.cc
@@ -20,7 +20,18 @@
 
 PlatformStore::PlatformStore(Runtime& runtime, const std::string& address)
     : server(runtime, address) {
-  this->server.Routes().Add(
+  static const Addresses kUnchanged;
+  this->AddRoutes(this->server, kUnchanged);
+}
+
+Result<std::string> PlatformStore::AddView(Addresses addresses) {
+  View& view = this->views.emplace_back(std::move(addresses), this->server.Loop());
+  this->AddRoutes(view.listener, view.addresses);
+  return view.listener.Start();
+}
+
+void PlatformStore::AddRoutes(FakeServer& listener, const Addresses& view) {
+  listener.Routes().Add(
       "POST", "/api/rows-tx",
       [this](Task& task, const HttpRequest& request, const PathParts&, HttpReply& reply) {
         const auto body = ParseJson(request.Body());
@@ -30,10 +41,12 @@
         }
         this->HandleTransaction(task, *body, reply);
       });
-  this->server.Routes().Add("GET", "/api/rows-get",
-                            [this](Task& task, const HttpRequest& request, const PathParts&,
-                                   HttpReply& reply) { this->HandleRead(task, request, reply); });
-  this->server.Routes().Add(
+  listener.Routes().Add(
+      "GET", "/api/rows-get",
+      [this, &view](Task& task, const HttpRequest& request, const PathParts&, HttpReply& reply) {
+        this->HandleRead(task, request, view, reply);
+      });
+  listener.Routes().Add(
       "GET", "/api/rows-parts",
       [this](Task& task, const HttpRequest& request, const PathParts&, HttpReply& reply) {
         std::set<std::string> parts;
@@ -45,9 +58,11 @@
         }
         reply.Send(task, JsonResponse(200, DumpJson({{"parts", parts}})));
       });
-  this->server.Routes().Add("GET", "/api/rows-feed",
-                            [this](Task& task, const HttpRequest& request, const PathParts&,
-                                   HttpReply& reply) { this->HandleFeed(task, request, reply); });
+  listener.Routes().Add(
+      "GET", "/api/rows-feed",
+      [this, &view](Task& task, const HttpRequest& request, const PathParts&, HttpReply& reply) {
+        this->HandleFeed(task, request, view, reply);
+      });
 }
 
 void PlatformStore::AppendChange(const RowId& id, bool removed) {
@@ -88,11 +103,19 @@
   return count;
 }
 
-json PlatformStore::ToWire(const RowId& id) const {
+json PlatformStore::ToWire(const RowId& id, const Addresses& view) const {
   json wire = {{"Table", id.table}, {"part", id.partition}, {"Key", id.key}};
   const auto found = this->rows.find(id);
   wire["Ver"] = found == this->rows.end() ? 0 : found->second.version;
-  if (found != this->rows.end()) wire["Value"] = Base64Encode(found->second.value);
+  if (found == this->rows.end()) return wire;
+  std::string value = found->second.value;
+  if (id.table == "servers" && !view.empty()) {
+    json entry = json::parse(value);
+    const auto replaced = view.find(entry.value("Address", ""));
+    if (replaced != view.end()) entry["Address"] = replaced->second;
+    value = DumpJson(entry);
+  }
+  wire["Value"] = Base64Encode(value);
   return wire;
 }
 
@@ -109,7 +132,7 @@
     const auto found = this->rows.find(DecodeRowId(expected));
     const int64_t current_version = found == this->rows.end() ? 0 : found->second.version;
     versions_match = versions_match && current_version == expected.value("Ver", int64_t{0});
-    answer["Rows"].push_back(this->ToWire(DecodeRowId(expected)));
+    answer["Rows"].push_back(this->ToWire(DecodeRowId(expected), {}));
   }
   if (!versions_match) return false;
   ++this->version;
@@ -146,7 +169,8 @@
   reply.Send(task, JsonResponse(applied ? 200 : 412, DumpJson(answer)));
 }
 
-void PlatformStore::HandleRead(Task& task, const HttpRequest& request, HttpReply& reply) {
+void PlatformStore::HandleRead(Task& task, const HttpRequest& request, const Addresses& view,
+                               HttpReply& reply) {
   const RowId first{request.QueryValue("Table"), request.QueryValue("part"),
                     request.QueryValue("From")};
   const std::string to = request.QueryValue("To");
@@ -159,13 +183,14 @@
       answer["HasMore"] = true;
       break;
     }
-    answer["Rows"].push_back(this->ToWire(it->first));
+    answer["Rows"].push_back(this->ToWire(it->first, view));
   }
   this->AddVersionAndTime(answer);
   reply.Send(task, JsonResponse(200, DumpJson(answer)));
 }
 
-void PlatformStore::HandleFeed(Task& task, const HttpRequest& request, HttpReply& reply) {
+void PlatformStore::HandleFeed(Task& task, const HttpRequest& request, const Addresses& view,
+                               HttpReply& reply) {
   const int64_t after = std::strtoll(request.QueryValue("After").c_str(), nullptr, 10);
   const int64_t wait_ms = std::strtoll(request.QueryValue("WaitMs").c_str(), nullptr, 10);
   const TimePoint until = SteadyNow() + milliseconds(wait_ms);
@@ -177,7 +202,7 @@
     json answer = {{"Rows", json::array()}};
     for (const Change& change : this->history) {
       if (change.version <= after || change.id.table != request.QueryValue("Table")) continue;
-      json row = this->ToWire(change.id);
+      json row = this->ToWire(change.id, view);
       if (change.removed) row["Removed"] = true;
       answer["Rows"].push_back(std::move(row));
     }
--- a/fakes/platform_store.h
+++ b/fakes/platform_store.h
@@ -6,10 +6,12 @@
 
 #include <cstdint>
 #include <deque>
+#include <list>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "anvilcroft/event.h"
 #include "anvilcroft/stored_row.h"
@@ -24,6 +26,10 @@
   // Starts to listen and returns the bound address as "ip:port".
   Result<std::string> Start() { return this->server.Start(); }
 
+  // Starts another listener, at which the entries of targets name other addresses: `addresses` maps
+  // that of a target to the one that is read there. Returns its address.
+  Result<std::string> AddView(std::map<std::string, std::string> addresses);
+
   // The modes of FaultPlan (refuse, silent, slow, down) apply. lose_answers is the number of
   // transactions that are applied and not answered, and delay_apply_ms the delay after which these
   // are applied.
@@ -42,6 +48,8 @@
   int64_t Transactions() const { return this->transactions; }
 
  private:
+  using Addresses = std::map<std::string, std::string>;
+
   struct Row {
     std::string value;
     int64_t version = 0;
@@ -52,19 +60,30 @@
     bool removed = false;
   };
 
+  // Handles the calls at `listener`. `view` replaces addresses of targets.
+  void AddRoutes(FakeServer& listener, const Addresses& view);
   void HandleTransaction(Task& task, const nlohmann::json& body, HttpReply& reply);
-  void HandleRead(Task& task, const HttpRequest& request, HttpReply& reply);
-  void HandleFeed(Task& task, const HttpRequest& request, HttpReply& reply);
+  void HandleRead(Task& task, const HttpRequest& request, const Addresses& view, HttpReply& reply);
+  void HandleFeed(Task& task, const HttpRequest& request, const Addresses& view, HttpReply& reply);
   // Applies a transaction if the versions of all expected rows match, and returns whether they did.
   // Adds the current state of the expected rows to `answer`.
   bool Apply(const nlohmann::json& body, nlohmann::json& answer);
-  nlohmann::json ToWire(const RowId& id) const;
+  nlohmann::json ToWire(const RowId& id, const Addresses& view) const;
   // Adds the current version and time of the store.
   void AddVersionAndTime(nlohmann::json& answer) const;
   // Adds a change with the current version to the history.
   void AppendChange(const RowId& id, bool removed);
 
+  struct View {
+    View(Addresses addresses, Runtime& runtime)
+        : addresses(std::move(addresses)), listener(runtime, "127.0.0.1:0") {}
+
+    Addresses addresses;
+    FakeServer listener;
+  };
+
   FakeServer server;
+  std::list<View> views;
   std::map<RowId, Row> rows;
   std::deque<Change> history;
   int64_t version = 0;
--- a/testing/fake_link_test.cc
+++ b/testing/fake_link_test.cc
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include "anvilcroft/http_server.h"
+#include "anvilcroft/tcp_probe.h"
 #include "testing/fake_test_util.h"
 
 namespace anvilcroft::fakes {
@@ -81,5 +82,40 @@
   });
 }
 
+TEST_CASE("a link refuses or ignores new connections", "[fakes]") {
+  Runtime runtime;
+  const auto server = HttpServer::Builder(runtime)
+                          .SetHandler([](Task& task, const HttpRequest& request, HttpReply& reply) {
+                            reply.Send(task, JsonResponse(200, request.Body()));
+                          })
+                          .Build();
+  const auto link = FakeLink::Builder(runtime).SetTarget(StartFake(*server)).Build();
+  const Endpoint endpoint = StartFake(*link);
+  HttpClient http(runtime);
+  RunTask(runtime, [&](Task& task) {
+    const auto call = [&](bool fresh) {
+      const CallOptions options =
+          CallOptions(DefaultDeadline()).WithConnectTimeout(milliseconds(200));
+      return http.Call(task, endpoint, Post("/", {{"a", 1}}),
+                       fresh ? options.WithFreshConnection() : options);
+    };
+    const auto connects = [&] {
+      return ProbeConnection(task, endpoint, SteadyNow() + milliseconds(200)).has_value();
+    };
+    REQUIRE(call(false));
+    link->SetMode(FakeLink::Mode::kRefuseNew);
+    CHECK(call(false));
+    CHECK(RefusesConnections(task, endpoint, SteadyNow() + milliseconds(200)));
+    link->SetMode(FakeLink::Mode::kRefuse);
+    CHECK_FALSE(call(false));
+    link->SetMode(FakeLink::Mode::kUnreachable);
+    CHECK_FALSE(connects());
+    CHECK_FALSE(RefusesConnections(task, endpoint, SteadyNow() + milliseconds(200)));
+    link->SetMode(FakeLink::Mode::kUp);
+    CHECK(connects());
+    CHECK(call(true));
+  });
+}
+
 }  // namespace
 }  // namespace anvilcroft::fakes
