Send requests through another instance while no target can be reached

Cause: an instance sends only by its own paths. It noticed the loss within 0.4 s of its first failed connection and could do nothing with it, for 8 to 11 s of each cut; nor did anybody else learn of it.

Why this works: a cut-off instance sends requests, streams and items through another instance, which returns the answer as it arrives, and an attempt that gets no answer in time is followed by one through another instance, also before the loss is known. Its entry says that it is cut off, so others don't relay through it and callers are not sent to it. Orders to engines stay on the holder's own path.

Steps of training are still late when the owner is cut off; that is the next change.

--- a/anvilcroft/crash_limiter.cc
+++ b/anvilcroft/crash_limiter.cc
@@ -8,6 +8,7 @@
 #include "anvilcroft/hash.h"
 #include "anvilcroft/json.h"
 #include "anvilcroft/log.h"
+#include "anvilcroft/target_relay.h"
 #include "anvilcroft/tcp_probe.h"
 
 namespace anvilcroft {
@@ -118,9 +119,13 @@
 }
 
 void CrashLimiter::OnConnectionLost(Task& task, const std::string& fingerprint,
-                                    const std::string& request, const TargetEntry& target) {
+                                    const std::string& request, const TargetEntry& target,
+                                    const Error& error) {
   const TimePoint lost_at = SteadyNow();
-  const bool ended = RefusesConnections(task, target.address, lost_at + kProbeTimeout);
+  bool ended = error.part == kTargetEnded;  // found by the instance that relayed the request
+  if (error.part.empty() && !this->cut_off()) {
+    ended = RefusesConnections(task, target.address, lost_at + kProbeTimeout);
+  }
   this->metrics.Increment(
       "anvilcroft_target_connections_lost_total",
       {{"service", target.service}, {"target", ended ? "ended" : "not_known_to_have_ended"}});
@@ -267,9 +272,10 @@
   return this->trial == 0 && !this->limiter.Suspects(this->Fingerprint());
 }
 
-void RequestCrashes::OnConnectionLost(Task& task, const TargetEntry& target) {
+void RequestCrashes::OnConnectionLost(Task& task, const TargetEntry& target, const Error& error) {
   if (!this->request.crash_limited) return;
-  this->limiter.OnConnectionLost(task, this->Fingerprint(), this->request.message.id, target);
+  this->limiter.OnConnectionLost(task, this->Fingerprint(), this->request.message.id, target,
+                                 error);
 }
 
 void RequestCrashes::OnCompleted() {
--- a/anvilcroft/crash_limiter.h
+++ b/anvilcroft/crash_limiter.h
@@ -7,7 +7,7 @@
 //   const CrashAdmission admission = crashes.Admit(task, SteadyNow());
 //   if (!admission.allowed) ... refuse the request ...
 //   ... the connection to `target` is lost before it has answered ...
-//   crashes.OnConnectionLost(task, target);
+//   crashes.OnConnectionLost(task, target, error);
 //   ... or a target has completed the request ...
 //   crashes.OnCompleted();
 //
@@ -18,10 +18,12 @@
 // target crashed and that another one completes soon writes nothing.
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "anvilcroft/crash_history.h"
 #include "anvilcroft/event.h"
@@ -51,8 +53,14 @@
   // milliseconds away.
   static constexpr Duration kProbeTimeout = milliseconds(100);
 
-  CrashLimiter(Runtime& runtime, MetadataStore& store, FrontDirectory& directory, Metrics& metrics)
-      : runtime(runtime), store(store), directory(directory), metrics(metrics) {}
+  // `cut_off`: whether this instance reaches no target, so that a refused connection tells nothing.
+  CrashLimiter(Runtime& runtime, MetadataStore& store, FrontDirectory& directory, Metrics& metrics,
+               std::function<bool()> cut_off)
+      : runtime(runtime),
+        store(store),
+        directory(directory),
+        metrics(metrics),
+        cut_off(std::move(cut_off)) {}
 
   void Start();
 
@@ -65,7 +73,7 @@
   CrashAdmission Admit(Task& task, const std::string& fingerprint);
   // Checks whether the process of `target` has ended, and records a crash if it has.
   void OnConnectionLost(Task& task, const std::string& fingerprint, const std::string& request,
-                        const TargetEntry& target);
+                        const TargetEntry& target, const Error& error);
   // Records that a target has completed the request.
   void OnCompleted(const std::string& fingerprint);
   // Records that no target has run the trial `number`, so that another one may take its place.
@@ -87,6 +95,7 @@
   MetadataStore& store;
   FrontDirectory& directory;
   Metrics& metrics;
+  std::function<bool()> cut_off;
   CrashHistory history;
   // Rows to be written, by name; nullopt: to be removed.
   std::map<std::string, std::optional<std::string>> queued;
@@ -107,7 +116,8 @@
   CrashAdmission Admit(Task& task);
   // Whether the request may be sent to several targets at the same time.
   bool MayHedge();
-  void OnConnectionLost(Task& task, const TargetEntry& target);
+  // `error` is the one with which the connection to `target` was lost.
+  void OnConnectionLost(Task& task, const TargetEntry& target, const Error& error);
   void OnCompleted();
   // Call if no target has run the request and none will.
   void OnNotRun();
--- a/anvilcroft/front_directory.cc
+++ b/anvilcroft/front_directory.cc
@@ -1,6 +1,7 @@
 #include "anvilcroft/front_directory.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "anvilcroft/hash.h"
@@ -26,9 +27,14 @@
 // Age at which the rows of an instance without heartbeats are removed.
 constexpr int64_t kRemoveAfterMs = 60000;
 
-// Sort key of the order of takeover: larger machines first.
-std::pair<double, uint64_t> RankKey(const FrontRecord& front) {
-  return {-front.cpu_share, StableHash("owner" + front.instance)};
+// Instances that reach no target are left out of the answers to callers as long as at least this
+// share of all remains.
+constexpr double kMinReachingShare = 0.25;
+
+// Sort key of the order of takeover: instances that reach targets first, then larger machines.
+using RankKey = std::tuple<bool, double, uint64_t>;
+RankKey RankOf(const FrontRecord& front) {
+  return {front.cut_off, -front.cpu_share, StableHash("owner" + front.instance)};
 }
 
 }  // namespace
@@ -36,7 +42,12 @@
 std::vector<std::string> AddressesFor(const std::vector<FrontRecord>& fronts,
                                       const std::string& zone, std::size_t max_count) {
   std::vector<std::pair<std::pair<int, uint64_t>, const FrontRecord*>> ordered;
+  const auto cut_off = std::count_if(fronts.begin(), fronts.end(),
+                                     [](const FrontRecord& front) { return front.cut_off; });
+  const double reaching = static_cast<double>(fronts.size()) - static_cast<double>(cut_off);
+  const bool leave_out = reaching >= kMinReachingShare * static_cast<double>(fronts.size());
   for (const FrontRecord& front : fronts) {
+    if (front.cut_off && leave_out) continue;
     ordered.push_back({{front.zone == zone ? 0 : 1, StableHash(zone + front.instance)}, &front});
   }
   std::sort(ordered.begin(), ordered.end());
@@ -77,6 +88,17 @@
   return this->store.Commit(task, batch, deadline).has_value();
 }
 
+void FrontDirectory::SetCutOff(bool cut_off) {
+  if (this->self.cut_off == cut_off) return;
+  this->self.cut_off = cut_off;
+  this->runtime.Spawn([this, cut_off](Task& task) {
+    while (this->following && !this->self.leaving && this->self.cut_off == cut_off &&
+           !this->WriteEntry(task, SteadyNow() + kCallTimeout)) {
+      SleepUntil(task, SteadyNow() + kRetryPause);
+    }
+  });
+}
+
 void FrontDirectory::SendHeartbeats(Task& task) {
   // The first write needs the store's time and the number of instances.
   while (!this->following) SleepUntil(task, SteadyNow() + milliseconds(10));
@@ -284,7 +306,7 @@
 int FrontDirectory::TakeoverRank() const {
   int before = 0;
   for (const FrontRecord& front : this->live) {
-    if (front.instance != this->self.instance && RankKey(front) < RankKey(this->self)) ++before;
+    if (front.instance != this->self.instance && RankOf(front) < RankOf(this->self)) ++before;
   }
   return before;
 }
@@ -297,10 +319,10 @@
 }
 
 std::vector<std::string> FrontDirectory::TakeoverCandidates(std::size_t max_count) const {
-  std::vector<std::pair<std::pair<double, uint64_t>, std::string>> ordered;
+  std::vector<std::pair<RankKey, std::string>> ordered;
   for (const FrontRecord& front : this->live) {
     if (front.instance == this->self.instance || front.internal_address.empty()) continue;
-    ordered.emplace_back(RankKey(front), front.internal_address);
+    ordered.emplace_back(RankOf(front), front.internal_address);
   }
   std::sort(ordered.begin(), ordered.end());
   std::vector<std::string> addresses;
--- a/anvilcroft/front_directory.h
+++ b/anvilcroft/front_directory.h
@@ -25,7 +25,8 @@
 namespace anvilcroft {
 
 // Returns at most `max_count` addresses for a caller in `zone`: first those of instances in its
-// zone, then the others, each spread by a hash of the zone and the instance's name. Pure.
+// zone, then the others, each spread by a hash of the zone and the instance's name. Leaves out
+// instances that are cut off from all targets while enough others are left. Pure.
 std::vector<std::string> AddressesFor(const std::vector<FrontRecord>& fronts,
                                       const std::string& zone, std::size_t max_count);
 
@@ -46,6 +47,13 @@
     this->self.internal_address = std::move(internal_address);
   }
 
+  // The entry of this instance.
+  const FrontRecord& Self() const { return this->self; }
+
+  // Marks this instance's entry as cut off from all targets, or no longer so. The entry is written
+  // as soon as the store answers.
+  void SetCutOff(bool cut_off);
+
   // The row `name` of a kind of rows that all instances share. They are among the entries, because
   // all instances follow their feed. `prefix` begins with an exclamation mark.
   static RowId SharedRowId(const std::string& prefix, const std::string& name);
--- a/anvilcroft/front_instance.cc
+++ b/anvilcroft/front_instance.cc
@@ -85,10 +85,15 @@
             [this](const TargetEntry& target, std::optional<double> limit) {
               this->limiter->OnAnswer(target, limit, SteadyNow());
             },
-            [this](const TargetEntry& target, platform::PathOutcome outcome) {
-              this->paths.OnOutcome(target, outcome, SteadyNow());
-            }),
-        paths(this->runtime, this->pool, this->metrics, StableHash(settings.InstanceId()) + 2),
+            this->MakePathHooks()),
+        paths(this->runtime, this->directory, this->pool, this->metrics,
+              StableHash(settings.InstanceId()) + 2),
+        relay([this](const std::string& id, WallMillis start) { return this->Usable(id, start); },
+              [this] { return this->paths.CutOff(); },
+              [this](Task& task, const TargetEntry& target, const HttpRequest& message,
+                     const CallOptions& options) {
+                return this->engines.OpenForPeer(task, target, message, options);
+              }),
         view(this->runtime, this->store, this->pool, [this] { this->OnPlatformChange(); }),
         directory(this->runtime, this->store, SelfRecord(settings), settings.StoreWritesPerS()),
         limiter(RequestLimiter::Builder(this->runtime, this->metrics)
@@ -97,7 +102,8 @@
                     .SetPool(this->pool)
                     .SetSelf(settings.InstanceId())
                     .Build()),
-        crashes(this->runtime, this->store, this->directory, this->metrics),
+        crashes(this->runtime, this->store, this->directory, this->metrics,
+                [this] { return this->paths.CutOff(); }),
         origins(this->runtime, this->store, this->directory, this->pool,
                 [this] { return this->view.Routes(); }),
         forwarder(
@@ -250,6 +256,29 @@
 
   bool Ready() const { return !this->stopping && this->Informed(); }
 
+  platform::PathHooks MakePathHooks() {
+    platform::PathHooks hooks;
+    hooks.choose = [this](const PathQuery& query) {
+      return this->paths.ChooseRelay(query, SteadyNow());
+    };
+    hooks.verified = [this] { return this->paths.Verified(SteadyNow()); };
+    hooks.on_direct = [this](const TargetEntry& target, platform::PathOutcome outcome) {
+      this->paths.OnOutcome(target, outcome, SteadyNow());
+    };
+    hooks.on_relay = [this](const RelayPeer& peer, bool relayed) {
+      this->paths.OnRelay(peer, relayed, SteadyNow());
+    };
+    return hooks;
+  }
+
+  // The target `id` with the start `started_at` if new requests may be sent to it.
+  std::optional<TargetEntry> Usable(const std::string& id, WallMillis started_at) const {
+    const PoolTarget* target = this->pool.Find(id);
+    const bool usable = target != nullptr && target->entry.started_at == started_at &&
+                        !target->entry.draining && !target->removal_at;
+    return usable ? std::optional<TargetEntry>(target->entry) : std::nullopt;
+  }
+
   platform::IngressHooks MakeHooks() {
     platform::IngressHooks hooks;
     hooks.route = [this](const std::string& host, const std::string& path) {
@@ -370,6 +399,10 @@
     this->metrics_server = start(
         this->settings.MetricsAddress(), this->metrics_address,
         [this](Task& task, const HttpRequest& request, HttpReply& reply) {
+          if (TargetRelay::IsRelayed(request)) {
+            this->relay.Handle(task, request, reply);
+            return;
+          }
           if (request.Path() == LeasePeers::kOfferPath) {
             this->HandleLeaseOffer(task, request, reply);
             return;
@@ -431,6 +464,7 @@
   platform::EngineClient engines;
   TargetPool pool;
   TargetPaths paths;
+  TargetRelay relay;
   PlatformView view;
   FrontDirectory directory;
   std::unique_ptr<RequestLimiter> limiter;
--- a/anvilcroft/front_record.cc
+++ b/anvilcroft/front_record.cc
@@ -17,6 +17,7 @@
                    {"internal", record.internal_address},
                    {"cpu_share", record.cpu_share},
                    {"leaving", record.leaving},
+                   {"cut_off", record.cut_off},
                    {"written_at", record.written_at}});
 }
 
@@ -32,6 +33,7 @@
   record.internal_address = fields.StringOr("internal", "");
   record.cpu_share = fields.NumberOr("cpu_share", 1, 0, 1e6);
   record.leaving = fields.BoolOr("leaving", false);
+  record.cut_off = fields.BoolOr("cut_off", false);
   record.written_at = fields.Integer("written_at", 0, INT64_MAX / 2);
   if (!fields.Ok()) return tl::unexpected<Error>(fields.Finish().error());
   return record;
--- a/anvilcroft/front_record.h
+++ b/anvilcroft/front_record.h
@@ -13,7 +13,8 @@
 
 namespace anvilcroft {
 
-// The entry of an instance, which it writes when it starts and when it leaves.
+// The entry of an instance, which it writes when it starts, when it leaves, and when it loses its
+// paths to the targets or has them back.
 struct FrontRecord {
   std::string instance;
   std::string zone;
@@ -22,13 +23,14 @@
   std::string internal_address;  // "ip:port" for other instances; empty: none
   double cpu_share = 1;          // in cores
   bool leaving = false;          // about to stop
+  bool cut_off = false;          // it can reach no target
   StoreMillis written_at = 0;    // on the store's clock
 
   friend bool operator==(const FrontRecord& a, const FrontRecord& b) {
     return std::tie(a.instance, a.zone, a.region, a.address, a.internal_address, a.cpu_share,
-                    a.leaving, a.written_at) == std::tie(b.instance, b.zone, b.region, b.address,
-                                                         b.internal_address, b.cpu_share, b.leaving,
-                                                         b.written_at);
+                    a.leaving, a.cut_off, a.written_at) ==
+           std::tie(b.instance, b.zone, b.region, b.address, b.internal_address, b.cpu_share,
+                    b.leaving, b.cut_off, b.written_at);
   }
   friend bool operator!=(const FrontRecord& a, const FrontRecord& b) { return !(a == b); }
 };
--- a/anvilcroft/live_forwarder.cc
+++ b/anvilcroft/live_forwarder.cc
@@ -24,6 +24,7 @@
 struct LiveForwarder::AttemptGroup {
   struct Attempt {
     std::string target;
+    TimePoint started;
     bool ended = false;      // `result` is set
     bool processed = false;  // Serve() has evaluated `result`
     Result<platform::ForwardReply> result = Fail(ErrorCode::kInternal, "the attempt has not ended");
@@ -39,6 +40,7 @@
   std::set<std::string> tried;  // ids of targets
   Event changed;                // notified when an attempt ends or the caller disconnects
   std::shared_ptr<Cancellation> cancellation = std::make_shared<Cancellation>();
+  PathQuery path;
   int active = 0;             // attempts that have not ended
   int runs = 0;               // attempts, except those counted in `refusals`
   int refusals = 0;           // attempts that the target did not run
@@ -79,8 +81,13 @@
                             : std::chrono::duration_cast<Duration>(
                                   kPermitWaitShare * (group->request.deadline - SteadyNow()));
   const std::size_t index = group->attempts.size();
+  if (index > 0) {
+    group->path.silent_target = group->attempts.front().target;
+    group->path.silent_since = group->attempts.front().started;
+  }
   group->attempts.emplace_back();
   group->attempts[index].target = entry.id;
+  group->attempts[index].started = SteadyNow();
   group->tried.insert(entry.id);
   ++group->active;
   ++group->runs;
@@ -105,7 +112,7 @@
         CallOptions(group->request.deadline, time_left).WithCancellation(group->cancellation);
     if (group->request.sent_before) options = options.WithFreshConnection();
     auto result = this->engines.Forward(task, std::move(*permit), entry, group->request.message,
-                                        time_left, options);
+                                        time_left, options, group->path);
     const TimePoint ended = SteadyNow();
     TargetOutcome outcome = TargetOutcome::kServed;
     if (!result) {
@@ -124,7 +131,7 @@
     this->pool.OnRequestFinished(entry.id, outcome, ended - started, ended);
     if (!result && outcome == TargetOutcome::kFailed &&
         result.error().code == ErrorCode::kConnectionLost) {
-      group->crashes.OnConnectionLost(task, entry);
+      group->crashes.OnConnectionLost(task, entry, result.error());
     }
     end(std::move(result));
   });
@@ -222,6 +229,7 @@
       const auto untried = [&group](const TargetEntry& target) {
         return group->tried.count(target.id) == 0;
       };
+      group->path.verify = !repeatable;
       const RouteChoice choice = this->chooser.Choose(*route, untried, hedge, now);
       if (choice.target != nullptr) {
         hedge_at = now + this->HedgeDelay(*route, choice.target->entry.service);
--- a/anvilcroft/live_streamer.cc
+++ b/anvilcroft/live_streamer.cc
@@ -35,7 +35,7 @@
 platform::StreamOutcome LiveStreamer::RunAttempt(Task& task, SendPermit permit,
                                                  const LiveRequest& request,
                                                  const ServiceRoute& route,
-                                                 const TargetEntry& target,
+                                                 const TargetEntry& target, const PathQuery& path,
                                                  platform::StreamPosition& position,
                                                  const platform::StreamHooks& hooks) {
   const TimePoint started = SteadyNow();
@@ -50,7 +50,7 @@
                                   .WithFreshConnection();
   this->pool.OnRequestStarted(target.id);
   auto outcome = this->engines.ForwardStream(task, std::move(permit), target, request.message,
-                                             options, position, hooks);
+                                             options, path, position, hooks);
   const TimePoint now = SteadyNow();
   const bool disconnected = request.caller_disconnected && request.caller_disconnected->Cancelled();
   if (outcome.reply.load) this->pool.OnLoadReport(target.id, *outcome.reply.load, now);
@@ -73,6 +73,7 @@
   bool implied_only = false;  // records can't be written, so only such origins may begin the stream
   Duration caller_time = Duration::zero();
   std::string last_target;
+  PathQuery path;
   std::set<std::string> tried;
   std::set<std::string> denied;   // targets that take no more requests at present
   bool response_started = false;  // the status and headers have been sent
@@ -202,8 +203,13 @@
       progress.record = this->origins.StartRecord(request.message.id, origin, request.caller_time,
                                                   progress.record, SteadyNow());
     }
-    auto outcome =
-        this->RunAttempt(task, std::move(*permit), request, route, entry, progress.position, hooks);
+    const TimePoint started = SteadyNow();
+    auto outcome = this->RunAttempt(task, std::move(*permit), request, route, entry, progress.path,
+                                    progress.position, hooks);
+    if (progress.path.silent_target.empty()) {
+      progress.path.silent_target = entry.id;
+      progress.path.silent_since = started;
+    }
     if (progress.position.last_event > result.last_event) result.software = entry.software;
     result.last_event = progress.position.last_event;
     switch (outcome.kind) {
@@ -241,7 +247,7 @@
       case Kind::kBroken:
         ++progress.runs;
         progress.may_have_run = true;
-        if (outcome.connection_lost) crashes.OnConnectionLost(task, entry);
+        if (outcome.lost) crashes.OnConnectionLost(task, entry, *outcome.lost);
         break;
     }
     result.reason = outcome.reason;
--- a/anvilcroft/live_streamer.h
+++ b/anvilcroft/live_streamer.h
@@ -65,7 +65,7 @@
   // Streams from `target` until its response ends, and updates its health in the pool.
   platform::StreamOutcome RunAttempt(Task& task, SendPermit permit, const LiveRequest& request,
                                      const ServiceRoute& route, const TargetEntry& target,
-                                     platform::StreamPosition& position,
+                                     const PathQuery& path, platform::StreamPosition& position,
                                      const platform::StreamHooks& hooks);
 
   platform::EngineClient& engines;
--- a/anvilcroft/target_paths.cc
+++ b/anvilcroft/target_paths.cc
@@ -23,6 +23,42 @@
   });
 }
 
+std::optional<RelayPeer> TargetPaths::ChooseRelay(const PathQuery& query, TimePoint now) {
+  const bool silent =
+      !query.silent_target.empty() && this->monitor.ReachedAt() < query.silent_since;
+  if (silent) {
+    this->monitor.OnUnreachable(query.silent_target, now);
+    this->suspicious.NotifyAll();
+    this->UpdateCutOff(now);
+  }
+  if (!silent && !this->cut_off) return std::nullopt;
+  RelayContext context;
+  context.self = this->directory.Self().instance;
+  context.zone = this->directory.Self().zone;
+  context.tried = *query.tried;
+  context.failed = this->failed_relays;
+  context.failed_pause = kFailedRelayPause;
+  context.last_relay = this->last_relay;
+  context.random = std::uniform_real_distribution<double>(0, 1)(this->generator);
+  const FrontRecord* chosen = anvilcroft::ChooseRelay(this->directory.LiveFronts(), context, now);
+  if (chosen == nullptr) return std::nullopt;
+  const auto address = ParseEndpoint(chosen->internal_address);
+  if (!address) return std::nullopt;
+  return RelayPeer{chosen->instance, *address};
+}
+
+void TargetPaths::OnRelay(const RelayPeer& peer, bool relayed, TimePoint now) {
+  this->metrics.Increment("anvilcroft_relayed_requests_total",
+                          {{"outcome", relayed ? "relayed" : "failed"}});
+  if (relayed) {
+    this->last_relay = peer.instance;
+    this->failed_relays.erase(peer.instance);
+    return;
+  }
+  if (this->last_relay == peer.instance) this->last_relay.clear();
+  this->failed_relays[peer.instance] = now;
+}
+
 void TargetPaths::OnOutcome(const TargetEntry& target, platform::PathOutcome outcome,
                             TimePoint now) {
   switch (outcome) {
@@ -44,6 +80,7 @@
   const bool now_cut_off = this->monitor.CutOff(this->pool.All().size());
   if (now_cut_off == this->cut_off) return;
   this->cut_off = now_cut_off;
+  this->directory.SetCutOff(now_cut_off);
   if (now_cut_off) {
     this->cut_off_at = now;
     this->metrics.Increment("anvilcroft_cut_offs_total", {});
