Hand over the batch jobs when the owner can reach no target

Cause: the owner offers its lease only when it can't renew it. One that reaches the store and no engine keeps it for the whole cut; it can run items through other instances, but an order counts as its sender's.

Why this works: a cut-off holder offers the lease, with the texts of its items, as one without the store does, and a cut-off instance declines.

Evidence: the test "an owner that is cut off from all targets hands over the batch jobs" failed before (no other owner within 6 s, and no engine with the version that was named) and passes.

--- a/anvilcroft/front_instance.cc
+++ b/anvilcroft/front_instance.cc
@@ -176,6 +176,8 @@
     this->lease_keeper.SetOffer([this](Task& task, const OwnerRecord& record) {
       return this->lease_peers.OfferLease(task, {record, this->batch_owner.UnfinishedTexts()});
     });
+    // A holder runs the items and orders the engines, which it can do on its own path only.
+    this->lease_keeper.SetUnfit([this] { return this->paths.CutOff(); });
     this->lease_keeper.SetEndedQuery([this](Task& task, const std::string& holder) {
       return LeasePeers::HasEnded(task, this->directory.InternalAddress(holder));
     });
--- a/anvilcroft/lease_keeper.cc
+++ b/anvilcroft/lease_keeper.cc
@@ -110,7 +110,7 @@
     return this->held.fencing != 0 && this->view.record.term > offered.term;
   };
   if (taken_already()) return HandoverAnswer::kTaken;
-  if (this->released || this->held.fencing != 0) return HandoverAnswer::kDeclined;
+  if (this->released || this->held.fencing != 0 || this->unfit()) return HandoverAnswer::kDeclined;
   this->ReadRow(task, kOfferReadTimeout);
   if (taken_already()) return HandoverAnswer::kTaken;
   const OwnerRecord& current = this->view.record;
@@ -164,6 +164,10 @@
       LogInfo(kPart, "renewed the lease after it had expired", {{"key", this->settings.key}});
       this->on_change();
     }
+    if (this->unfit() && SteadyNow() - this->offered_at >= kUnfitOfferInterval) {
+      this->OfferLease(task);
+      this->offered_at = SteadyNow();
+    }
     return;
   }
   if (written) {
@@ -187,17 +191,8 @@
     LogWarning(kPart, "the lease expired because renewals failed; trying to renew it",
                {{"key", this->settings.key}});
   }
-  if (!this->held.offered) {
-    this->held.offered = true;
-    const HandoverAnswer answer = this->offer(task, this->view.record);
-    if (this->released) return;
-    if (answer == HandoverAnswer::kTaken) {
-      this->view.read = false;
-      this->MarkLost("another instance has accepted it");
-      return;
-    }
-    this->held.offered = answer == HandoverAnswer::kUnknown;
-  }
+  if (!this->held.offered && this->OfferLease(task)) return;
+  if (this->released) return;
   if (BootNow() - this->view.changed_at < this->settings.takeover_after) return;
   const auto later = this->query_peers(task, this->view.record.term);
   if (!later || this->released) return;
@@ -209,6 +204,20 @@
   this->MarkLost("another instance holds the lease");
 }
 
+bool LeaseKeeper::OfferLease(Task& task) {
+  this->held.offered = true;
+  const HandoverAnswer answer = this->offer(task, this->view.record);
+  if (this->released) return false;
+  if (answer == HandoverAnswer::kTaken) {
+    this->view.read = false;
+    this->MarkLost("another instance has accepted it");
+    return true;
+  }
+  this->held.offered = answer == HandoverAnswer::kUnknown;
+  if (!this->held.offered) this->on_change();
+  return false;
+}
+
 void LeaseKeeper::MarkLost(const char* reason) {
   LogWarning(kPart, "lost the lease",
              {{"key", this->settings.key},
--- a/anvilcroft/lease_keeper.h
+++ b/anvilcroft/lease_keeper.h
@@ -42,6 +42,8 @@
   // rate and for the time between a validity check and the call that it permits.
   static constexpr Duration kSafetyMargin = milliseconds(500);
 
+  static constexpr Duration kUnfitOfferInterval = milliseconds(600);
+
   // Asks other instances for a lease record with a later term than `term`.
   using PeerQuery = std::function<std::optional<OwnerRecord>(Task&, int64_t term)>;
 
@@ -65,6 +67,11 @@
   // Start.
   void SetOffer(Offer value) { this->offer = std::move(value); }
 
+  // Sets whether this instance is unfit to hold the lease at present. An unfit holder offers the
+  // lease every kUnfitOfferInterval until another instance has accepted it, and does not accept
+  // offers. By default it is always fit. Call before Start.
+  void SetUnfit(std::function<bool()> value) { this->unfit = std::move(value); }
+
   // Sets the query by which the instances that may acquire the lease find out that its holder has
   // ended; then they do not wait for `takeover_after`. Call before Start.
   void SetEndedQuery(EndedQuery query) { this->has_ended = std::move(query); }
@@ -96,6 +103,8 @@
   HandoverAnswer Acquire(Task& task, std::optional<Duration> settle_time);
   void Renew(Task& task);
   void HandleFailedRenewal(Task& task);
+  // Offers the lease to other instances. Returns whether one has it.
+  bool OfferLease(Task& task);
   void MarkLost(const char* reason);
   RowId Row() const { return {"lease", "", this->settings.key}; }
 
@@ -107,8 +116,10 @@
   PeerQuery query_peers = [](Task&, int64_t) { return std::nullopt; };
   Offer offer = [](Task&, const OwnerRecord&) { return HandoverAnswer::kDeclined; };
   EndedQuery has_ended = [](Task&, const std::string&) { return false; };
+  std::function<bool()> unfit = [] { return false; };
   LeaseView view;
   HeldLease held;
+  TimePoint offered_at;  // when this instance last offered the lease because it was unfit
   bool expired = false;  // the held lease has expired, and no other holder is known yet
   bool released = false;
 };
--- a/anvilcroft/owner_handover.h
+++ b/anvilcroft/owner_handover.h
@@ -1,10 +1,11 @@
 #ifndef ANVILCROFT_OWNER_HANDOVER_H_
 #define ANVILCROFT_OWNER_HANDOVER_H_
 
-// An offer of the owner lease to another instance, by a holder that cannot renew it.
+// An offer of the owner lease to another instance, by a holder that cannot renew it or that reaches
+// no target.
 //
-// Load pattern: the store refuses calls from the holder, or the holder is cut off from it, while
-// the other instances are served. Without the offer a successor waits for
+// Load pattern: the store refuses calls from the holder, or the holder is cut off from it or from
+// all targets, while the other instances are served. Without the offer a successor waits for
 // LeaseSettings::takeover_after and generates again what the holder has not saved, while a training
 // step waits.
 
--- a/testing/platform_cut_off_test.cc
+++ b/testing/platform_cut_off_test.cc
@@ -1,99 +1,21 @@
 // Tests instances that are cut off from all targets while callers, the store and the other
 // instances reach them.
 
+#include <algorithm>
 #include <catch2/catch.hpp>
-#include <map>
 
-#include "fakes/fake_link.h"
-#include "testing/platform_fixture.h"
+#include "testing/cut_fixture.h"
 
 namespace anvilcroft {
 namespace {
 
 using fakes::FakeLink;
-using fakes::PlatformEngine;
 
 // The platform's rule: from kContact after the cut began, first tries at instances that are cut off
 // are served at least this share as often as those at the others.
 constexpr Duration kContact = milliseconds(3000);
 constexpr double kMinShare = 2.0 / 3;
 
-// A site in which each instance has links of its own to all targets.
-class CutFixture : public PlatformFixture {
- public:
-  CutFixture(int instance_count, int app_count, int engine_count) {
-    for (int i = 2; i <= app_count; ++i) {
-      const std::string id = "i-app" + std::to_string(i);
-      this->more_apps.push_back(std::make_unique<PlatformEngine>(this->runtime, id, ""));
-      REQUIRE(this->more_apps.back()->Start());
-      this->store.Put("servers", id, this->more_apps.back()->RegistrationEntry("app", "a"));
-    }
-    for (int i = 1; i <= engine_count; ++i) this->AddEngine("i-e" + std::to_string(i));
-    for (int i = 1; i <= instance_count; ++i) this->AddLinkedInstance("n" + std::to_string(i));
-  }
-
-  FrontInstance& AddLinkedInstance(const std::string& id) {
-    std::map<std::string, std::string> addresses;
-    std::vector<PlatformEngine*> targets = {&this->app};
-    for (auto& app : this->more_apps) targets.push_back(app.get());
-    for (auto& engine : this->engines) targets.push_back(engine.get());
-    for (PlatformEngine* target : targets) {
-      const std::string address =
-          nlohmann::json::parse(target->RegistrationEntry("", ""))["Address"];
-      auto link = FakeLink::Builder(this->runtime).SetTarget(*ParseEndpoint(address)).Build();
-      addresses[address] = *link->Start();
-      this->links[id].push_back(std::move(link));
-    }
-    return this->AddInstance(id, *this->store.AddView(std::move(addresses)));
-  }
-
-  // Sets the mode of all links of the instances `first` to `last`, counted from 1.
-  void SetLinks(int first, int last, FakeLink::Mode mode) {
-    for (int i = first; i <= last; ++i) {
-      for (auto& link : this->links["n" + std::to_string(i)]) link->SetMode(mode);
-    }
-  }
-
-  void AwaitAllReady(Task& task) {
-    for (const auto& instance : this->instances) this->AwaitReady(task, *instance);
-    this->Await(task, "all instances are listed", [&] {
-      const auto found = this->Send(task, this->instances.front()->DirectoryAddress(), "GET",
-                                    "/api/lookup?Name=h.example&Zone=a", "l");
-      return found && found->Status() == 200 &&
-             nlohmann::json::parse(found->Body())["Addresses"].size() == this->instances.size();
-    });
-  }
-
-  // Share of the requests that are served, of one request each 100 ms for `duration` at the
-  // instances `first` to `last` in turn.
-  double ServedShare(Task& task, const std::string& path, int first, int last, Duration duration,
-                     const std::string& deadline_ms) {
-    int sent = 0;
-    int served = 0;
-    int open = 0;
-    const TimePoint end = SteadyNow() + duration;
-    while (SteadyNow() < end) {
-      const auto index = static_cast<std::size_t>(first - 1 + sent % (last - first + 1));
-      const std::string address = this->instances[index]->FrontAddress();
-      const std::string id = "r" + std::to_string(this->next_request++);
-      ++sent;
-      ++open;
-      this->runtime.Spawn([this, address, path, id, deadline_ms, &served, &open](Task& caller) {
-        const auto answer = this->Send(caller, address, "POST", path, id, "", deadline_ms);
-        if (answer && answer->Status() == 200) ++served;
-        --open;
-      });
-      SleepUntil(task, SteadyNow() + milliseconds(100));
-    }
-    this->Await(task, "the answers", [&] { return open == 0; });
-    return static_cast<double>(served) / sent;
-  }
-
-  std::map<std::string, std::vector<std::unique_ptr<FakeLink>>> links;  // by instance
-  std::vector<std::unique_ptr<PlatformEngine>> more_apps;
-  int next_request = 0;
-};
-
 // Cuts three of five instances off while callers send requests to `path`, in each way in which
 // connections may fail.
 void CheckServed(const std::string& path) {
@@ -125,5 +47,45 @@
 
 TEST_CASE("an instance that is cut off serves streams", "[cutoff]") { CheckServed("/draft/1"); }
 
+// Guards against an owner that keeps the batch jobs while it can neither run their items nor order
+// engines.
+TEST_CASE("an owner that is cut off from all targets hands over the batch jobs", "[cutoff]") {
+  const auto mode =
+      GENERATE(FakeLink::Mode::kUnreachable, FakeLink::Mode::kRefuse, FakeLink::Mode::kRefuseNew);
+  CAPTURE(static_cast<int>(mode));
+  CutFixture fixture(3, 2, 3);
+  fixture.Run([&](Task& task) {
+    fixture.AwaitAllReady(task);
+    const auto owner = [&] {
+      int owner = 0;
+      for (std::size_t i = 0; i < fixture.instances.size(); ++i) {
+        if (fixture.instances[i]->OwnsBatchJobs()) owner = static_cast<int>(i) + 1;
+      }
+      return owner;
+    };
+    fixture.Await(task, "an instance owns the batch jobs", [&] { return owner() != 0; });
+    const int first = owner();
+    const std::string address = fixture.instances[0]->FrontAddress();
+    REQUIRE(
+        fixture.Send(task, address, "POST", "/rollout/a", "job1", PlatformFixture::Step("x", 2)));
+    fixture.AwaitResults(task, address, "job1", 4);
+    fixture.SetLinks(first, first, mode);
+    REQUIRE(
+        fixture.Send(task, address, "POST", "/rollout/a", "job2", PlatformFixture::Step("y", 6)));
+    fixture.store.Put("op", "version/m", R"({"Model":"m","Version":2})");
+    CHECK(testing::WaitUntil(
+        task, [&] { return owner() != 0 && owner() != first; }, seconds(6)));
+    fixture.AwaitResults(task, address, "job2", 12);
+    CHECK(testing::WaitUntil(
+        task,
+        [&] {
+          return std::all_of(fixture.engines.begin(), fixture.engines.end(),
+                             [](const auto& engine) { return engine->version == 2; });
+        },
+        seconds(10)));
+    fixture.SetLinks(first, first, FakeLink::Mode::kUp);
+  });
+}
+
 }  // namespace
 }  // namespace anvilcroft
