Use an instance for further attempts after it has relayed one

A relayed attempt that failed at its target took the relaying instance out of the choice, for the request or for a second, so a stream that broke off could not go on where one instance relays, and requests after a crash were not served. Only an instance that can't be reached or reaches no target is left out now; one that does not know the target is left out for the request.

--- a/anvilcroft/target_relay.cc
+++ b/anvilcroft/target_relay.cc
@@ -72,7 +72,10 @@
                                     .SetBody(message.Body())
                                     .Build(),
                                 options.WithConnectTimeout(TargetRelay::kConnectTimeout));
-  if (!stream) return stream;
+  if (!stream) {
+    if (stream.error().code != ErrorCode::kConnectFailed) return stream;
+    return Fail(ErrorCode::kIsolated, "the relaying instance cannot be reached", peer.instance);
+  }
   const HttpHeaders& answer = (*stream)->Headers();
   const std::string error(answer.Find(kErrorField));
   if (error.empty()) return stream;
@@ -81,6 +84,11 @@
               answer.Find(kRanField) == RanName(Ran::kNo) ? Ran::kNo : Ran::kUnknown);
 }
 
+bool PeerFailed(const Error& error) {
+  return error.code == ErrorCode::kIsolated ||
+         (error.code == ErrorCode::kConnectionLost && error.part.empty());
+}
+
 void TargetRelay::Handle(Task& task, const HttpRequest& request, HttpReply& reply) {
   const HttpHeaders& headers = request.Headers();
   const auto [name, value] = SplitField(headers.Find(kResponseField));
--- a/anvilcroft/target_relay.h
+++ b/anvilcroft/target_relay.h
@@ -38,15 +38,18 @@
 constexpr char kTargetNotEnded[] = "not_ended";
 
 // Opens the stream of the response to `message`, which `peer` sends to `target`. Fails like
-// HttpClient::OpenStream, with the error at `peer` if there is one: besides those of HttpClient,
-// kIsolated if it is cut off from the targets as well, and kNotFound if it does not know the
-// target.
+// HttpClient::OpenStream, with the error at `peer` if there is one, and besides with ran = no and
+//   kIsolated  `peer` cannot be reached, or reaches no target either
+//   kNotFound  `peer` does not know the target
 Result<std::unique_ptr<HttpStream>> OpenRelayedStream(Task& task, HttpClient& http,
                                                       const RelayPeer& peer,
                                                       const TargetEntry& target,
                                                       const HttpRequest& message,
                                                       const CallOptions& options);
 
+// Whether `error` of OpenRelayedStream means that another instance should relay the next request.
+bool PeerFailed(const Error& error);
+
 // The side of the instance that relays.
 class TargetRelay {
  public:
