Do not take an empty answer for the rest of a stream

Cause: a stream whose answer ended between two events counted as complete, also if it had no event at all, and whether its end was marked by a length or chunks or only by the end of the connection.

A relaying instance, whose answers mark their end, breaks off an unmarked empty one.

--- a/anvilcroft/http_client.cc
+++ b/anvilcroft/http_client.cc
@@ -201,6 +201,7 @@
   int Status() const override { return this->parser->get().result_int(); }
   const HttpHeaders& Headers() const override { return this->headers; }
   bool NewConnection() const override { return this->new_connection; }
+  bool EndIsMarked() const override { return this->end_is_marked; }
 
   Result<std::optional<std::string>> Read(Task& task, TimePoint limit) override {
     std::string& body = this->parser->get().body();
@@ -245,6 +246,7 @@
       if (length && *length > HttpClient::kMaxResponseBytes) {
         return Fail(ErrorCode::kBadResponse, "the response is too large", "", Ran::kUnknown);
       }
+      this->end_is_marked = this->parser->chunked() || length;
       this->headers = FromBeast(this->parser->get());
       this->connection->idle_limit = IdleLimit(this->headers);
       return {};
@@ -269,6 +271,7 @@
 
   std::shared_ptr<Connection> connection;
   bool new_connection;
+  bool end_is_marked = false;
   CallOptions options;
   Release release;
   std::shared_ptr<void> cancel;
--- a/anvilcroft/http_client.h
+++ b/anvilcroft/http_client.h
@@ -42,6 +42,9 @@
   virtual const HttpHeaders& Headers() const = 0;
   // Whether the connection was opened for this request.
   virtual bool NewConnection() const = 0;
+  // Whether the response tells where its body ends, by a length or chunks. Otherwise the body ends
+  // with the connection, also if the peer has ended in the middle of it.
+  virtual bool EndIsMarked() const = 0;
 
   // Waits for the next part of the body and returns it, or nullopt at the end of the body. Fails as
   // HttpClient::Call does, with kConnectionLost for a truncated body. The progress timeout applies
--- a/anvilcroft/target_relay.cc
+++ b/anvilcroft/target_relay.cc
@@ -127,12 +127,16 @@
     return fail(stream.error().WithPart(ended ? kTargetEnded : kTargetNotEnded));
   }
   if (!reply.BeginStream(task, (*stream)->Status(), RelayedHeaders((*stream)->Headers()))) return;
+  bool empty = true;
   while (true) {
     const auto piece = (*stream)->Read(task);
     if (!piece) return reply.Abort();
     if (!*piece) break;
+    empty = false;
     if (!reply.Write(task, **piece)) return;
   }
+  // The relayed response marks its end, so it must not pass off a missing body as an empty one.
+  if (empty && !(*stream)->EndIsMarked()) return reply.Abort();
   reply.End(task);
 }
 
--- a/testing/http_peer_test.cc
+++ b/testing/http_peer_test.cc
@@ -345,5 +345,39 @@
   }
 }
 
+// Guards against the text of an item that ends early because the target of a later run failed
+// before its first event and closed the connection.
+TEST_CASE("a generation without an event is complete only if nothing was left", "[http][peer]") {
+  struct Answer {
+    const char* fields;
+    int64_t resume_after;
+    bool complete;
+  };
+  const Answer answer =
+      GENERATE(Answer{"Content-Type: text/event-stream\r\nContent-Length: 0\r\n", 2, true},
+               Answer{"Content-Type: text/event-stream\r\nContent-Length: 0\r\n", 0, false},
+               Answer{"Content-Type: text/event-stream\r\n", 2, false},
+               Answer{"Content-Length: 0\r\n", 2, false});
+  CAPTURE(answer.fields, answer.resume_after);
+  std::unique_ptr<ScriptedPeer> peer;
+  peer = std::make_unique<ScriptedPeer>([&](Task& task, Socket& socket) {
+    ScriptedPeer::ReadRequest(task, socket);
+    peer->Write(task, socket,
+                "HTTP/1.1 200 OK\r\n" + std::string(platform::kAttemptIdField) +
+                    ": r\r\nX-Server-Stamp: s\r\n" + answer.fields + "\r\n");
+  });
+  platform::EngineClient client(peer->runtime);
+  RunTask(peer->runtime, [&](Task& task) {
+    platform::GenerationRequest request;
+    request.id = "r";
+    request.host = "h";
+    request.path = "/p";
+    request.resume_after = answer.resume_after;
+    const auto outcome = client.Generate(task, SendPermit::Unchecked(), peer->Target(), request,
+                                         Within(seconds(5)), [](const auto&) {});
+    CHECK((outcome.kind == platform::GenerationOutcome::Kind::kComplete) == answer.complete);
+  });
+}
+
 }  // namespace
 }  // namespace anvilcroft
