Refuse requests that a stopping instance cannot finish

Cause: a stopping instance took requests for three times the lifetime of its addresses, whatever their deadline, and ended with those that were still open.

The test "requests late in the grace period are answered" failed before for 9 of 9 requests (lookups, requests that may run once only, streams; sent 3.5, 4.5 and 5.5 s after SIGTERM to a real process) and passes.

--- a/anvilcroft/front_instance.cc
+++ b/anvilcroft/front_instance.cc
@@ -17,6 +17,7 @@
 #include "anvilcroft/platform_view.h"
 #include "anvilcroft/process_stats.h"
 #include "anvilcroft/request_limiter.h"
+#include "anvilcroft/stop_plan.h"
 #include "anvilcroft/target_paths.h"
 #include "platform/ingress.h"
 #include "platform/store_client.h"
@@ -286,13 +287,17 @@
     hooks.route = [this](const std::string& host, const std::string& path) {
       return this->FindRoute(host, path);
     };
-    hooks.forward = [this](Task& task, const LiveRequest& request) {
-      return this->ServeAndLog(request, "short",
-                               [&] { return this->forwarder.Serve(task, request); });
+    hooks.forward = [this](Task& task, LiveRequest request) {
+      const bool admitted = this->AdmitWhileStopping(request, false);
+      return this->ServeAndLog(request, "short", [&] {
+        return admitted ? this->forwarder.Serve(task, request) : OutcomeOfRefusalAtStop();
+      });
     };
-    hooks.stream = [this](Task& task, const LiveRequest& request, HttpReply& reply) {
-      return this->ServeAndLog(request, "stream",
-                               [&] { return this->streamer.Serve(task, request, reply); });
+    hooks.stream = [this](Task& task, LiveRequest request, HttpReply& reply) {
+      const bool admitted = this->AdmitWhileStopping(request, true);
+      return this->ServeAndLog(request, "stream", [&] {
+        return admitted ? this->streamer.Serve(task, request, reply) : OutcomeOfRefusalAtStop();
+      });
     };
     hooks.submit = [this](Task& task, BatchJob job, TimePoint deadline) {
       return this->batch_service.Submit(task, std::move(job), deadline);
@@ -326,6 +331,25 @@
     return *route;
   }
 
+  // Decides whether a request is served although this instance may be stopping, and by when.
+  bool AdmitWhileStopping(LiveRequest& request, bool stream) const {
+    if (!this->stop_plan) return true;
+    const auto routes = this->view.Routes();
+    const ServiceRoute* route = routes ? routes->Match(request.host, request.path) : nullptr;
+    const StopDecision decision = DecideWhileStopping(
+        *this->stop_plan, {request.deadline, route != nullptr && route->Repeatable(), stream},
+        SteadyNow());
+    request.deadline = decision.deadline;
+    return decision.serve;
+  }
+
+  static LiveOutcome OutcomeOfRefusalAtStop() {
+    LiveOutcome outcome;
+    outcome.kind = LiveOutcome::Kind::kNotRun;
+    outcome.reason = "the instance stops before the request could end";
+    return outcome;
+  }
+
   // Calls `serve` for a request, then counts and logs the outcome.
   LiveOutcome ServeAndLog(const LiveRequest& request, const char* kind,
                           const std::function<LiveOutcome()>& serve) {
@@ -435,6 +459,7 @@
     this->stopping = true;
     const TimePoint started = SteadyNow();
     const TimePoint end = started + this->settings.GracePeriod() - kExitMargin;
+    this->stop_plan = StopPlan{started, end};
     LogInfo(kPart, "stopping",
             {{"grace_ms", std::to_string(ToMillis(this->settings.GracePeriod()))}});
     this->runtime.Spawn([this, end](Task& other) { this->directory.AnnounceLeaving(other, end); });
@@ -486,6 +511,7 @@
   std::unique_ptr<HttpServer> ready_server;
   std::unique_ptr<HttpServer> metrics_server;
   bool stopping = false;
+  std::optional<StopPlan> stop_plan;  // set while this instance stops
 };
 
 FrontInstance::FrontInstance(Runtime& runtime, const FrontSettings& settings,
--- a/soak/site.cc
+++ b/soak/site.cc
@@ -95,7 +95,8 @@
         << "log_level: info\naddress:\n  front: \"" << instance.front << "\"\n  directory: \""
         << FreeAddress() << "\"\n  ready: \"" << instance.ready << "\"\n  metrics: \""
         << FreeAddress() << "\"\n  store: \"" << *link
-        << "\"\ntiming:\n  grace_s: 8\n  address_ttl_s: 1\n  owner_lease_ms: 3000\n"
+        << "\"\ntiming:\n  grace_s: 8\n  address_ttl_s: " << this->options.address_ttl_s
+        << "\n  owner_lease_ms: 3000\n"
         << "  cancel_ms: 3000\n";
     this->instances.push_back(std::move(instance));
     if (auto started = this->StartProcess(this->instances.back()); !started) return started;
--- a/soak/site.h
+++ b/soak/site.h
@@ -22,6 +22,7 @@
   int instances = 4;
   int engines = 3;
   int apps = 2;
+  int address_ttl_s = 1;     // how long callers may use the addresses that they are given
   bool link_targets = true;  // false: instances connect to the targets themselves
 };
 
