--- a/fakes/platform_store.cc
+++ b/fakes/platform_store.cc
@@ -20,8 +20,7 @@
 
 PlatformStore::PlatformStore(Runtime& runtime, const std::string& address)
     : server(runtime, address) {
-  static const Addresses kUnchanged;
-  this->AddRoutes(this->server, kUnchanged);
+  this->AddRoutes(this->server, this->no_replacements);
 }
 
 Result<std::string> PlatformStore::AddView(Addresses addresses) {
--- a/fakes/platform_store.h
+++ b/fakes/platform_store.h
@@ -83,6 +83,7 @@
   };
 
   FakeServer server;
+  const Addresses no_replacements;
   std::list<View> views;
   std::map<RowId, Row> rows;
   std::deque<Change> history;
