Send no requests to targets that say in their answers that they leave

Cause: only the entry in the store was read, which comes later or, for some engines, never says it. It also reaches no machine that is cut off from the store.

Why this works: any answer of a start that says so, also to items, reports and orders and on relayed requests, takes it out of every choice at once; its entry, also one that goes and comes back, changes nothing, and a new start is used again.

--- a/anvilcroft/batch_owner.cc
+++ b/anvilcroft/batch_owner.cc
@@ -266,7 +266,7 @@
   std::vector<PlacementEngine> engines;
   for (const auto& [id, state] : this->context.engine_tracker.All()) {
     const PoolTarget* target = this->context.pool.Find(id);
-    if (target == nullptr || target->entry.draining || target->removal_at) continue;
+    if (target == nullptr || target->Leaving() || target->removal_at) continue;
     if (state.unconfirmed || IsPaused(*target, now)) continue;
     PlacementEngine engine;
     engine.id = id;
--- a/anvilcroft/front_instance.cc
+++ b/anvilcroft/front_instance.cc
@@ -81,12 +81,7 @@
               [this](const char* call, const char* outcome, Duration took) {
                 this->CountStoreCall(call, outcome, took);
               }),
-        engines(
-            this->runtime,
-            [this](const TargetEntry& target, std::optional<double> limit) {
-              this->limiter->OnAnswer(target, limit, SteadyNow());
-            },
-            this->MakePathHooks()),
+        engines(this->runtime, this->MakeAnswerHooks(), this->MakePathHooks()),
         paths(this->runtime, this->directory, this->pool, this->metrics,
               StableHash(settings.InstanceId()) + 2),
         relay([this](const std::string& id, WallMillis start) { return this->Usable(id, start); },
@@ -259,6 +254,22 @@
 
   bool Ready() const { return !this->stopping && this->Informed(); }
 
+  platform::AnswerHooks MakeAnswerHooks() {
+    platform::AnswerHooks hooks;
+    hooks.on_limit = [this](const TargetEntry& target, std::optional<double> limit) {
+      this->limiter->OnAnswer(target, limit, SteadyNow());
+    };
+    hooks.on_leaving = [this](const TargetEntry& target) {
+      if (!this->pool.OnLeaving(target, SteadyNow())) return;
+      LogInfo("platform", "a target says that it leaves",
+              {{"target", target.id},
+               {"service", target.service},
+               {"started", std::to_string(target.started_at)}});
+      this->context.plan_inputs_changed.NotifyAll();
+    };
+    return hooks;
+  }
+
   platform::PathHooks MakePathHooks() {
     platform::PathHooks hooks;
     hooks.choose = [this](const PathQuery& query) {
@@ -278,7 +289,7 @@
   std::optional<TargetEntry> Usable(const std::string& id, WallMillis started_at) const {
     const PoolTarget* target = this->pool.Find(id);
     const bool usable = target != nullptr && target->entry.started_at == started_at &&
-                        !target->entry.draining && !target->removal_at;
+                        !target->Leaving() && !target->removal_at;
     return usable ? std::optional<TargetEntry>(target->entry) : std::nullopt;
   }
 
--- a/anvilcroft/target_pool.cc
+++ b/anvilcroft/target_pool.cc
@@ -29,6 +29,9 @@
   }
   target.entry = entry;
   target.removal_at.reset();
+  const auto said = this->leaving.find({entry.id, entry.started_at});
+  target.says_leaving = said != this->leaving.end();
+  if (target.says_leaving) said->second = now + kLeavingMemory;
 }
 
 void TargetPool::Remove(const std::string& id, TimePoint now, Duration grace) {
@@ -56,6 +59,20 @@
     const bool expired = it->second.removal_at && *it->second.removal_at <= now;
     it = expired ? this->targets.erase(it) : std::next(it);
   }
+  for (auto it = this->leaving.begin(); it != this->leaving.end();) {
+    it = it->second <= now ? this->leaving.erase(it) : std::next(it);
+  }
+}
+
+bool TargetPool::OnLeaving(const TargetEntry& target, TimePoint now) {
+  if (!this->leaving.emplace(Start{target.id, target.started_at}, now + kLeavingMemory).second) {
+    return false;
+  }
+  const auto found = this->targets.find(target.id);
+  if (found != this->targets.end() && found->second.entry.IsSameStart(target)) {
+    found->second.says_leaving = true;
+  }
+  return true;
 }
 
 void TargetPool::OnRequestStarted(const std::string& id) {
@@ -115,7 +132,7 @@
   std::vector<const PoolTarget*> list;
   for (const auto& [id, target] : this->targets) {
     const bool removed = target.removal_at && *target.removal_at <= now;
-    if (target.entry.service == service && !target.entry.draining && !removed) {
+    if (target.entry.service == service && !target.Leaving() && !removed) {
       list.push_back(&target);
     }
   }
--- a/anvilcroft/target_pool.h
+++ b/anvilcroft/target_pool.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "anvilcroft/load_report.h"
@@ -43,6 +44,10 @@
   TimePoint latency_at;                      // time of the last update of mean_latency
   // When the target is removed; set while its entry is missing from the platform's list.
   std::optional<TimePoint> removal_at;
+  bool says_leaving = false;  // an answer of this start has said that the target leaves
+
+  // Whether the target accepts no new requests, by its entry or its answers.
+  bool Leaving() const { return this->entry.draining || this->says_leaving; }
 };
 
 class TargetPool {
@@ -50,6 +55,10 @@
   // Faults of targets last seconds, so recorded failures decay at the same rate.
   static constexpr Duration kHealthHalfLife = seconds(3);
 
+  // A target that has said that it leaves is remembered for this long after its entry has gone,
+  // because an entry may come back.
+  static constexpr Duration kLeavingMemory = std::chrono::minutes(10);
+
   // Adds or updates a target. After a restart of the target, only its count of requests in flight
   // is kept.
   void Apply(const TargetEntry& entry, TimePoint now);
@@ -71,17 +80,25 @@
                          TimePoint now);
   void OnLoadReport(const std::string& id, const LoadReport& report, TimePoint now);
 
+  // Records that `target` has said in an answer that it leaves. Its entry may say so later or not
+  // at all. Returns whether that is new.
+  bool OnLeaving(const TargetEntry& target, TimePoint now);
+
   // Returns null if `id` is not in the pool.
   const PoolTarget* Find(const std::string& id) const;
 
-  // The targets of `service` that accept new requests at `now`: they are not draining, and the
-  // grace period of none has ended.
+  // The targets of `service` that accept new requests at `now`: none is leaving, and the grace
+  // period of none has ended.
   std::vector<const PoolTarget*> AcceptingTargets(const std::string& service, TimePoint now) const;
 
   const std::map<std::string, PoolTarget>& All() const { return this->targets; }
 
  private:
+  using Start = std::pair<std::string, WallMillis>;  // id and start of a target
+
   std::map<std::string, PoolTarget> targets;
+  // The starts that have said that they leave, with the time until which they are remembered.
+  std::map<Start, TimePoint> leaving;
 };
 
 // Whether `target` is left alone at `now` because its last requests got no response: for a time
--- a/anvilcroft/weight_control.cc
+++ b/anvilcroft/weight_control.cc
@@ -145,7 +145,7 @@
   std::map<std::string, std::vector<LoadableEngine>> by_service;
   for (const auto& [id, engine] : this->context.engine_tracker.All()) {
     const PoolTarget* target = this->context.pool.Find(id);
-    if (target == nullptr || target->entry.draining || target->removal_at) continue;
+    if (target == nullptr || target->Leaving() || target->removal_at) continue;
     if (engine.unconfirmed && now >= engine.busy_until) {
       this->context.engine_tracker.Find(id)->busy_until = now + kBusyPause;
       this->context.runtime.Spawn([this, entry = engine.entry](Task& task) {
--- a/fakes/platform_engine.cc
+++ b/fakes/platform_engine.cc
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr char kLimitField[] = "Server-Limit";
+constexpr char kLeavingField[] = "Server-Leaving";
 
 }  // namespace
 
@@ -82,6 +83,7 @@
 
 void PlatformEngine::Answer(Task& task, HttpResponse::Builder answer, HttpReply& reply) {
   if (this->request_limit) answer.SetHeader(kLimitField, std::to_string(*this->request_limit));
+  if (this->leaving) answer.SetHeader(kLeavingField, "1");
   reply.Send(task, answer.Build());
 }
 
@@ -159,6 +161,7 @@
   if (this->request_limit) {
     answer = answer.With(kLimitField, std::to_string(*this->request_limit));
   }
+  if (this->leaving) answer = answer.With(kLeavingField, "1");
   if (!reply.BeginStream(task, 200, answer)) return;
   const std::string after(headers.Find("Last-Event-Id"));
   if (!after.empty()) ++this->resumed_runs;
