Let the soak cut instances off from all targets, crash targets and let them leave

Each instance has links of its own to all targets. The new kinds are generated apart, so that seeds keep their earlier faults.

--- a/fakes/platform_engine.cc
+++ b/fakes/platform_engine.cc
@@ -55,6 +55,7 @@
 }
 
 void PlatformEngine::Crash() {
+  if (this->server.Crashed()) return;
   this->crashes.push_back(SteadyNow());
   this->server.Crash();
   this->server.Loop().Spawn([this](Task& task) {
--- a/soak/fault_schedule.cc
+++ b/soak/fault_schedule.cc
@@ -13,10 +13,11 @@
 using fakes::FakeLink;
 using fakes::FaultPlan;
 
-// Kinds up to kConfigure, and the later ones, are generated separately, so that a seed keeps its
-// faults when a kind is added.
+// Kinds up to kConfigure, those up to kUpgrade and the later ones are generated separately, so that
+// a seed keeps its faults when a kind is added.
 constexpr int kFirstKinds = static_cast<int>(FaultKind::kConfigure) + 1;
-constexpr int kKinds = static_cast<int>(FaultKind::kUpgrade) + 1;
+constexpr int kSecondKinds = static_cast<int>(FaultKind::kUpgrade) + 1;
+constexpr int kKinds = static_cast<int>(FaultKind::kLeave) + 1;
 constexpr int kMaxLateGapMs = 4000;  // between the starts of faults of the later kinds
 // Ranges of the gaps between the starts of faults and of their durations. Some durations are
 // shorter and some are longer than the lease of 3 s.
@@ -137,6 +138,37 @@
       target.request_limit.reset();
       break;
     }
+    case FaultKind::kStranded: {
+      constexpr FakeLink::Mode kModes[] = {FakeLink::Mode::kUnreachable, FakeLink::Mode::kRefuse,
+                                           FakeLink::Mode::kRefuseNew};
+      // Two thirds of the instances, or a third.
+      const std::size_t spared = fault.index % 3;
+      const bool most = fault.index % 2 == 0;
+      const auto set = [&](FakeLink::Mode mode) {
+        for (std::size_t i = 0; i < site.Instances().size(); ++i) {
+          if ((i % 3 != spared) != most) continue;
+          for (auto& link : site.Instances()[i].target_links) link->SetMode(mode);
+        }
+      };
+      set(kModes[fault.index / 6 % 3]);
+      SleepUntil(task, end);
+      set(FakeLink::Mode::kUp);
+      break;
+    }
+    case FaultKind::kCrash: {
+      auto& targets = fault.index % 2 == 0 ? site.Engines() : site.Apps();
+      for (std::size_t i = 0; i < 2; ++i) {
+        targets[(fault.index / 2 + i) % targets.size()]->Crash();
+        SleepUntil(task, SteadyNow() + fault.duration / 2);
+      }
+      break;
+    }
+    case FaultKind::kLeave:
+      engine.leaving = true;
+      SleepUntil(task, end);
+      engine.leaving = false;
+      engine.Restart(engine.software);
+      break;
     case FaultKind::kUpgrade:
       engine.Restart(engine.software == kSecondSoftware ? fakes::PlatformEngine::kSoftware
                                                         : kSecondSoftware);
@@ -151,7 +183,7 @@
       "kill",         "freeze",     "stop",         "reload",        "store_down",
       "store_silent", "store_slow", "store_loses",  "history_lost",  "store_cut",
       "store_muted",  "target_cut", "target_muted", "engine_breaks", "configure",
-      "target_limit", "upgrade"};
+      "target_limit", "upgrade",    "stranded",     "crash",         "leave"};
   return kNames[static_cast<int>(kind)];
 }
 
@@ -173,7 +205,8 @@
     }
   };
   generate(0, kFirstKinds - 1, kMaxGapMs);
-  generate(kFirstKinds, kKinds - 1, kMaxLateGapMs);
+  generate(kFirstKinds, kSecondKinds - 1, kMaxLateGapMs);
+  generate(kSecondKinds, kKinds - 1, kMaxLateGapMs);
   std::stable_sort(faults.begin(), faults.end(),
                    [](const Fault& a, const Fault& b) { return a.start < b.start; });
   return faults;
--- a/soak/fault_schedule.h
+++ b/soak/fault_schedule.h
@@ -31,6 +31,9 @@
   kConfigure,     // the operator writes a new version of the configuration
   kTargetLimit,   // a target names a request limit of 1 to 20 a second
   kUpgrade,       // an engine is replaced by one with the other of two software versions
+  kStranded,      // one or two of three instances lose their links to all targets
+  kCrash,         // a target ends and is back soon; another one follows
+  kLeave,         // an engine says that it leaves and is replaced
 };
 
 // The software version of engines besides fakes::PlatformEngine::kSoftware.
--- a/soak/site.cc
+++ b/soak/site.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <fstream>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -62,6 +63,7 @@
     const auto link_address = link->Start();
     if (!link_address) return tl::unexpected<Error>(link_address.error());
     this->target_links.push_back(std::move(link));
+    this->target_addresses.push_back(*link_address);
     this->SpawnRegistration(*list.back(), service, *link_address);
     return {};
   };
@@ -83,8 +85,10 @@
     instance.ready = FreeAddress();
     instance.settings_file = this->options.directory + "/" + instance.id + ".yaml";
     instance.log_file = this->options.directory + "/" + instance.id + ".log";
+    const auto store_view = this->StartTargetLinks(instance);
+    if (!store_view) return tl::unexpected<Error>(store_view.error());
     instance.store_link = fakes::FakeLink::Builder(this->runtime)
-                              .SetTarget(*ParseEndpoint(*store_address))
+                              .SetTarget(*ParseEndpoint(*store_view))
                               .SetDelay(milliseconds(2), milliseconds(2))
                               .SetSeed(static_cast<uint64_t>(i) + 1)
                               .Build();
@@ -104,6 +108,18 @@
   return {};
 }
 
+Result<std::string> Site::StartTargetLinks(SoakInstance& instance) {
+  std::map<std::string, std::string> addresses;
+  for (const std::string& target : this->target_addresses) {
+    auto link = fakes::FakeLink::Builder(this->runtime).SetTarget(*ParseEndpoint(target)).Build();
+    const auto address = link->Start();
+    if (!address) return address;
+    addresses[target] = *address;
+    instance.target_links.push_back(std::move(link));
+  }
+  return this->store.AddView(std::move(addresses));
+}
+
 // Writes the entry of a target, and writes it again when it has changed.
 void Site::SpawnRegistration(const fakes::PlatformEngine& target, const std::string& service,
                              const std::string& link_address) {
--- a/soak/site.h
+++ b/soak/site.h
@@ -34,6 +34,8 @@
   std::string settings_file;
   std::string log_file;
   std::unique_ptr<fakes::FakeLink> store_link;
+  // One link for each target, which only this instance uses.
+  std::vector<std::unique_ptr<fakes::FakeLink>> target_links;
   std::unique_ptr<fakes::ChildProcess> process;
   bool frozen = false;  // stopped by SIGSTOP
 };
@@ -70,6 +72,9 @@
   int CountRuns(const std::string& id) const;
 
  private:
+  // Starts links from `instance` to all targets. Returns the address at which the store names these
+  // links as the addresses of the targets.
+  Result<std::string> StartTargetLinks(SoakInstance& instance);
   // Starts a task that keeps the entry of `target` in the store up to date.
   void SpawnRegistration(const fakes::PlatformEngine& target, const std::string& service,
                          const std::string& link_address);
@@ -80,6 +85,7 @@
   std::vector<std::unique_ptr<fakes::PlatformEngine>> engines;
   std::vector<std::unique_ptr<fakes::PlatformEngine>> apps;
   std::vector<std::unique_ptr<fakes::FakeLink>> target_links;
+  std::vector<std::string> target_addresses;  // as registered
   std::vector<SoakInstance> instances;
   int64_t configuration_version = 0;
 };
