Take an instance for cut off only after five different targets

With three, one of eleven instances would take a crash of 30 of 100 targets for a cut of its own for some tenths of a second (0.3 squared, after its own failed request); with five one of a hundred. Two probes run at a time, so a partition that makes connections hang is still found in three timeouts.

--- a/anvilcroft/path_monitor.h
+++ b/anvilcroft/path_monitor.h
@@ -22,7 +22,7 @@
 
 class PathMonitor {
  public:
-  static constexpr std::size_t kMinTargets = 3;
+  static constexpr std::size_t kMinTargets = 5;
 
   // A target has accepted a new connection.
   void OnConnected(TimePoint now);
--- a/anvilcroft/target_paths.cc
+++ b/anvilcroft/target_paths.cc
@@ -15,12 +15,14 @@
 void TargetPaths::Start() {
   this->metrics.RegisterGauge("anvilcroft_cut_off_from_targets", {},
                               [this] { return this->cut_off ? 1.0 : 0.0; });
-  this->runtime.SpawnService("probe targets", [this](Task& task) {
-    while (true) {
-      while (!this->monitor.Suspicious()) this->suspicious.Wait(task);
-      this->Probe(task);
-    }
-  });
+  for (int i = 0; i < kProbers; ++i) {
+    this->runtime.SpawnService("probe targets", [this](Task& task) {
+      while (true) {
+        while (!this->monitor.Suspicious()) this->suspicious.Wait(task);
+        this->Probe(task);
+      }
+    });
+  }
 }
 
 std::optional<RelayPeer> TargetPaths::ChooseRelay(const PathQuery& query, TimePoint now) {
--- a/anvilcroft/target_paths.h
+++ b/anvilcroft/target_paths.h
@@ -37,6 +37,9 @@
  public:
   // Time within which a target accepts a connection; it is at most a few tens of milliseconds away.
   static constexpr Duration kProbeTimeout = milliseconds(150);
+  // Probes that run at the same time. A partition that makes connections hang is found in
+  // kMinTargets / kProbers timeouts.
+  static constexpr int kProbers = 2;
   // Interval of probes while this instance is suspicious, and while it is cut off.
   static constexpr Duration kSuspiciousInterval = milliseconds(50);
   static constexpr Duration kCutOffInterval = milliseconds(300);
