Give links and targets of tests ports that outgoing connections cannot take

A link that refuses connections closes its listener. The soak's choice of ports serves all of them now.

--- a/fakes/fake_link.cc
+++ b/fakes/fake_link.cc
@@ -15,6 +15,7 @@
 #include "anvilcroft/json.h"
 #include "anvilcroft/log.h"
 #include "anvilcroft/runtime_impl.h"
+#include "fakes/free_address.h"
 
 namespace anvilcroft::fakes {
 namespace {
@@ -112,6 +113,7 @@
   }
 
   Result<std::string> Start() override {
+    if (this->listen.empty()) this->listen = FreeAddress();
     const auto parsed = ParseEndpoint(this->listen);
     if (!parsed) return tl::unexpected<Error>(parsed.error());
     this->local = asio::ip::tcp::endpoint(asio::ip::make_address(parsed->ip), parsed->port);
--- a/fakes/fake_link.h
+++ b/fakes/fake_link.h
@@ -67,7 +67,7 @@
  public:
   explicit Builder(Runtime& runtime) : runtime(runtime) {}
 
-  // The addresses for relayed and for control connections. Port 0 (default) lets the system choose.
+  // The addresses for relayed and for control connections. By default free ones.
   Builder& SetListen(std::string value);
   Builder& SetControl(std::string value);
   // The endpoint to relay to.
@@ -82,7 +82,7 @@
   friend class FakeLinkImpl;
 
   Runtime& runtime;
-  std::string listen = "127.0.0.1:0";
+  std::string listen;  // empty: FreeAddress()
   std::string control = "127.0.0.1:0";
   Endpoint target;
   Quality quality;
--- a/fakes/platform_engine.cc
+++ b/fakes/platform_engine.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "anvilcroft/json.h"
+#include "fakes/free_address.h"
 
 namespace anvilcroft::fakes {
 
@@ -17,7 +18,7 @@
 }  // namespace
 
 PlatformEngine::PlatformEngine(Runtime& runtime, std::string id, std::string model)
-    : server(runtime, "127.0.0.1:0"), id(std::move(id)), model(std::move(model)) {
+    : server(runtime, FreeAddress()), id(std::move(id)), model(std::move(model)) {
   this->server.SetHandler([this](Task& task, const HttpRequest& request, HttpReply& reply) {
     this->Handle(task, request, reply);
   });
--- a/soak/site.cc
+++ b/soak/site.cc
@@ -1,41 +1,20 @@
 #include "soak/site.h"
 
-#include <unistd.h>
-
 #include <algorithm>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <fstream>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "fakes/free_address.h"
+
 namespace anvilcroft::soak {
 namespace {
 
 using nlohmann::json;
 
-// The ports are below the range for outgoing connections: a process that connects to a closed port
-// within that range may be connected to itself and so occupy the port.
-constexpr int kFirstPort = 20000;
-constexpr int kPorts = 10000;
 constexpr Duration kRegistrationInterval = milliseconds(200);  // of a target's entry
 
-// Returns a free address of the loopback interface. It is fixed, because a restarted instance must
-// listen on the same one.
-std::string FreeAddress() {
-  static int next = static_cast<int>(getpid()) * 64;
-  boost::asio::io_context context;
-  while (true) {
-    const int port = kFirstPort + next++ % kPorts;
-    boost::asio::ip::tcp::acceptor acceptor(context);
-    boost::system::error_code taken;
-    acceptor.open(boost::asio::ip::tcp::v4());
-    acceptor.bind({boost::asio::ip::make_address("127.0.0.1"), static_cast<uint16_t>(port)}, taken);
-    if (!taken) return "127.0.0.1:" + std::to_string(port);
-  }
-}
-
 json Route(const std::string& name, const std::string& kind, const std::string& service) {
   return {{"Name", name},       {"Host", Site::kHost}, {"Prefix", "/" + name + "/"},
           {"Kind", kind},       {"TimeoutMs", 3000},   {"TargetLatencyMs", 300},
@@ -81,8 +60,8 @@
   for (int i = 0; i < this->options.instances; ++i) {
     SoakInstance instance;
     instance.id = "n-" + std::to_string(i);
-    instance.front = FreeAddress();
-    instance.ready = FreeAddress();
+    instance.front = fakes::FreeAddress();
+    instance.ready = fakes::FreeAddress();
     instance.settings_file = this->options.directory + "/" + instance.id + ".yaml";
     instance.log_file = this->options.directory + "/" + instance.id + ".log";
     const auto store_view = this->StartTargetLinks(instance);
@@ -97,8 +76,8 @@
     std::ofstream(instance.settings_file)
         << "instance_id: " << instance.id << "\nzone: a\nregion: r\ncpu_share: 0.5\n"
         << "log_level: info\naddress:\n  front: \"" << instance.front << "\"\n  directory: \""
-        << FreeAddress() << "\"\n  ready: \"" << instance.ready << "\"\n  metrics: \""
-        << FreeAddress() << "\"\n  store: \"" << *link
+        << fakes::FreeAddress() << "\"\n  ready: \"" << instance.ready << "\"\n  metrics: \""
+        << fakes::FreeAddress() << "\"\n  store: \"" << *link
         << "\"\ntiming:\n  grace_s: 8\n  address_ttl_s: " << this->options.address_ttl_s
         << "\n  owner_lease_ms: 3000\n"
         << "  cancel_ms: 3000\n";
