--- a/fakes/platform_engine.h
+++ b/fakes/platform_engine.h
@@ -61,7 +61,7 @@
   Duration restart_time = milliseconds(300);
   std::vector<TimePoint> crashes;
   std::function<void()> on_restart;  // the target listens again and may register; may be empty
-  bool leaving = false;  // all answers say that the target leaves
+  bool leaving = false;              // all answers say that the target leaves
   int events_per_item = 6;
   Duration event_time = milliseconds(5);
 
