--- a/anvilcroft/front_directory.h
+++ b/anvilcroft/front_directory.h
@@ -9,6 +9,9 @@
 // down. All instances follow the feed of the entries and of the watcher's row, so that what they
 // read grows with the changes and not with the number of instances (front_watch.h).
 //
+// An instance that reaches no target says so in its entry, so that callers and other instances can
+// do without it.
+//
 // No instance can write heartbeats during an outage of the store, so for a grace period after one
 // the watcher takes no further instance for down.
 
--- a/anvilcroft/live_forwarder.h
+++ b/anvilcroft/live_forwarder.h
@@ -8,6 +8,10 @@
 // sent to another target when a target reports that it did not run it. The outcome is kNotRun only
 // if no target can have run the request. Targets that limit their requests get no hedges, and other
 // requests only with a permit; a request that no target takes in time is refused at once.
+//
+// Attempts after the first one go through another instance as long as no target has answered since
+// the request was sent (target_paths.h). A request under which targets have crashed is refused
+// (crash_limiter.h).
 
 #include <functional>
 #include <memory>
--- a/anvilcroft/live_streamer.h
+++ b/anvilcroft/live_streamer.h
@@ -7,6 +7,9 @@
 // target after its last complete event, within the same response. Any other stream runs at most
 // once: another target is tried only if the previous one reports that it did not run the request.
 //
+// Attempts after the first one may go through another instance (target_paths.h), and a stream under
+// which targets have crashed is refused (crash_limiter.h).
+//
 // A stream, also one that its caller takes up, goes on only at targets of the service and the
 // software version that began it (stream_origin.h). If there is none, the request is refused at
 // once.
--- a/anvilcroft/path_query.h
+++ b/anvilcroft/path_query.h
@@ -19,7 +19,8 @@
   TimePoint silent_since;
   // The request must not be sent on a path that may be lost, because it may run once only.
   bool verify = false;
-  // The instances through which the request has been sent. May be shared by several attempts.
+  // The instances that are not to relay the request: those that could not, and those through which
+  // an attempt is under way. Shared by all attempts of a request.
   std::shared_ptr<std::set<std::string>> tried = std::make_shared<std::set<std::string>>();
 };
 
