Relay only through instances whose entry says that they do

During an upgrade an instance of an older build would answer a relayed request at its internal address with its metrics; the request would count as one that may have run. Entries of older builds lack the field.

--- a/anvilcroft/front_instance.cc
+++ b/anvilcroft/front_instance.cc
@@ -216,6 +216,7 @@
     record.region = settings.Region();
     record.address = settings.FrontAddress().ToString();
     record.cpu_share = settings.CpuShare();
+    record.relays = true;
     return record;
   }
 
--- a/anvilcroft/front_record.cc
+++ b/anvilcroft/front_record.cc
@@ -18,6 +18,7 @@
                    {"cpu_share", record.cpu_share},
                    {"leaving", record.leaving},
                    {"cut_off", record.cut_off},
+                   {"relays", record.relays},
                    {"written_at", record.written_at}});
 }
 
@@ -34,6 +35,7 @@
   record.cpu_share = fields.NumberOr("cpu_share", 1, 0, 1e6);
   record.leaving = fields.BoolOr("leaving", false);
   record.cut_off = fields.BoolOr("cut_off", false);
+  record.relays = fields.BoolOr("relays", false);  // absent in entries of older builds
   record.written_at = fields.Integer("written_at", 0, INT64_MAX / 2);
   if (!fields.Ok()) return tl::unexpected<Error>(fields.Finish().error());
   return record;
--- a/anvilcroft/relay_choice.cc
+++ b/anvilcroft/relay_choice.cc
@@ -7,8 +7,8 @@
   std::vector<const FrontRecord*> same_zone;
   std::vector<const FrontRecord*> other_zones;
   for (const FrontRecord& front : fronts) {
-    if (front.instance == context.self || front.internal_address.empty() || front.cut_off ||
-        context.tried.count(front.instance) != 0) {
+    const bool usable = front.relays && !front.cut_off && !front.internal_address.empty();
+    if (!usable || front.instance == context.self || context.tried.count(front.instance) != 0) {
       continue;
     }
     const auto failed = context.failed.find(front.instance);
--- a/testing/path_decisions_test.cc
+++ b/testing/path_decisions_test.cc
@@ -19,6 +19,7 @@
   front.address = instance + ":1";
   front.internal_address = instance + ":2";
   front.cut_off = cut_off;
+  front.relays = true;
   return front;
 }
 
@@ -84,6 +85,10 @@
   CHECK(ChooseRelay(fronts, context, kStart + seconds(1))->instance == "b1");
   context.tried = {"a2", "c1"};
   CHECK(ChooseRelay(fronts, context, kStart) == nullptr);
+  // An instance of a build that does not relay.
+  std::vector<FrontRecord> older = {Front("b1", "b")};
+  older.front().relays = false;
+  CHECK(ChooseRelay(older, RelayContext(), kStart) == nullptr);
   context.tried.clear();
   context.last_relay = "a2";
   CHECK(ChooseRelay(fronts, context, kStart)->instance == "a2");
