--- a/anvilcroft/front_instance.cc
+++ b/anvilcroft/front_instance.cc
@@ -484,7 +484,9 @@
     this->caller_server->CloseAfterResponse();
     SleepUntil(task, stop_at);
     this->caller_server->StopAccepting();
-    while (this->caller_server->Connections() > 0 && SteadyNow() < end) {
+    // Requests that are relayed for other instances come to the internal address.
+    while ((this->caller_server->Connections() > 0 || this->metrics_server->ActiveRequests() > 0) &&
+           SteadyNow() < end) {
       SleepUntil(task, SteadyNow() + milliseconds(20));
     }
     LogInfo(kPart, "stopped serving callers",
