--- a/testing/cut_fixture.h
+++ b/testing/cut_fixture.h
@@ -52,16 +52,6 @@
     }
   }
 
-  void AwaitAllReady(Task& task) {
-    for (const auto& instance : this->instances) this->AwaitReady(task, *instance);
-    this->Await(task, "all instances are listed", [&] {
-      const auto found = this->Send(task, this->instances.front()->DirectoryAddress(), "GET",
-                                    "/api/lookup?Name=h.example&Zone=a", "l");
-      return found && found->Status() == 200 &&
-             nlohmann::json::parse(found->Body())["Addresses"].size() == this->instances.size();
-    });
-  }
-
   // Share of the requests that are served, of one request each 100 ms for `duration` at the
   // instances `first` to `last` in turn.
   double ServedShare(Task& task, const std::string& path, int first, int last, Duration duration,
--- a/testing/fake_link_test.cc
+++ b/testing/fake_link_test.cc
@@ -12,13 +12,18 @@
 namespace anvilcroft::fakes {
 namespace {
 
+// A server that answers each request with its body.
+std::unique_ptr<HttpServer> EchoServer(Runtime& runtime) {
+  return HttpServer::Builder(runtime)
+      .SetHandler([](Task& task, const HttpRequest& request, HttpReply& reply) {
+        reply.Send(task, JsonResponse(200, request.Body()));
+      })
+      .Build();
+}
+
 TEST_CASE("each mode of the link breaks exactly the connections that it should", "[fakes]") {
   Runtime runtime;
-  const auto server = HttpServer::Builder(runtime)
-                          .SetHandler([](Task& task, const HttpRequest& request, HttpReply& reply) {
-                            reply.Send(task, JsonResponse(200, request.Body()));
-                          })
-                          .Build();
+  const auto server = EchoServer(runtime);
   const auto link = FakeLink::Builder(runtime)
                         .SetTarget(StartFake(*server))
                         .SetDelay(milliseconds(2), milliseconds(2))
@@ -60,11 +65,7 @@
 
 TEST_CASE("open connections continue after a partition ends", "[fakes]") {
   Runtime runtime;
-  const auto server = HttpServer::Builder(runtime)
-                          .SetHandler([](Task& task, const HttpRequest& request, HttpReply& reply) {
-                            reply.Send(task, JsonResponse(200, request.Body()));
-                          })
-                          .Build();
+  const auto server = EchoServer(runtime);
   const auto link = FakeLink::Builder(runtime).SetTarget(StartFake(*server)).Build();
   const Endpoint endpoint = StartFake(*link);
   HttpClient http(runtime);
@@ -84,11 +85,7 @@
 
 TEST_CASE("a link refuses or ignores new connections", "[fakes]") {
   Runtime runtime;
-  const auto server = HttpServer::Builder(runtime)
-                          .SetHandler([](Task& task, const HttpRequest& request, HttpReply& reply) {
-                            reply.Send(task, JsonResponse(200, request.Body()));
-                          })
-                          .Build();
+  const auto server = EchoServer(runtime);
   const auto link = FakeLink::Builder(runtime).SetTarget(StartFake(*server)).Build();
   const Endpoint endpoint = StartFake(*link);
   HttpClient http(runtime);
--- a/testing/platform_crash_test.cc
+++ b/testing/platform_crash_test.cc
@@ -70,10 +70,6 @@
     write();
   }
 
-  void AwaitAllReady(Task& task) {
-    for (const auto& instance : this->instances) this->AwaitReady(task, *instance);
-  }
-
   // Sends the same request every 50 ms for `duration`, to the instances in turn. Returns the last
   // answer.
   Result<HttpResponse> SendAgainAndAgain(Task& task, const std::string& path, Duration duration) {
--- a/testing/platform_fixture.h
+++ b/testing/platform_fixture.h
@@ -150,6 +150,17 @@
     });
   }
 
+  // Waits until all instances are ready and the directory names all of them.
+  void AwaitAllReady(Task& task) {
+    for (const auto& instance : this->instances) this->AwaitReady(task, *instance);
+    this->Await(task, "all instances are listed", [&] {
+      const auto found = this->Send(task, this->instances.front()->DirectoryAddress(), "GET",
+                                    "/api/lookup?Name=h.example&Zone=a", "l");
+      return found && found->Status() == 200 &&
+             nlohmann::json::parse(found->Body())["Addresses"].size() == this->instances.size();
+    });
+  }
+
   // Returns the body that submits a training step of `groups` groups of two items, each judged by
   // the app target.
   static std::string Step(const std::string& prefix, int groups, int64_t min_version = 1) {
--- a/testing/platform_limit_test.cc
+++ b/testing/platform_limit_test.cc
@@ -46,16 +46,6 @@
     for (int i = 1; i <= instance_count; ++i) this->AddInstance("n" + std::to_string(i));
   }
 
-  void AwaitAllReady(Task& task) {
-    for (const auto& instance : this->instances) this->AwaitReady(task, *instance);
-    this->Await(task, "all instances are listed", [&] {
-      const auto found = this->Send(task, this->instances.front()->DirectoryAddress(), "GET",
-                                    "/api/lookup?Name=h.example&Zone=a", "l");
-      return found && found->Status() == 200 &&
-             nlohmann::json::parse(found->Body())["Addresses"].size() == this->instances.size();
-    });
-  }
-
   struct Answers {
     int served = 0;
     int refused = 0;  // with a 429 or 503 that tells when to come back
