Reserve the ports of listeners that tests close and open again

A socket that is bound and does not listen now holds each port for its process; listeners that allow the reuse of the address can still use it.

--- a/fakes/free_address.h
+++ b/fakes/free_address.h
@@ -8,8 +8,9 @@
 
 namespace anvilcroft::fakes {
 
-// Returns a free "ip:port". The port is below the range of outgoing connections: otherwise one of
-// these could occupy it while the listener is closed, also a connection to that very port.
+// Returns a free "ip:port" and reserves it for this process and its children, whose listeners must
+// allow the reuse of the address. The port is below the range of outgoing connections: otherwise
+// one of these could occupy it while the listener is closed, also a connection to that very port.
 std::string FreeAddress();
 
 }  // namespace anvilcroft::fakes
