--- a/fakes/fake_link.cc
+++ b/fakes/fake_link.cc
@@ -170,9 +170,13 @@
     if (next == Mode::kUnreachable && this->mode != Mode::kUnreachable) {
       this->acceptor.cancel(failed);
       this->acceptor.listen(0, failed);
-      // A queue of length 0 holds one connection.
-      this->queue_fillers.emplace_back(this->runtime.Impl().io);
-      this->queue_fillers.back().connect(this->local, failed);
+      // A queue of length 0 holds one connection. If a client's is already there, this one is
+      // ignored, so the call must not wait for it.
+      auto& filler = this->queue_fillers.emplace_back(this->runtime.Impl().io);
+      filler.open(this->local.protocol(), failed);
+      if (!failed) filler.native_non_blocking(true, failed);
+      ::connect(filler.native_handle(), this->local.data(),
+                static_cast<socklen_t>(this->local.size()));
     }
     if (failed) LogError("link", "cannot change the listener", {{"error", failed.message()}});
   }
