--- a/testing/http_peer_test.cc
+++ b/testing/http_peer_test.cc
@@ -363,8 +363,8 @@
   peer = std::make_unique<ScriptedPeer>([&](Task& task, Socket& socket) {
     ScriptedPeer::ReadRequest(task, socket);
     peer->Write(task, socket,
-                "HTTP/1.1 200 OK\r\n" + std::string(platform::kAttemptIdField) +
-                    ": r\r\nX-Server-Stamp: s\r\n" + answer.fields + "\r\n");
+                "HTTP/1.1 200 OK\r\n" + std::string(platform::kAttemptIdField) + ": r\r\n" +
+                    platform::kSignatureField + ": s\r\n" + answer.fields + "\r\n");
   });
   platform::EngineClient client(peer->runtime);
   RunTask(peer->runtime, [&](Task& task) {
--- a/testing/target_relay_test.cc
+++ b/testing/platform_relay_test.cc
@@ -1,11 +1,10 @@
 // Tests requests that are sent to a target through another instance.
 
-#include "anvilcroft/target_relay.h"
-
 #include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "anvilcroft/sse_parser.h"
+#include "anvilcroft/target_relay.h"
 #include "testing/cut_fixture.h"
 
 namespace anvilcroft {
