--- a/review/2/case.cc
+++ b/review/2/case.cpp
@@ -4,14 +4,14 @@
 #include <cstdio>
 #include <iostream>
 
-#include "review/standins/site.h"
+#include "review/standins/site.hpp"
 
 namespace review {
 namespace {
 
 constexpr int64_t kTroubleMs = 75000;
-// One of three engines is faulty, for five seconds at a time, and one in 34 of its answers has no end:
-// a share of 0.33, for_s = 5 and x = 0.03.
+// One of three engines is faulty, for five seconds at a time, and one in 34 of its answers has no
+// end: a share of 0.33, for_s = 5 and x = 0.03.
 constexpr int64_t kFaultyMs = 5000;
 constexpr int64_t kSoundMs = 2000;
 constexpr int kAnswersPerFlood = 34;
@@ -81,8 +81,10 @@
     if (i == 0) {
       engine.handler = [&](Connection& connection, const Message& request) {
         const bool now_faulty =
-            faulty_since > 0 && (record.NowMs() - faulty_since) % (kFaultyMs + kSoundMs) < kFaultyMs;
-        if (now_faulty && ++answers % kAnswersPerFlood == 0) return flood.Answer(connection, request);
+            faulty_since > 0 &&
+            (record.NowMs() - faulty_since) % (kFaultyMs + kSoundMs) < kFaultyMs;
+        if (now_faulty && ++answers % kAnswersPerFlood == 0)
+          return flood.Answer(connection, request);
         return engine.Generate(connection, request, engine.events, engine.event_ms);
       };
     }
@@ -99,8 +101,7 @@
     const std::string id = "job" + std::to_string(++steps);
     Json items = Json::array();
     for (int i = 0; i < 92; ++i) {
-      items.push_back(
-          Item(id + "i" + std::to_string(i), id + "g" + std::to_string(i / 4)));
+      items.push_back(Item(id + "i" + std::to_string(i), id + "g" + std::to_string(i / 4)));
     }
     if (!Submit(site, id, Step(steps - 1, 1, 21, items), 12000)) continue;
     std::size_t read = 0;
@@ -112,8 +113,8 @@
       SleepMs(100);
     }
     if (read == items.size()) ++whole;
-    record.Add("step " + id + ": " + std::to_string(read) + " of " +
-               std::to_string(items.size()) + " results");
+    record.Add("step " + id + ": " + std::to_string(read) + " of " + std::to_string(items.size()) +
+               " results");
     End(site, id, 4000);
   }
   site.Stop();
--- a/review/3/case.cc
+++ b/review/3/case.cpp
@@ -4,13 +4,13 @@
 #include <iostream>
 #include <set>
 
-#include "review/standins/site.h"
+#include "review/standins/site.hpp"
 
 namespace review {
 namespace {
 
 constexpr int kRounds = 9;
-constexpr int kFillers = 96;          // other items of the first job of a round
+constexpr int kFillers = 96;  // other items of the first job of a round
 constexpr int kFillerEvents = 20;
 constexpr int kShortEvents = 40;      // of item x
 constexpr int kLongEvents = 250;      // of item y, which the first job does not wait for
@@ -61,8 +61,8 @@
       for (const Json& version : result["Versions"]) {
         if (version.get<int64_t>() >= min_version) continue;
         outcome.too_old.push_back("job " + job + " MinVersion " + std::to_string(min_version) +
-                                  ": " + id + " is " + result.value("State", "") + " with Versions " +
-                                  result["Versions"].dump());
+                                  ": " + id + " is " + result.value("State", "") +
+                                  " with Versions " + result["Versions"].dump());
         site.Log().Add(outcome.too_old.back());
       }
     }
@@ -108,8 +108,8 @@
     const std::string name = "r" + std::to_string(round);
     Json items = Json::array();
     for (int i = 0; i < kFillers; ++i) {
-      items.push_back(HintedItem(name + "a" + std::to_string(i) + "f",
-                                 name + "ag" + std::to_string(i / 4)));
+      items.push_back(
+          HintedItem(name + "a" + std::to_string(i) + "f", name + "ag" + std::to_string(i / 4)));
     }
     const Json carried = {HintedItem(name + "x", name + "g"), HintedItem(name + "y", name + "g")};
     for (const Json& item : carried) items.push_back(item);
--- a/review/build.sh
+++ b/review/build.sh
@@ -10,8 +10,8 @@
 libraries="target/libfakes_lib.a target/libanvilcroft_lib.a target/libeasyloggingpp.a
   -lboost_coroutine -lboost_context -lboost_system -lyaml-cpp -lcrypto -lpthread"
 # shellcheck disable=SC2086
-g++ $flags -c review/standins/site.cc -o review/out/site.o
-for source in review/[1-5]/case.cc; do
+g++ $flags -c review/standins/site.cpp -o review/out/site.o
+for source in review/[1-5]/case.cpp; do
   [ -f "$source" ] || continue
   number=$(basename "$(dirname "$source")")
   # shellcheck disable=SC2086
--- a/review/standins/site.cc
+++ b/review/standins/site.cpp
@@ -1,4 +1,4 @@
-#include "review/standins/site.h"
+#include "review/standins/site.hpp"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -24,10 +24,10 @@
 namespace review {
 namespace {
 
-constexpr int kHeartbeatMs = 400;      // of an engine's entry, which changes with its state
-constexpr int kRestartDelayMs = 500;   // after the end of a process
-constexpr int kSuperviseMs = 5;        // interval of the checks of memory and ends
-constexpr int kLoadMs = 900;           // time to load weights
+constexpr int kHeartbeatMs = 400;     // of an engine's entry, which changes with its state
+constexpr int kRestartDelayMs = 500;  // after the end of a process
+constexpr int kSuperviseMs = 5;       // interval of the checks of memory and ends
+constexpr int kLoadMs = 900;          // time to load weights
 
 std::string Lower(std::string text) {
   std::transform(text.begin(), text.end(), text.begin(),
@@ -205,9 +205,9 @@
   for (const auto& [name, value] : headers) request += name + ": " + value + "\r\n";
   request += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   std::string buffer;
-  const bool done =
-      ::connect(fd, reinterpret_cast<const sockaddr*>(&peer), sizeof peer) == 0 &&
-      SendAll(fd, request.data(), request.size()) && ReadMessage(fd, buffer, response, true);
+  const bool done = ::connect(fd, reinterpret_cast<const sockaddr*>(&peer), sizeof peer) == 0 &&
+                    SendAll(fd, request.data(), request.size()) &&
+                    ReadMessage(fd, buffer, response, true);
   ::close(fd);
   if (!done) response = Message();
   return response;
@@ -222,8 +222,7 @@
 
 std::string Base64(const std::string& bytes) { return anvilcroft::Base64Encode(bytes); }
 
-Engine::Engine(Site& site, std::string id, std::string service, std::string zone,
-               std::string model)
+Engine::Engine(Site& site, std::string id, std::string service, std::string zone, std::string model)
     : site(site),
       id(std::move(id)),
       service(std::move(service)),
@@ -332,8 +331,7 @@
     return connection.Write(Reply(421, {{"X-Attempt-Id", attempt}}, "{}"));
   }
   if (this->busy || this->running >= this->slots) {
-    return connection.Write(
-        Reply(503, {{"X-Attempt-Id", attempt}, {"X-Not-Executed", "1"}}, "{}"));
+    return connection.Write(Reply(503, {{"X-Attempt-Id", attempt}, {"X-Not-Executed", "1"}}, "{}"));
   }
   ++this->running;
   this->site.Log().Add("engine " + this->id + " runs item " + attempt + " version " +
@@ -350,8 +348,7 @@
   for (int i = after + 1; open && i <= count; ++i) {
     SleepMs(pause_ms);
     open = !this->crashed && !connection.PeerClosed() &&
-           write(Chunk("id: " + std::to_string(i) + "\ndata: " + EventData(attempt, i) +
-                                  "\n\n"));
+           write(Chunk("id: " + std::to_string(i) + "\ndata: " + EventData(attempt, i) + "\n\n"));
   }
   open = open && write("0\r\n\r\n");
   if (open && this->duplicate && this->duplicate(attempt)) connection.late_copy = answer;
@@ -410,9 +407,11 @@
 }
 
 std::string Engine::Entry() const {
-  Json entry = {{"Service", this->service}, {"Address", this->address}, {"Zone", this->zone},
-                {"Version", "1.0"},         {"Slots", this->slots},     {"State", "ready"},
-                {"ColdRemainingMs", 0},     {"Sequence", 1},            {"born", this->born}};
+  Json entry = {{"Service", this->service}, {"Address", this->address},
+                {"Zone", this->zone},       {"Version", "1.0"},
+                {"Slots", this->slots},     {"State", "ready"},
+                {"ColdRemainingMs", 0},     {"Sequence", 1},
+                {"born", this->born}};
   if (!this->model.empty()) {
     entry["Stage"] = "hybrid";
     entry["Models"] = {{{"Name", this->model}, {"Version", this->version.load()}}};
@@ -432,9 +431,8 @@
 }
 
 void Site::Put(const std::string& table, const std::string& key, const std::string& value) {
-  this->runtime.Spawn([this, table, key, value](anvilcroft::Task&) {
-    this->store.Put(table, key, value);
-  });
+  this->runtime.Spawn(
+      [this, table, key, value](anvilcroft::Task&) { this->store.Put(table, key, value); });
 }
 
 void Site::Remove(const std::string& table, const std::string& key) {
@@ -477,7 +475,8 @@
           << "\nregion: r\ncpu_share: 0.5\nstore_writes_per_s: 800\nlog_level: info\naddress:\n"
           << "  front: \"" << machine.front << "\"\n  directory: \""
           << anvilcroft::fakes::FreeAddress() << "\"\n  ready: \"" << machine.ready
-          << "\"\n  metrics: \"" << machine.internal << "\"\n  store: \"" << this->StoreAddress(this->machines.size())
+          << "\"\n  metrics: \"" << machine.internal << "\"\n  store: \""
+          << this->StoreAddress(this->machines.size())
           << "\"\ntiming:\n  grace_s: 8\n  address_ttl_s: 1.5\n  owner_lease_ms: 3000\n"
           << "  cancel_ms: 3000\n";
       this->machines.push_back(machine);
@@ -625,9 +624,9 @@
 }
 
 Json Route(const std::string& name, const std::string& kind, const std::string& service) {
-  return {{"Name", name},      {"Host", kHost},          {"Prefix", "/" + name + "/"},
-          {"Kind", kind},      {"Service", service},     {"TimeoutMs", 1500},
-          {"Priority", 2},     {"TargetLatencyMs", 200}, {"MaxAttempts", 4}};
+  return {{"Name", name},  {"Host", kHost},          {"Prefix", "/" + name + "/"},
+          {"Kind", kind},  {"Service", service},     {"TimeoutMs", 1500},
+          {"Priority", 2}, {"TargetLatencyMs", 200}, {"MaxAttempts", 4}};
 }
 
 Json StandardConfiguration() {
--- a/review/standins/site.h
+++ b/review/standins/site.hpp
@@ -1,5 +1,5 @@
-#ifndef REVIEW_STANDINS_SITE_H_
-#define REVIEW_STANDINS_SITE_H_
+#ifndef REVIEW_STANDINS_SITE_HPP_
+#define REVIEW_STANDINS_SITE_HPP_
 
 // A small deployment for the review: processes of anvilcroft, and stand-ins of the platform, of
 // engines and of callers, all on loopback addresses.
@@ -120,8 +120,8 @@
   static std::string EventData(const std::string& item, int number);
   static std::string TextOf(const std::string& item, int events);
 
-  // Whether a second copy of the answer to a whole run of `item` follows late, at the point where the
-  // next response on the connection is expected.
+  // Whether a second copy of the answer to a whole run of `item` follows late, at the point where
+  // the next response on the connection is expected.
   std::function<bool(const std::string& item)> duplicate;
 
   // Ends the process of the engine: refuses connections and closes the open ones. For good.
@@ -172,7 +172,7 @@
   std::string internal;
   std::string settings_file;
   std::string log_file;
-  pid_t pid = 0;      // 0: no process
+  pid_t pid = 0;         // 0: no process
   int64_t start_at = 0;  // when the platform starts the process again; 0: it does not
   int memory_ends = 0;   // processes that the platform killed for their memory
   int64_t peak_kb = 0;   // of the resident memory, over all processes
@@ -274,4 +274,4 @@
 
 }  // namespace review
 
-#endif  // REVIEW_STANDINS_SITE_H_
+#endif  // REVIEW_STANDINS_SITE_HPP_
