Bound what is kept of an answer without end

Cause: SseParser bounded the line and the data of an event, not the fields that the standard does not define. Each such line was kept until a blank line, at 64 bytes for a line of two.

The parser now counts all that it keeps. The tests of scores and of callers' streams passed before as well.

--- a/anvilcroft/call_options.cc
+++ b/anvilcroft/call_options.cc
@@ -28,6 +28,12 @@
   return copy;
 }
 
+CallOptions CallOptions::WithMaxResponseBytes(std::size_t bytes) const {
+  CallOptions copy = *this;
+  copy.max_response_bytes = bytes;
+  return copy;
+}
+
 CallOptions CallOptions::WithSendGuard(std::function<bool()> guard) const {
   CallOptions copy = *this;
   copy.send_guard = std::move(guard);
--- a/anvilcroft/call_options.h
+++ b/anvilcroft/call_options.h
@@ -3,6 +3,7 @@
 
 // Options of one HTTP call.
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -43,11 +44,16 @@
   // responses with another value are late duplicates of earlier ones and are skipped.
   CallOptions WithResponseField(std::string name, std::string value) const;
 
+  // A copy that fails with kBadResponse if the body that HttpClient::Call reads is larger. The
+  // default is HttpClient::kMaxResponseBytes.
+  CallOptions WithMaxResponseBytes(std::size_t bytes) const;
+
   TimePoint Deadline() const { return this->deadline; }
   Duration ProgressTimeout() const { return this->progress_timeout; }
   bool FreshConnection() const { return this->fresh_connection; }
   bool Resend() const { return this->resend; }
   const std::shared_ptr<Cancellation>& CancellationToken() const { return this->cancellation; }
+  const std::optional<std::size_t>& MaxResponseBytes() const { return this->max_response_bytes; }
   const std::optional<Duration>& ConnectTimeout() const { return this->connect_timeout; }
   const std::function<bool()>& SendGuard() const { return this->send_guard; }
   // Name and value; an empty name: any response is accepted.
@@ -59,6 +65,7 @@
   bool fresh_connection = false;
   bool resend = false;
   std::shared_ptr<Cancellation> cancellation;
+  std::optional<std::size_t> max_response_bytes;
   std::optional<Duration> connect_timeout;
   std::function<bool()> send_guard;
   std::pair<std::string, std::string> response_field;
--- a/anvilcroft/engine_call.cc
+++ b/anvilcroft/engine_call.cc
@@ -112,6 +112,9 @@
   if (const auto read = fields.Finish(); !read) {
     return Malformed(read.error().message, read.error().part);
   }
+  if (output.Size() >= this->max_tokens) {
+    return Malformed("the output is longer than requested", "event");
+  }
   if (index != output.Size()) {
     return Malformed("an event is missing, repeated or out of order", "event.index");
   }
--- a/anvilcroft/http_client.cc
+++ b/anvilcroft/http_client.cc
@@ -333,15 +333,16 @@
                                       const HttpRequest& request, const CallOptions& options) {
   auto stream = this->OpenStream(task, endpoint, request, options);
   if (!stream) return tl::unexpected<Error>(stream.error());
+  const std::size_t max_bytes = options.MaxResponseBytes().value_or(kMaxResponseBytes);
   std::string body;
   while (true) {
     auto chunk = (*stream)->Read(task);
     if (!chunk) return tl::unexpected<Error>(chunk.error());
     if (!*chunk) break;
-    body += **chunk;
-    if (body.size() > kMaxResponseBytes) {
+    if (body.size() + (*chunk)->size() > max_bytes) {
       return Fail(ErrorCode::kBadResponse, "the response is too large", "", Ran::kUnknown);
     }
+    body += **chunk;
   }
   return HttpResponse::Builder()
       .SetStatus((*stream)->Status())
--- a/anvilcroft/item_runner.cc
+++ b/anvilcroft/item_runner.cc
@@ -104,7 +104,13 @@
                                   .WithCancellation(run)
                                   .WithSendGuard([this, job] { return this->MaySend(*job); });
   TimePoint last_event = started;
-  const auto on_event = [&](const platform::GenerationEvent& event) {
+  bool too_long = false;
+  const auto on_event = [&](const platform::GenerationEvent& event) -> Result<void> {
+    // An event holds at least one token.
+    if (!item.text.HasRoom(event.data.size(), static_cast<int64_t>(item.item.max_output_tokens))) {
+      too_long = true;
+      return Fail(ErrorCode::kTooLarge, "the text is longer than that of any run of the item");
+    }
     const TimePoint now = SteadyNow();
     // The time to the first event includes the processing of the prompt.
     if (event.number > resumed_after + 1) {
@@ -114,6 +120,7 @@
     item.last_event = now;
     item.text.Add(event.data, event.weight_version);
     item.text.software = engine.software;
+    return {};
   };
   platform::GenerationOutcome outcome;
   if (auto permit = this->AcquirePermit(task, item, engine)) {
@@ -155,6 +162,8 @@
             {"ms", std::to_string(ToMillis(now - started))}});
   if (outcome.kind != Kind::kBroken) item.answered_by.insert(engine.id);
   if (outcome.kind == Kind::kWrongTarget) this->context.engine_tracker.MarkUnconfirmed(engine.id);
+  // It is not known which of the events are wrong.
+  if (too_long) item.text = {};
   item.engine.clear();
   item.run = nullptr;
   this->context.plan_inputs_changed.NotifyAll();
@@ -227,6 +236,7 @@
       request.message.target = score.path;
       request.message.headers = HttpHeaders({{"Host", score.host}});
       request.message.body = score.body;
+      request.message.keep_response_body = false;  // the score is the signature
       request.host = score.host;
       request.path = score.path.substr(0, score.path.find('?'));
       request.deadline = SteadyNow() + kScoreTimeout;
--- a/anvilcroft/item_text.cc
+++ b/anvilcroft/item_text.cc
@@ -13,6 +13,11 @@
   if (known == this->versions.end()) this->versions.push_back(version);
 }
 
+bool ItemText::HasRoom(std::size_t event_bytes, int64_t max_events) const {
+  return (max_events <= 0 || this->events < max_events) &&
+         this->data.size() + event_bytes < kMaxBytes;
+}
+
 bool ItemText::VersionsAllowed(int64_t min_version, bool single) const {
   if (single && this->versions.size() > 1) return false;
   return std::all_of(this->versions.begin(), this->versions.end(),
--- a/anvilcroft/sse_parser.cc
+++ b/anvilcroft/sse_parser.cc
@@ -11,6 +11,11 @@
   return "";
 }
 
+std::size_t SseParser::Size() const {
+  return this->line.size() + this->event.type.size() + this->event.data.size() +
+         this->event.id.size() + this->extension_bytes;
+}
+
 Result<std::vector<SseEvent>> SseParser::Feed(std::string_view piece) {
   std::vector<SseEvent> events;
   for (const char c : piece) {
@@ -19,7 +24,7 @@
       continue;
     }
     this->line += c;
-    if (this->line.size() + this->event.data.size() > kMaxEventBytes) {
+    if (this->Size() > kMaxEventBytes) {
       return Fail(ErrorCode::kTooLarge, "an event of the stream is too large", "event");
     }
   }
@@ -33,6 +38,7 @@
     // A block with neither data nor type is no event and is dropped.
     if (this->fields > 0) events.push_back(std::move(this->event));
     this->event = {};
+    this->extension_bytes = 0;
     this->fields = 0;
     this->open = false;
   } else if (text.front() != ':') {  // a line that begins with a colon is a comment
@@ -52,6 +58,8 @@
       this->event.id = value;
     } else if (name != "retry") {
       this->event.extensions.emplace_back(name, value);
+      // A line of two bytes takes the memory of two strings.
+      this->extension_bytes += sizeof(this->event.extensions[0]) + name.size() + value.size();
     }
   }
   this->line.clear();
--- a/anvilcroft/sse_parser.h
+++ b/anvilcroft/sse_parser.h
@@ -32,7 +32,7 @@
 
 class SseParser {
  public:
-  // Maximum size of an event in bytes.
+  // Maximum size of an event in bytes, with the memory that its extension fields take.
   static constexpr std::size_t kMaxEventBytes = 1 << 20;
 
   // Takes the next piece of the stream and returns the events that it completes. Fails with
@@ -43,12 +43,15 @@
   bool AtBoundary() const { return this->line.empty() && !this->open; }
 
  private:
+  // Memory that the event and the line being read take, in bytes.
+  std::size_t Size() const;
   void ProcessLine(std::vector<SseEvent>& events);
 
   std::string line;
   SseEvent event;
-  int fields = 0;     // data and event fields read into `event`
-  bool open = false;  // a field of an event has been read, but not yet the end of the event
+  std::size_t extension_bytes = 0;  // memory of event.extensions
+  int fields = 0;                   // data and event fields read into `event`
+  bool open = false;                // a field of an event has been read, but not yet its end
 };
 
 // Serializes one event; `data` must not contain a line break.
--- a/testing/http_peer_test.cc
+++ b/testing/http_peer_test.cc
@@ -306,15 +306,48 @@
     request.host = "h";
     request.path = "/p";
     const TimePoint started = SteadyNow();
-    outcome = client.Generate(
-        task, SendPermit::Unchecked(), peer->Target(), request,
-        CallOptions(started + seconds(30), kStall),
-        [&](const platform::GenerationEvent& event) { events.push_back(event.number); });
+    outcome = client.Generate(task, SendPermit::Unchecked(), peer->Target(), request,
+                              CallOptions(started + seconds(30), kStall),
+                              [&](const platform::GenerationEvent& event) -> Result<void> {
+                                events.push_back(event.number);
+                                return {};
+                              });
     took = SteadyNow() - started;
   });
   return outcome;
 }
 
+// Guards against an item that waits until its run's deadline for the end of an error whose body
+// trickles without end, although its outcome is known from the status.
+TEST_CASE("the body of an error that trickles is not read to its end", "[http][peer]") {
+  const std::string status = GENERATE("500 Failed", "422 No", "421 Other");
+  std::unique_ptr<ScriptedPeer> peer;
+  peer = std::make_unique<ScriptedPeer>([&](Task& task, Socket& socket) {
+    ScriptedPeer::ReadRequest(task, socket);
+    peer->Write(task, socket,
+                "HTTP/1.1 " + status + "\r\n" + std::string(platform::kAttemptIdField) +
+                    ": r\r\nTransfer-Encoding: chunked\r\n\r\n");
+    while (peer->Write(task, socket, "1\r\nx\r\n")) {
+      SleepUntil(task, SteadyNow() + kStall / 4);
+    }
+  });
+  platform::EngineClient client(peer->runtime);
+  RunTask(peer->runtime, [&](Task& task) {
+    platform::GenerationRequest request;
+    request.id = "r";
+    request.host = "h";
+    request.path = "/p";
+    const TimePoint started = SteadyNow();
+    const auto outcome =
+        client.Generate(task, SendPermit::Unchecked(), peer->Target(), request,
+                        CallOptions(started + seconds(30), kStall),
+                        [](const platform::GenerationEvent&) -> Result<void> { return {}; });
+    CHECK(std::to_string(outcome.status) == status.substr(0, 3));
+    CHECK(outcome.kind != platform::GenerationOutcome::Kind::kBroken);
+    CHECK(SteadyNow() - started < seconds(15));
+  });
+}
+
 // Guards against a stream that is cut although its events arrive, because it is slow as a whole.
 TEST_CASE("a slow stream whose events arrive in time is read to its end", "[http][peer]") {
   std::vector<std::string> pieces;
@@ -373,8 +406,9 @@
     request.host = "h";
     request.path = "/p";
     request.resume_after = answer.resume_after;
-    const auto outcome = client.Generate(task, SendPermit::Unchecked(), peer->Target(), request,
-                                         Within(seconds(5)), [](const auto&) {});
+    const auto outcome =
+        client.Generate(task, SendPermit::Unchecked(), peer->Target(), request, Within(seconds(5)),
+                        [](const auto&) { return Result<void>(); });
     CHECK((outcome.kind == platform::GenerationOutcome::Kind::kComplete) == answer.complete);
   });
 }
