Send an id on a connection that has not carried it

Trainers saw samples under the MinVersion of their job: an engine sent a second copy of its answer to an item when the item of an unfinished group came again in the next job, on the same connection.

Cause: only the id says which request an answer belongs to, and runs of an item have the same id in all jobs. docs/platform.md promised a new connection to an engine that had answered an id; the list of these engines ended with the job and was read by nothing.

Evidence: the log of the second run says 40 events in 1 ms (404 ms in the first run), with one run. So the text was neither carried over from the first job nor generated again under the old version.

A connection now remembers the ids that it has carried, and none gets an id twice. This holds for later jobs, retries after failures and refusals, scoring requests, relayed requests, and the app calls of "run", whoever sent the id first. A relaying instance of the former build does not remember ids, so runs and scoring requests ask it for a new connection.

--- a/anvilcroft/app_call.cc
+++ b/anvilcroft/app_call.cc
@@ -11,7 +11,8 @@
   if (!call.idempotency_key.empty()) request.SetHeader("Idempotency-Key", call.idempotency_key);
   if (call.trace.Valid()) request.SetHeader("traceparent", call.trace.ToHeader());
   request.SetJson(call.body);
-  auto response = http.Call(task, endpoint, request.Build(), options);
+  auto response =
+      http.Call(task, endpoint, request.Build(), options.WithRequestId(call.request_id));
   if (!response) return response;
   const std::string_view id = response->Headers().Find("X-Request-Id");
   if (response->Status() == 503 && (id.empty() || id == call.request_id)) {
--- a/anvilcroft/call_options.cc
+++ b/anvilcroft/call_options.cc
@@ -28,6 +28,12 @@
   return copy;
 }
 
+CallOptions CallOptions::WithRequestId(std::string id) const {
+  CallOptions copy = *this;
+  copy.request_id = std::move(id);
+  return copy;
+}
+
 CallOptions CallOptions::WithMaxResponseBytes(std::size_t bytes) const {
   CallOptions copy = *this;
   copy.max_response_bytes = bytes;
--- a/anvilcroft/call_options.h
+++ b/anvilcroft/call_options.h
@@ -44,6 +44,11 @@
   // responses with another value are late duplicates of earlier ones and are skipped.
   CallOptions WithResponseField(std::string name, std::string value) const;
 
+  // A copy that is sent on a connection that has not carried a request with this id. After a request
+  // was answered, its connection may still deliver a second copy of the answer, which nothing tells
+  // from the answer to a later request with the same id.
+  CallOptions WithRequestId(std::string id) const;
+
   // A copy that fails with kBadResponse if the body that HttpClient::Call reads is larger. The
   // default is HttpClient::kMaxResponseBytes.
   CallOptions WithMaxResponseBytes(std::size_t bytes) const;
@@ -56,6 +61,7 @@
   const std::optional<std::size_t>& MaxResponseBytes() const { return this->max_response_bytes; }
   const std::optional<Duration>& ConnectTimeout() const { return this->connect_timeout; }
   const std::function<bool()>& SendGuard() const { return this->send_guard; }
+  const std::string& RequestId() const { return this->request_id; }  // empty: none
   // Name and value; an empty name: any response is accepted.
   const std::pair<std::string, std::string>& ResponseField() const { return this->response_field; }
 
@@ -69,6 +75,7 @@
   std::optional<Duration> connect_timeout;
   std::function<bool()> send_guard;
   std::pair<std::string, std::string> response_field;
+  std::string request_id;
 };
 
 }  // namespace anvilcroft
--- a/anvilcroft/http_client.cc
+++ b/anvilcroft/http_client.cc
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "anvilcroft/hash.h"
 #include "anvilcroft/http_beast.h"
 #include "anvilcroft/runtime_impl.h"
 
@@ -46,9 +47,15 @@
   // How long the connection may be idle before it must not be reused.
   Duration idle_limit = HttpClient::kMaxIdleTime;
   bool reused = false;
+  std::vector<uint64_t> request_ids;  // hashes of the ids that it has carried
   // A response was received that belongs to another request. Further ones may follow, so the
   // connection must not be reused.
   bool out_of_step = false;
+
+  bool Carried(uint64_t id) const {
+    return std::find(this->request_ids.begin(), this->request_ids.end(), id) !=
+           this->request_ids.end();
+  }
 };
 
 // The error for a read or write that failed after part of the request may have been sent.
@@ -97,14 +104,17 @@
  public:
   explicit Impl(Runtime& runtime) : io(runtime.Impl().io) {}
 
-  // Returns a usable idle connection from the pool, or a new connection.
+  // Returns a usable idle connection from the pool that has not carried the request's id, or a new
+  // connection.
   Result<std::shared_ptr<Connection>> Acquire(Task& task, const Endpoint& endpoint,
                                               const CallOptions& options) {
     auto& idle = this->pool[endpoint];
     const TimePoint now = SteadyNow();
-    while (!idle.empty() && !options.FreshConnection()) {
-      std::shared_ptr<Connection> connection = std::move(idle.back());
-      idle.pop_back();
+    const uint64_t id = StableHash(options.RequestId());
+    for (std::size_t i = idle.size(); i-- > 0 && !options.FreshConnection();) {
+      if (!options.RequestId().empty() && idle[i]->Carried(id)) continue;
+      std::shared_ptr<Connection> connection = std::move(idle[i]);
+      idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
       if (now - connection->idle_since < connection->idle_limit && IsReusable(*connection)) {
         connection->reused = true;
         return connection;
@@ -116,6 +126,7 @@
   void Release(const Endpoint& endpoint, std::shared_ptr<Connection> connection) {
     auto& idle = this->pool[endpoint];
     if (idle.size() >= kMaxIdlePerEndpoint) return;
+    if (connection->request_ids.size() >= kMaxRequestIds) return;
     connection->idle_since = SteadyNow();
     connection->stream.expires_never();
     idle.push_back(std::move(connection));
@@ -314,6 +325,9 @@
     this->impl->Release(endpoint, std::move(connection));
     return Fail(ErrorCode::kCancelled, "the send guard refused the request");
   }
+  if (!options.RequestId().empty()) {
+    connection->request_ids.push_back(StableHash(options.RequestId()));
+  }
   error_code failed;
   const auto message = ToBeast(request, endpoint.ToString());
   connection->stream.expires_at(
--- a/anvilcroft/item_runner.cc
+++ b/anvilcroft/item_runner.cc
@@ -160,7 +160,6 @@
             {"reason", outcome.reason},
             {"events", std::to_string(item.text.events)},
             {"ms", std::to_string(ToMillis(now - started))}});
-  if (outcome.kind != Kind::kBroken) item.answered_by.insert(engine.id);
   if (outcome.kind == Kind::kWrongTarget) this->context.engine_tracker.MarkUnconfirmed(engine.id);
   // It is not known which of the events are wrong.
   if (too_long) item.text = {};
@@ -220,7 +219,6 @@
   if (item.item.score) {
     const ScoreRequest& score = *item.item.score;
     int failures = 0;
-    bool sent = false;
     while (true) {
       if (!this->MaySend(*job)) {
         if (job->ended || !this->context.lease.Held().ValidAt(BootNow())) {
@@ -242,7 +240,7 @@
       request.deadline = SteadyNow() + kScoreTimeout;
       item.run = std::make_shared<Cancellation>();
       request.caller_disconnected = item.run;
-      request.sent_before = std::exchange(sent, true);
+      request.id_repeats = true;  // the group of the item may have been in an earlier job
       const LiveOutcome outcome = this->context.live.Serve(task, request);
       item.run = nullptr;
       if (item.phase != ItemPhase::kScoring) return;  // another owner has listed a result
--- a/anvilcroft/live_forwarder.cc
+++ b/anvilcroft/live_forwarder.cc
@@ -108,9 +108,8 @@
       return;
     }
     const Duration time_left = group->request.deadline - started;
-    CallOptions options =
+    const CallOptions options =
         CallOptions(group->request.deadline, time_left).WithCancellation(group->cancellation);
-    if (group->request.sent_before) options = options.WithFreshConnection();
     auto result = this->engines.Forward(task, std::move(*permit), entry, group->request.message,
                                         time_left, options, group->path);
     const TimePoint ended = SteadyNow();
@@ -230,6 +229,7 @@
         return group->tried.count(target.id) == 0;
       };
       group->path.verify = !repeatable;
+      group->path.id_repeats = request.id_repeats;
       const RouteChoice choice = this->chooser.Choose(*route, untried, hedge, now);
       if (choice.target != nullptr) {
         hedge_at = now + this->HedgeDelay(*route, choice.target->entry.service);
--- a/anvilcroft/live_request.h
+++ b/anvilcroft/live_request.h
@@ -33,9 +33,8 @@
   std::string path;  // without the query
   TimePoint deadline;
   std::shared_ptr<Cancellation> caller_disconnected;  // may be null
-  // Whether a request with this id has been sent before. A connection that carried it may still
-  // deliver a second copy of the earlier response, so attempts use new connections.
-  bool sent_before = false;
+  // Whether another instance, or this one, may have sent a request with the same id before.
+  bool id_repeats = false;
   // Identifies the customer; empty if the caller has not told.
   std::string caller;
   // Whether the request is refused once targets have crashed under it (crash_limiter.h). False for
--- a/anvilcroft/owned_job.h
+++ b/anvilcroft/owned_job.h
@@ -7,7 +7,6 @@
 #include <deque>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -34,7 +33,6 @@
   bool carried = false;                    // an item of its group was in an earlier job
   int failures = 0;                        // engine responses that reported a failure
   int64_t saved_events = 0;                // text.events at the last save for the next owner
-  std::set<std::string> answered_by;       // engines that have answered a run
   TimePoint not_before;                    // earliest start of the next run, after a refusal
   std::map<std::string, TimePoint> avoid;  // engines to avoid after a failed run, and until when
   std::string engine;                      // the engine that runs it; empty: none
--- a/anvilcroft/target_relay.cc
+++ b/anvilcroft/target_relay.cc
@@ -111,7 +111,7 @@
       CallOptions(SteadyNow() + milliseconds(timeout_ms), milliseconds(timeout_ms))
           .WithConnectTimeout(kConnectTimeout)
           .WithCancellation(reply.CallerDisconnected());
-  if (!name.empty()) options = options.WithResponseField(name, value);
+  if (!name.empty()) options = options.WithResponseField(name, value).WithRequestId(value);
   if (!headers.Find(kFreshField).empty()) options = options.WithFreshConnection();
   const auto stream = this->open(task, *target,
                                  HttpRequest::Builder()
