Say which version began a stream only from rows read since

Callers of an instance that was cut off from the store during a release got streams of two software versions: their streams had begun at engines of the new version through another instance, and went on at the only version that this one knew.

Cause: StreamOrigins::Find replaced a record that it could not read, or whose attempt the caller did not name, by the default version if this instance had seen no other one, which says nothing about the time in which it saw nothing. If there was no record, it took the default that its feed had brought last.

Find now asks the store for the record and the default after the take-up, and refuses the stream as not run if there is no answer. A record is durable before the first event, and the default does not change while its streams can be taken up, so the answer holds whatever the instance has missed. Without the attempt's name no other version may have a record.

--- a/anvilcroft/stream_origins.cc
+++ b/anvilcroft/stream_origins.cc
@@ -18,8 +18,6 @@
 constexpr Duration kCleanInterval = seconds(20);
 // Streams are taken up for this much longer than their callers said, because of the way to them.
 constexpr Duration kExpiryMargin = seconds(5);
-// An answer of the store that is older than this does not show which versions serve.
-constexpr Duration kMaxListAge = seconds(2);
 constexpr std::size_t kMaxRemovals = 100;  // rows in one transaction
 
 // Names of the services with streams that callers may take up.
@@ -230,37 +228,92 @@
   if (again && !result) SleepUntil(task, now + kRetryPause);
 }
 
-Result<StreamOrigin> StreamOrigins::Find(Task& task, const std::string& attempt,
-                                         const std::string& service) {
-  const TimePoint now = SteadyNow();
-  const auto found = this->services.find(service);
-  const bool has_default = found != this->services.end() && found->second.known.has_value();
-  bool only_default = has_default && !this->OtherSeenLately(service, now);
-  if (!attempt.empty()) {
+Result<std::optional<StoredRow>> StreamOrigins::ReadRow(Task& task, const RowId& id) {
+  RowRange range;
+  range.table = id.table;
+  range.partition = id.partition;
+  range.from = id.key;
+  range.to = id.key + '\x01';
+  range.max_rows = 1;
+  auto read = this->store.Read(task, range, SteadyNow() + kReadTimeout);
+  if (!read) return tl::unexpected<Error>(read.error());
+  if (read->rows.empty() || read->rows.front().id.key != id.key) return std::optional<StoredRow>();
+  return std::optional<StoredRow>(std::move(read->rows.front()));
+}
+
+void StreamOrigins::RunSearch(Task& task, Search& search) {
+  for (std::size_t i = 0; i < kPartitions && !search.failed; ++i) {
     RowRange range;
-    const RowId id = RowOf(attempt);
-    range.table = id.table;
-    range.partition = id.partition;
-    range.from = id.key;
-    range.to = id.key + '\x01';
-    range.max_rows = 1;
-    const auto read = this->store.Read(task, range, SteadyNow() + kReadTimeout);
-    if (read && !read->rows.empty()) {
-      const auto record = DecodeOrigin(read->rows.front().value);
-      if (!record) return tl::unexpected<Error>(record.error().WithRan(Ran::kNo));
-      return record->origin;
+    range.table = kOriginTable;
+    range.partition = std::to_string(i);
+    bool more = true;
+    while (more) {
+      const auto read = this->store.Read(task, range, SteadyNow() + kReadTimeout);
+      if (!read) {
+        search.failed = read.error();
+        break;
+      }
+      for (const StoredRow& row : read->rows) {
+        const auto record = DecodeOrigin(row.value);
+        if (!record || record->expires_at < read->store_time) continue;
+        search.versions[record->origin.service].insert(record->origin.software);
+      }
+      more = read->more && !read->rows.empty();
+      if (more) range.from = read->rows.back().id.key + '\x01';
     }
-    if (read && has_default) {
-      return StreamOrigin{service, this->services[service].known->software};
+  }
+  search.ended = true;
+}
+
+Result<std::set<std::string>> StreamOrigins::RecordedVersions(Task& task,
+                                                              const std::string& service) {
+  if (!this->next_search) this->next_search = std::make_shared<Search>();
+  const std::shared_ptr<Search> search = this->next_search;
+  while (!search->ended) {
+    if (this->searching) {
+      this->search_ended.Wait(task);
+      continue;
     }
-    // Another version may have served before this process started, or since the last answer.
-    only_default = only_default && now - this->started_at > kMaxStreamTime &&
-                   now - this->store.LastAnswer() < kMaxListAge;
+    this->searching = true;
+    this->next_search.reset();
+    this->RunSearch(task, *search);
+    this->searching = false;
+    this->search_ended.NotifyAll();
   }
-  if (!only_default) {
+  if (search->failed) return tl::unexpected<Error>(*search->failed);
+  return search->versions[service];
+}
+
+Result<StreamOrigin> StreamOrigins::Find(Task& task, const std::string& attempt,
+                                         const std::string& service) {
+  const auto unknown = [&](const std::string& reason) {
+    LogInfo(kPart, "cannot say which software version began a stream",
+            {{"attempt", attempt}, {"service", service}, {"reason", reason}});
     return Fail(ErrorCode::kStoreUnavailable, "it is not known which software began the stream");
+  };
+  std::set<std::string> recorded;
+  if (attempt.empty()) {
+    if (this->OtherSeenLately(service, SteadyNow())) return unknown("another version serves");
+    auto versions = this->RecordedVersions(task, service);
+    if (!versions) return unknown(versions.error().message);
+    recorded = std::move(*versions);
+  } else {
+    const auto row = this->ReadRow(task, RowOf(attempt));
+    if (!row) return unknown(row.error().message);
+    if (*row) {
+      const auto record = DecodeOrigin((*row)->value);
+      if (!record) return tl::unexpected<Error>(record.error().WithRan(Ran::kNo));
+      return record->origin;
+    }
   }
-  return StreamOrigin{service, this->services[service].known->software};
+  const auto row = this->ReadRow(task, FrontDirectory::SharedRowId(kDefaultPrefix, service));
+  if (!row) return unknown(row.error().message);
+  if (!*row) return unknown("the service has no default version");
+  const auto known = DecodeDefaultSoftware((*row)->value);
+  if (!known) return unknown(known.error().message);
+  recorded.erase(known->software);
+  if (!recorded.empty()) return unknown("another version has begun streams");
+  return StreamOrigin{service, known->software};
 }
 
 void StreamOrigins::RemoveExpired(Task& task) {
--- a/anvilcroft/stream_origins.h
+++ b/anvilcroft/stream_origins.h
@@ -4,13 +4,15 @@
 // Records in the metadata store which version of the software began a stream, and looks it up when
 // a caller takes the stream up at any instance (stream_origin.h).
 //
-//   auto write = origins.StartRecord(attempt, origin, stream_time, now);  // null: not needed
+//   auto write = origins.StartRecord(attempt, origin, stream_time, nullptr, now);
 //   ... the request is sent to the target meanwhile ...
-//   if (write && !origins.Confirm(task, *write)) ... forward no event ...
+//   if (origins.Confirm(task, *write) != OriginWrite::State::kConfirmed) ... forward no event ...
 //
-//   Result<StreamOrigin> origin = origins.Find(task, attempt, service, now);
+//   Result<StreamOrigin> origin = origins.Find(task, attempt, service);
 //
-// The record is durable before the caller gets the first event.
+// The record is durable before the caller gets the first event. An instance may have missed engines
+// that joined and a new default while it was frozen or cut off, so it says which version began a
+// stream only from rows that it has asked for after the stream was taken up.
 
 #include <cstdint>
 #include <deque>
@@ -87,19 +89,30 @@
 
   // Finds the origin of the stream whose first event `attempt` brought, on a route to `service`. An
   // empty `attempt`, which the caller has not named, stands for the default version as long as no
-  // other one serves. Fails with kStoreUnavailable if it can't be known at present, with ran = no.
+  // stream of another one is recorded. Fails with ran = no if it can't be known at present.
   Result<StreamOrigin> Find(Task& task, const std::string& attempt, const std::string& service);
 
  private:
+  // A search of all records. All that ask before it begins share it.
+  struct Search {
+    bool ended = false;
+    std::optional<Error> failed;
+    std::map<std::string, std::set<std::string>> versions;  // by service
+  };
+
   static RowId RowOf(const std::string& attempt);
 
+  // Reads one row; nullopt: it does not exist.
+  Result<std::optional<StoredRow>> ReadRow(Task& task, const RowId& id);
+  // The versions of `service` that have begun a recorded stream, from a search that begins now or
+  // later.
+  Result<std::set<std::string>> RecordedVersions(Task& task, const std::string& service);
+  void RunSearch(Task& task, Search& search);
+
   void ApplyDefaultRow(const std::string& service, const StoredRow& row);
   // Watches which versions serve, and writes the defaults of services with resumable streams.
   void WatchVersions(Task& task);
   void WriteDefault(Task& task, const std::string& service, const std::string& software);
-  // Whether this instance has seen another version than the default within kMaxStreamTime.
-  bool OtherSeenLately(const std::string& service, TimePoint now) const;
-
   // Writes the queued records of one partition until there are none.
   void Flush(Task& task, const std::string& partition);
   // Writes `batch` in one transaction. Puts records that must be written again back into the queue.
@@ -112,6 +125,9 @@
   void RemoveExpired(Task& task);
   void RemoveRows(Task& task, std::vector<RowId> rows);
 
+  // Whether this instance has seen another version than the default within kMaxStreamTime.
+  bool OtherSeenLately(const std::string& service, TimePoint now) const;
+
   struct ServiceVersions {
     std::optional<DefaultSoftware> known;
     int64_t row_version = 0;  // of the default's row; 0: there is none
@@ -129,6 +145,9 @@
   std::map<std::string, std::deque<std::shared_ptr<OriginWrite>>> queues;  // by partition
   std::set<std::string> flushing;                                          // partitions
   std::multimap<TimePoint, RowId> written;                                 // by time of expiry
+  std::shared_ptr<Search> next_search;  // has not begun; null: nobody waits for one
+  bool searching = false;
+  Event search_ended;
 };
 
 }  // namespace anvilcroft
--- a/testing/platform_software_test.cc
+++ b/testing/platform_software_test.cc
@@ -4,13 +4,17 @@
 #include <catch2/catch.hpp>
 #include <set>
 
+#include "anvilcroft/front_directory.h"
 #include "anvilcroft/sse_parser.h"
+#include "anvilcroft/stream_origin.h"
+#include "fakes/fake_link.h"
 #include "testing/platform_fixture.h"
 #include "testing/process_site.h"
 
 namespace anvilcroft {
 namespace {
 
+using fakes::FakeLink;
 using fakes::PlatformEngine;
 
 // The platform's rules: at most this many streams hold events of two software versions, and of the
@@ -224,6 +228,88 @@
   });
 }
 
+// Guards against an instance that is cut off from the store while engines of another version join,
+// and continues their streams at an engine of the only version that it knows.
+TEST_CASE("an instance that has missed a release does not continue its streams elsewhere",
+          "[software]") {
+  const bool names_attempt = GENERATE(false, true);
+  CAPTURE(names_attempt);
+  PlatformFixture fixture;
+  for (const char* id : {"i-a1", "i-a2"}) fixture.AddEngine(id);
+  FrontInstance& one = fixture.AddInstance("one");
+  auto link =
+      FakeLink::Builder(fixture.runtime).SetTarget(*ParseEndpoint(fixture.store_address)).Build();
+  FrontInstance& two = fixture.AddInstance("two", *link->Start());
+  fixture.Run([&](Task& task) {
+    fixture.AwaitReady(task, one);
+    fixture.AwaitReady(task, two);
+    // An instance that has run for less than kMaxStreamTime knows that it may have missed a
+    // version.
+    SleepUntil(task, SteadyNow() + (names_attempt ? kMaxStreamTime : Duration()) + seconds(2));
+    link->SetMode(FakeLink::Mode::kCut);
+    for (const char* id : {"i-b1", "i-b2"}) {
+      PlatformEngine& engine = fixture.AddEngine(id);
+      engine.software = "v2";
+      fixture.store.Put("servers", id, engine.RegistrationEntry("model", "a"));
+    }
+    for (auto& engine : fixture.engines) engine->event_time = milliseconds(20);
+    SleepUntil(task, SteadyNow() + milliseconds(200));  // the first instance has read the entries
+    auto streams = BeginStreams(task, fixture.runtime, fixture.http, {one.FrontAddress()}, 16, 2);
+    std::set<std::string> begun;
+    for (CallerStream& stream : streams) {
+      REQUIRE(stream.last_event == 2);
+      begun.insert(*stream.software.begin());
+      stream.names_attempt = names_attempt;
+    }
+    REQUIRE(begun.count("v2") == 1);
+    TakeUpStreams(task, fixture.runtime, fixture.http, {two.FrontAddress()}, streams);
+    CHECK(CountJoined(streams) == 0);
+    link->SetMode(FakeLink::Mode::kUp);
+    SleepUntil(task, SteadyNow() + seconds(2));
+    TakeUpStreams(task, fixture.runtime, fixture.http, {two.FrontAddress()}, streams);
+    CHECK(CountJoined(streams) == 0);
+    if (names_attempt) CHECK(CountComplete(streams) == 16);
+  });
+}
+
+// Guards against an instance that takes a default version for the current one because it has not
+// read the row since another instance wrote it.
+TEST_CASE("the default version that began a stream is the one in the store", "[software]") {
+  PlatformFixture fixture;
+  for (const char* id : {"i-a1", "i-b1"}) fixture.AddEngine(id);
+  fixture.engines[1]->software = "v2";
+  fixture.store.Put("servers", "i-b1", fixture.engines[1]->RegistrationEntry("model", "a"));
+  FrontInstance& instance = fixture.AddInstance("one");
+  fixture.Run([&](Task& task) {
+    fixture.AwaitReady(task, instance);
+    const RowId row = FrontDirectory::SharedRowId("!software/", "model");
+    fixture.Await(task, "the default version is written",
+                  [&] { return !fixture.store.Value(row).empty(); });
+    SleepUntil(task, SteadyNow() + milliseconds(200));
+    // The feed of the entries does not bring the change.
+    fixture.store.Server().SetFaultFilter(
+        [](const HttpRequest& request) { return request.Path() == "/api/rows-feed"; });
+    fakes::FaultPlan silent;
+    silent.mode = fakes::FaultPlan::Mode::kSilent;
+    fixture.store.Server().SetFaults(silent);
+    fixture.store.Put(row.table, "!ends/the-feed-that-waits", "");
+    SleepUntil(task, SteadyNow() + milliseconds(200));
+    const std::string before = DecodeDefaultSoftware(fixture.store.Value(row))->software;
+    const std::string now = before == "v1" ? "v2" : "v1";
+    fixture.store.Put(row.table, row.key, EncodeDefaultSoftware({now, 0}));
+    for (int i = 0; i < 8; ++i) {
+      CallerStream stream;
+      stream.name = "unrecorded" + std::to_string(i);
+      stream.first_attempt = stream.name + ".0";
+      stream.last_event = 2;
+      stream.software.insert(now);
+      ReadStream(task, fixture.http, instance.FrontAddress(), stream);
+      CHECK(stream.status == 200);
+      CHECK(stream.software.size() == 1);
+    }
+  });
+}
+
 // Guards against items whose text is continued by another software version after a broken run.
 TEST_CASE("the text of an item comes from one software version", "[software]") {
   MixedFixture fixture;
