--- a/anvilcroft/call_options.h
+++ b/anvilcroft/call_options.h
@@ -44,9 +44,9 @@
   // responses with another value are late duplicates of earlier ones and are skipped.
   CallOptions WithResponseField(std::string name, std::string value) const;
 
-  // A copy that is sent on a connection that has not carried a request with this id. After a request
-  // was answered, its connection may still deliver a second copy of the answer, which nothing tells
-  // from the answer to a later request with the same id.
+  // A copy that is sent on a connection that has not carried a request with this id. After a
+  // request was answered, its connection may still deliver a second copy of the answer, which
+  // nothing tells from the answer to a later request with the same id.
   CallOptions WithRequestId(std::string id) const;
 
   // A copy that fails with kBadResponse if the body that HttpClient::Call reads is larger. The
--- a/anvilcroft/http_client.h
+++ b/anvilcroft/http_client.h
@@ -66,8 +66,8 @@
   static constexpr int kMaxInterimResponses = 8;
   // Most late duplicates of earlier responses that are skipped before the response to a request.
   static constexpr int kMaxSkippedResponses = 2;
-  // A connection is not used again after this many requests with an id (CallOptions::WithRequestId),
-  // all of which it remembers.
+  // A connection is not used again after this many requests with an id
+  // (CallOptions::WithRequestId), all of which it remembers.
   static constexpr std::size_t kMaxRequestIds = 1000;
   // Most idle connections in the pool of one endpoint, and the longest time each stays there.
   static constexpr std::size_t kMaxIdlePerEndpoint = 16;
