Replace the saved text that was dropped; refuse unreadable stream records

A text that is dropped because it is too long may have been saved for the next owner; the next save replaces it now. A record of a stream that cannot be read may be of any version, so a stream whose caller names no attempt is refused until the record is removed. Both were found by reading the change; the test of the text's limits is new.

--- a/anvilcroft/item_runner.cc
+++ b/anvilcroft/item_runner.cc
@@ -161,8 +161,11 @@
             {"events", std::to_string(item.text.events)},
             {"ms", std::to_string(ToMillis(now - started))}});
   if (outcome.kind == Kind::kWrongTarget) this->context.engine_tracker.MarkUnconfirmed(engine.id);
-  // It is not known which of the events are wrong.
-  if (too_long) item.text = {};
+  if (too_long) {
+    // It is not known which of the events are wrong.
+    item.text = {};
+    item.saved_events = 0;  // the next save replaces the wrong text
+  }
   item.engine.clear();
   item.run = nullptr;
   this->context.plan_inputs_changed.NotifyAll();
--- a/anvilcroft/stream_origins.cc
+++ b/anvilcroft/stream_origins.cc
@@ -255,10 +255,14 @@
       }
       for (const StoredRow& row : read->rows) {
         const auto record = DecodeOrigin(row.value);
-        if (!record || record->expires_at < read->store_time) continue;
+        if (!record) {
+          search.failed = record.error();  // it may be of any version
+          break;
+        }
+        if (record->expires_at < read->store_time) continue;
         search.versions[record->origin.service].insert(record->origin.software);
       }
-      more = read->more && !read->rows.empty();
+      more = read->more && !read->rows.empty() && !search.failed;
       if (more) range.from = read->rows.back().id.key + '\x01';
     }
   }
--- a/testing/item_text_test.cc
+++ b/testing/item_text_test.cc
@@ -26,6 +26,17 @@
   CHECK_FALSE(text.VersionsAllowed(4, true));
 }
 
+// Guards against a text without end, which can't be listed.
+TEST_CASE("a text has room for the events and bytes of its item only", "[item_text]") {
+  ItemText text;
+  CHECK(text.HasRoom(0, 1));
+  text.Add("a", 1);
+  CHECK_FALSE(text.HasRoom(0, 1));
+  CHECK(text.HasRoom(0, 0));
+  CHECK(text.HasRoom(ItemText::kMaxBytes - 2, 0));
+  CHECK_FALSE(text.HasRoom(ItemText::kMaxBytes, 0));
+}
+
 TEST_CASE("the expected number of events left falls, and grows beyond the estimate",
           "[item_text]") {
   CHECK(ExpectedEventsLeft(20, 0, 5) == Approx(15));
