--- a/testing/endless_answer_test.cc
+++ b/testing/endless_answer_test.cc
@@ -1,23 +1,22 @@
 // Tests answers without end: what a process keeps of them, how long it reads them, and that the
 // work is done elsewhere.
 
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <fstream>
 
-#include "anvilcroft/runtime_impl.h"
 #include "anvilcroft/sse_parser.h"
 #include "anvilcroft/sse_splitter.h"
 #include "testing/platform_fixture.h"
+#include "testing/raw_listener.h"
 
 namespace anvilcroft {
 namespace {
 
 namespace asio = boost::asio;
 using boost::system::error_code;
-using Socket = asio::ip::tcp::socket;
+using Socket = testing::RawListener::Socket;
 
 constexpr std::size_t kMiB = 1 << 20;
 
@@ -116,25 +115,15 @@
 class EndlessTarget {
  public:
   EndlessTarget(PlatformFixture& fixture, const std::string& service, EndlessForm form)
-      : fixture(fixture),
-        form(std::move(form)),
-        acceptor(fixture.runtime.Impl().io, {asio::ip::make_address("127.0.0.1"), 0}) {
-    const std::string address =
-        "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port());
+      : form(std::move(form)), listener(fixture.runtime, [this](Task& task, Socket& socket) {
+          this->Answer(task, socket);
+        }) {
+    const std::string address = this->listener.Address().ToString();
     nlohmann::json entry = {{"Service", service}, {"Address", address}, {"Zone", "a"},
                             {"Version", "v1"},    {"Slots", 4},         {"State", "ready"},
                             {"Sequence", 1},      {"born", 1000},       {"ColdRemainingMs", 0}};
     if (service == "model") entry["Models"] = {{{"Name", "m"}, {"Version", 1}}};
     fixture.store.Put("servers", "i-endless", entry.dump());
-    fixture.runtime.Spawn([this](Task& task) {
-      error_code failed;
-      while (!failed) {
-        auto socket = std::make_shared<Socket>(this->fixture.runtime.Impl().io);
-        this->acceptor.async_accept(*socket, task.yield[failed]);
-        if (failed) return;
-        this->fixture.runtime.Spawn([this, socket](Task& inner) { this->Answer(inner, *socket); });
-      }
-    });
   }
 
   int requests = 0;              // apart from reports and orders
@@ -167,9 +156,8 @@
     ++this->closed;
   }
 
-  PlatformFixture& fixture;
   EndlessForm form;
-  asio::ip::tcp::acceptor acceptor;
+  testing::RawListener listener;
 };
 
 // Guards against a process that is killed for its memory: lines that are no known field were kept
--- a/testing/http_peer_test.cc
+++ b/testing/http_peer_test.cc
@@ -1,7 +1,6 @@
 // Tests the HTTP client and the engine client against peers that send other bytes than one response
 // to each request: duplicates, truncated responses, bytes without end, and streams that stall.
 
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
@@ -10,6 +9,7 @@
 #include "anvilcroft/runtime_impl.h"
 #include "platform/engine_client.h"
 #include "platform/headers.h"
+#include "testing/raw_listener.h"
 #include "testing/run_task.h"
 
 namespace anvilcroft {
@@ -18,27 +18,14 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 using testing::RunTask;
-using Socket = asio::ip::tcp::socket;
+using Socket = testing::RawListener::Socket;
 
 // Accepts connections and runs a script on each.
 class ScriptedPeer {
  public:
-  using Script = std::function<void(Task&, Socket&)>;
+  using Script = testing::RawListener::Script;
 
-  explicit ScriptedPeer(Script script)
-      : acceptor(this->runtime.Impl().io, {asio::ip::make_address("127.0.0.1"), 0}),
-        script(std::move(script)) {
-    this->runtime.Spawn([this](Task& task) {
-      error_code failed;
-      while (!failed) {
-        auto socket = std::make_shared<Socket>(this->runtime.Impl().io);
-        this->acceptor.async_accept(*socket, task.yield[failed]);
-        if (failed) return;
-        ++this->connections;
-        this->runtime.Spawn([this, socket](Task& inner) { this->script(inner, *socket); });
-      }
-    });
-  }
+  explicit ScriptedPeer(Script script) : listener(this->runtime, std::move(script)) {}
   ~ScriptedPeer() { this->runtime.EndTasks(); }
 
   // Reads one request without a body. Returns its target, or "" at the end of the connection.
@@ -63,7 +50,8 @@
     }
   }
 
-  Endpoint Address() const { return {"127.0.0.1", this->acceptor.local_endpoint().port()}; }
+  Endpoint Address() const { return this->listener.Address(); }
+  int Connections() const { return this->listener.Connections(); }
 
   TargetEntry Target() const {
     TargetEntry entry;
@@ -73,12 +61,10 @@
   }
 
   Runtime runtime;
-  int connections = 0;
   std::size_t written = 0;
 
  private:
-  asio::ip::tcp::acceptor acceptor;
-  Script script;
+  testing::RawListener listener;
 };
 
 // A response that carries `id` and has it as its body.
@@ -134,7 +120,7 @@
         SleepUntil(task, SteadyNow() + milliseconds(20));
       }
       ++expected_connections;  // a connection that was out of step is not used again
-      CHECK(peer->connections == expected_connections);
+      CHECK(peer->Connections() == expected_connections);
       client.CloseIdleConnections(peer->Target());
     }
   });
--- a/testing/late_copy_test.cc
+++ b/testing/late_copy_test.cc
@@ -1,16 +1,15 @@
 // Tests second copies of answers that arrive when their connection is in use again, by a request
 // with the same id: items that run again in a later job, retries, scoring requests and relays.
 
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include "anvilcroft/app_call.h"
 #include "anvilcroft/http_server.h"
-#include "anvilcroft/runtime_impl.h"
 #include "anvilcroft/target_relay.h"
 #include "platform/engine_client.h"
+#include "testing/raw_listener.h"
 #include "testing/run_task.h"
 
 namespace anvilcroft {
@@ -19,7 +18,7 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 using Kind = platform::GenerationOutcome::Kind;
-using Socket = asio::ip::tcp::socket;
+using Socket = testing::RawListener::Socket;
 
 constexpr char kId[] = "r1";
 
@@ -50,29 +49,19 @@
   explicit CopyingTarget(std::vector<std::string> answers, bool copies = true)
       : answers(std::move(answers)),
         copies(copies),
-        acceptor(this->runtime.Impl().io, {asio::ip::make_address("127.0.0.1"), 0}) {
-    this->runtime.Spawn([this](Task& task) {
-      error_code failed;
-      while (!failed) {
-        auto socket = std::make_shared<Socket>(this->runtime.Impl().io);
-        this->acceptor.async_accept(*socket, task.yield[failed]);
-        if (failed) return;
-        ++this->connections;
-        this->runtime.Spawn([this, socket](Task& inner) { this->Serve(inner, *socket); });
-      }
-    });
+        listener(this->runtime, [this](Task& task, Socket& socket) { this->Serve(task, socket); }) {
   }
   ~CopyingTarget() { this->runtime.EndTasks(); }
 
   TargetEntry Entry() const {
     TargetEntry entry;
     entry.id = "t";
-    entry.address = {"127.0.0.1", this->acceptor.local_endpoint().port()};
+    entry.address = this->listener.Address();
     return entry;
   }
+  int Connections() const { return this->listener.Connections(); }
 
   Runtime runtime;
-  int connections = 0;
   std::vector<std::string> heads;  // of the requests
 
  private:
@@ -96,7 +85,7 @@
 
   std::vector<std::string> answers;
   bool copies;
-  asio::ip::tcp::acceptor acceptor;
+  testing::RawListener listener;
 };
 
 CallOptions WithinSeconds(int count) {
@@ -254,7 +243,7 @@
                     WithinSeconds(5).WithRequestId("id" + std::to_string(i)));
       REQUIRE(answer);
     }
-    CHECK(target.connections == 1);
+    CHECK(target.Connections() == 1);
   });
 }
 
--- a/testing/odd_entry_test.cc
+++ b/testing/odd_entry_test.cc
@@ -1,12 +1,11 @@
 // Tests entries that another writer leaves among those of the targets: an instance goes on serving
 // and following the table, and sends nothing to what they name.
 
-#include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 
-#include "anvilcroft/runtime_impl.h"
 #include "platform/operator_rows.h"
 #include "testing/platform_fixture.h"
+#include "testing/raw_listener.h"
 
 namespace anvilcroft {
 namespace {
@@ -69,25 +68,14 @@
 // A fixture with a listener to which only odd entries point.
 class OddEntryFixture : public PlatformFixture {
  public:
-  OddEntryFixture()
-      : acceptor(this->runtime.Impl().io, {boost::asio::ip::make_address("127.0.0.1"), 0}) {
-    this->runtime.Spawn([this](Task& task) {
-      boost::system::error_code failed;
-      while (!failed) {
-        boost::asio::ip::tcp::socket socket(this->runtime.Impl().io);
-        this->acceptor.async_accept(socket, task.yield[failed]);
-        if (!failed) ++this->odd_connections;
-      }
-    });
-  }
+  OddEntryFixture() : listener(this->runtime, [](Task&, testing::RawListener::Socket&) {}) {}
 
   void PutOddEntries() {
     const auto values = OddValues();
     for (std::size_t i = 0; i < values.size(); ++i) {
       this->store.Put("servers", "i-odd" + std::to_string(i), values[i]);
     }
-    const std::string address =
-        "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port());
+    const std::string address = this->listener.Address().ToString();
     for (const std::string& key : OddKeys()) {
       this->store.Put("servers", key, ValidEntry(address).dump());
     }
@@ -109,12 +97,11 @@
       if (answer) CHECK(answer->Status() == 200);
       return !joined->started.empty();
     });
-    CHECK(this->odd_connections == 0);
+    CHECK(this->listener.Connections() == 0);
     this->joined.push_back(std::move(joined));
   }
 
-  boost::asio::ip::tcp::acceptor acceptor;
-  int odd_connections = 0;
+  testing::RawListener listener;
   int requests = 0;
   std::string serving = "i-app";
   std::vector<std::unique_ptr<fakes::PlatformEngine>> joined;
--- a/testing/platform_broken_answer_test.cc
+++ b/testing/platform_broken_answer_test.cc
@@ -1,30 +1,28 @@
 // Tests what callers get when a target breaks off its answer in the head, or answers the rest of a
 // stream with an error.
 
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
-#include "anvilcroft/runtime_impl.h"
 #include "testing/platform_fixture.h"
+#include "testing/raw_listener.h"
 
 namespace anvilcroft {
 namespace {
 
 namespace asio = boost::asio;
 using boost::system::error_code;
-using Socket = asio::ip::tcp::socket;
+using Socket = testing::RawListener::Socket;
 
 // A target of the services "app" and "model" that answers with given bytes and closes the
 // connection.
 class BrokenTarget {
  public:
   explicit BrokenTarget(PlatformFixture& fixture)
-      : fixture(fixture),
-        acceptor(fixture.runtime.Impl().io, {asio::ip::make_address("127.0.0.1"), 0}) {
-    const std::string address =
-        "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port());
+      : listener(fixture.runtime,
+                 [this](Task& task, Socket& socket) { this->Answer(task, socket); }) {
+    const std::string address = this->listener.Address().ToString();
     fixture.store.Remove("servers", "i-app");
     for (const char* service : {"app", "model"}) {
       const std::string id = std::string("i-broken-") + service;
@@ -40,15 +38,6 @@
                                         {"born", 1000}})
                             .dump());
     }
-    fixture.runtime.Spawn([this](Task& task) {
-      error_code failed;
-      while (!failed) {
-        auto socket = std::make_shared<Socket>(this->fixture.runtime.Impl().io);
-        this->acceptor.async_accept(*socket, task.yield[failed]);
-        if (failed) return;
-        this->fixture.runtime.Spawn([this, socket](Task& inner) { this->Answer(inner, *socket); });
-      }
-    });
   }
 
   // The bytes that answer the next requests; the last ones answer all further requests. "ID" stands
@@ -77,8 +66,7 @@
     socket.close(failed);
   }
 
-  PlatformFixture& fixture;
-  asio::ip::tcp::acceptor acceptor;
+  testing::RawListener listener;
 };
 
 // What a caller receives.
