Soak: read results again after all instances have been asked

The logs show that each instance which was asked answered its first request within 11 ms; between two of them half a second went into reading the results of 10 jobs again, so the last ones were never asked.

All instances are asked first, within the same 30 s, and the results are read again from each afterwards.

--- a/soak/clients.cc
+++ b/soak/clients.cc
@@ -291,6 +291,9 @@
     if (!served)
       this->AddViolation("instance " + instance.id +
                          " does not serve requests within 30 s after the faults");
+  }
+  // Not within the limit: reading all results again takes half a second at each instance.
+  for (const SoakInstance& instance : this->site.Instances()) {
     for (auto& [id, job] : this->jobs) {
       const auto read = static_cast<int64_t>(job.results.size());
       for (int64_t from = 0; from < read; from += kGroups) {
