Pace the calls to the change feeds by the number of instances

What was seen: with 301 machines and 3,000 engines nearly nothing is served. Each change of a target's entry ends the waiting feed call of every instance, so the calls grow with instances times targets; the store refused calls beyond its 6,000 reads a second (1,342 feed calls, 35 reads and 59 writes of 32 instances in 8 s, scratch site of that size), the holder's renewals among them. After a pause without changes nothing is delayed.

--- a/anvilcroft/front_directory.cc
+++ b/anvilcroft/front_directory.cc
@@ -64,11 +64,12 @@
 }
 
 FrontDirectory::FrontDirectory(Runtime& runtime, MetadataStore& store, FrontRecord self,
-                               double store_writes_per_s)
+                               double store_writes_per_s, double store_reads_per_s)
     : runtime(runtime),
       store(store),
       self(std::move(self)),
-      store_writes_per_s(store_writes_per_s) {}
+      store_writes_per_s(store_writes_per_s),
+      store_reads_per_s(store_reads_per_s) {}
 
 void FrontDirectory::Start() {
   this->runtime.SpawnService("follow instances", [this](Task& task) { this->FollowEntries(task); });
@@ -132,6 +133,7 @@
 void FrontDirectory::FollowEntries(Task& task) {
   int64_t version = 0;
   while (true) {
+    const TimePoint started = SteadyNow();
     bool answered = false;
     if (!this->following) {
       answered = this->following = this->ReadEntries(task, version);
@@ -147,8 +149,9 @@
     }
     if (answered) {
       this->RecordAnswer(SteadyNow());
+      SleepUntil(task, started + this->FeedPause());
     } else {
-      SleepUntil(task, SteadyNow() + kRetryPause);
+      SleepUntil(task, SteadyNow() + std::max(kRetryPause, this->FeedPause()));
     }
   }
 }
--- a/anvilcroft/front_directory.h
+++ b/anvilcroft/front_directory.h
@@ -21,6 +21,7 @@
 #include <utility>
 #include <vector>
 
+#include "anvilcroft/fleet/feed_pace.h"
 #include "anvilcroft/front_record.h"
 #include "anvilcroft/front_watch.h"
 #include "anvilcroft/metadata_store.h"
@@ -40,9 +41,13 @@
   static constexpr Duration kMinOutage = milliseconds(1500);
   static constexpr Duration kRenewalGrace = milliseconds(2000);
 
-  // `store_writes_per_s`: number of writes that the store takes in a second.
+  // `store_writes_per_s`, `store_reads_per_s`: number of calls that the store takes in a second;
+  // reads may be 0: not limited.
   FrontDirectory(Runtime& runtime, MetadataStore& store, FrontRecord self,
-                 double store_writes_per_s);
+                 double store_writes_per_s, double store_reads_per_s);
+
+  // Minimum time between two calls of this instance to the same feed of the store.
+  Duration FeedPause() const { return FeedInterval(this->entries.size(), this->store_reads_per_s); }
 
   // Sets the "ip:port" addresses for callers and for other instances. Call before Start.
   void SetAddresses(std::string caller_address, std::string internal_address) {
@@ -116,6 +121,7 @@
   MetadataStore& store;
   FrontRecord self;
   double store_writes_per_s;
+  double store_reads_per_s;
   std::map<std::string, FrontRecord> entries;  // by instance
   std::map<std::string, int64_t> entry_versions;
   FrontWatch watch;
--- a/anvilcroft/front_instance.cc
+++ b/anvilcroft/front_instance.cc
@@ -65,8 +65,11 @@
                      const CallOptions& options) {
                 return this->engines.OpenForPeer(task, target, message, options);
               }),
-        view(this->runtime, this->store, this->pool, [this] { this->OnPlatformChange(); }),
-        directory(this->runtime, this->store, SelfRecord(settings), settings.StoreWritesPerS()),
+        view(
+            this->runtime, this->store, this->pool, [this] { this->OnPlatformChange(); },
+            [this] { return this->directory.FeedPause(); }),
+        directory(this->runtime, this->store, SelfRecord(settings), settings.StoreWritesPerS(),
+                  settings.StoreReadsPerS()),
         limiter(RequestLimiter::Builder(this->runtime, this->metrics)
                     .SetStore(this->store)
                     .SetDirectory(this->directory)
--- a/anvilcroft/front_settings.cc
+++ b/anvilcroft/front_settings.cc
@@ -54,6 +54,11 @@
   return *this;
 }
 
+FrontSettings::Builder& FrontSettings::Builder::SetStoreReadsPerS(double value) {
+  this->settings.store_reads_per_s = value;
+  return *this;
+}
+
 FrontSettings::Builder& FrontSettings::Builder::SetCpuShare(double value) {
   this->settings.cpu_share = value;
   return *this;
@@ -120,6 +125,7 @@
                          "zone",
                          "region",
                          "cpu_share",
+                         "store_reads_per_s",
                          "store_writes_per_s",
                          "log_level",
                          "address",
@@ -155,6 +161,7 @@
       .SetStoreAddress(address("address.store"))
       .SetCpuShare(reader.Real("cpu_share", defaults.CpuShare(), 0.001, 1024))
       .SetStoreWritesPerS(reader.Real("store_writes_per_s", defaults.StoreWritesPerS(), 1, 1e9))
+      .SetStoreReadsPerS(reader.Real("store_reads_per_s", defaults.StoreReadsPerS(), 0, 1e9))
       .SetLogLevel(reader.Level("log_level", defaults.MinimumLogLevel()))
       .SetGracePeriod(reader.Seconds("timing.grace_s", defaults.GracePeriod(), 1, 86400))
       .SetAddressTtl(reader.Seconds("timing.address_ttl_s", defaults.AddressTtl(), 0.1, 3600))
--- a/anvilcroft/front_settings.h
+++ b/anvilcroft/front_settings.h
@@ -56,6 +56,8 @@
   const Endpoint& StoreAddress() const { return this->store_address; }
   // Number of writes that the metadata store takes in a second.
   double StoreWritesPerS() const { return this->store_writes_per_s; }
+  // Number of reads that the metadata store takes in a second; 0: not limited.
+  double StoreReadsPerS() const { return this->store_reads_per_s; }
   // CPU share that the instance may use, in cores.
   double CpuShare() const { return this->cpu_share; }
   LogLevel MinimumLogLevel() const { return this->log_level; }
@@ -73,12 +75,12 @@
   friend bool operator==(const FrontSettings& a, const FrontSettings& b) {
     return std::tie(a.instance_id, a.zone, a.region, a.front_address, a.directory_address,
                     a.ready_address, a.metrics_address, a.store_address, a.store_writes_per_s,
-                    a.cpu_share, a.log_level, a.grace_period, a.address_ttl, a.owner_lease,
-                    a.cancel_bound, a.cloud) ==
+                    a.store_reads_per_s, a.cpu_share, a.log_level, a.grace_period, a.address_ttl,
+                    a.owner_lease, a.cancel_bound, a.cloud) ==
            std::tie(b.instance_id, b.zone, b.region, b.front_address, b.directory_address,
                     b.ready_address, b.metrics_address, b.store_address, b.store_writes_per_s,
-                    b.cpu_share, b.log_level, b.grace_period, b.address_ttl, b.owner_lease,
-                    b.cancel_bound, b.cloud);
+                    b.store_reads_per_s, b.cpu_share, b.log_level, b.grace_period, b.address_ttl,
+                    b.owner_lease, b.cancel_bound, b.cloud);
   }
   friend bool operator!=(const FrontSettings& a, const FrontSettings& b) { return !(a == b); }
 
@@ -92,6 +94,7 @@
   Endpoint metrics_address;
   Endpoint store_address;
   double store_writes_per_s = 800;
+  double store_reads_per_s = 0;
   double cpu_share = 1;
   LogLevel log_level = LogLevel::kInfo;
   Duration grace_period = seconds(8);
@@ -112,6 +115,7 @@
   Builder& SetMetricsAddress(Endpoint value);
   Builder& SetStoreAddress(Endpoint value);
   Builder& SetStoreWritesPerS(double value);
+  Builder& SetStoreReadsPerS(double value);
   Builder& SetCpuShare(double value);
   Builder& SetLogLevel(LogLevel value);
   Builder& SetGracePeriod(Duration value);
--- a/anvilcroft/platform_view.cc
+++ b/anvilcroft/platform_view.cc
@@ -17,8 +17,12 @@
 }  // namespace
 
 PlatformView::PlatformView(Runtime& runtime, MetadataStore& store, TargetPool& pool,
-                           std::function<void()> on_change)
-    : runtime(runtime), store(store), pool(pool), on_change(std::move(on_change)) {}
+                           std::function<void()> on_change, std::function<Duration()> feed_pause)
+    : runtime(runtime),
+      store(store),
+      pool(pool),
+      on_change(std::move(on_change)),
+      feed_pause(std::move(feed_pause)) {}
 
 void PlatformView::Start() {
   this->runtime.SpawnService("follow the operator's table",
@@ -164,7 +168,7 @@
       const TimePoint now = SteadyNow();
       if (!read) {
         this->pool.Expire(now);
-        SleepUntil(task, now + kRetryPause);
+        SleepUntil(task, now + std::max(kRetryPause, this->feed_pause()));
         continue;
       }
       if (malformed > 0) {
@@ -177,10 +181,11 @@
       this->on_change();
       continue;
     }
+    const TimePoint called = SteadyNow();
     const auto feed = this->store.Feed(task, platform::kTargetTable, version, kFeedWait);
     const TimePoint now = SteadyNow();
     if (!feed) {
-      SleepUntil(task, now + kRetryPause);
+      SleepUntil(task, now + std::max(kRetryPause, this->feed_pause()));
       continue;
     }
     this->pool.Expire(now);
@@ -193,6 +198,7 @@
     for (const StoredRow& row : feed->rows) this->ApplyTargetRow(row, now);
     version = std::max(version, feed->version);
     if (!feed->rows.empty()) this->on_change();
+    SleepUntil(task, called + this->feed_pause());
   }
 }
 
--- a/anvilcroft/platform_view.h
+++ b/anvilcroft/platform_view.h
@@ -29,9 +29,10 @@
   // because it may reappear.
   static constexpr Duration kReappearGrace = milliseconds(2200);
 
-  // `on_change` is called after each change of what is tracked.
+  // `on_change` is called after each change of what is tracked. `feed_pause` returns the minimum
+  // time between two calls to the feed of targets.
   PlatformView(Runtime& runtime, MetadataStore& store, TargetPool& pool,
-               std::function<void()> on_change);
+               std::function<void()> on_change, std::function<Duration()> feed_pause);
 
   void Start();
 
@@ -61,6 +62,7 @@
   MetadataStore& store;
   TargetPool& pool;
   std::function<void()> on_change;
+  std::function<Duration()> feed_pause;
   std::shared_ptr<const RouteTable> routes;
   std::map<std::string, int64_t> requested_versions;
   TimePoint routes_confirmed_at;
