Customers and keys: table, authentication in the ingress, jobs of customers, configuration from peers

Callers of a configuration with customers were served whatever key they sent, and the key went on to targets. A request now needs a known key unless its route is public, and targets get the name of the customer instead. Batch jobs store their customer, whose priority precedes that of the route.

--- a/anvilcroft/batch_job.h
+++ b/anvilcroft/batch_job.h
@@ -60,12 +60,13 @@
   int64_t total = 0;          // number of items
   StoreMillis submitted_at = 0;
   bool ended = false;
+  std::string customer;  // that submitted the job; empty: none
 
   friend bool operator==(const BatchHead& a, const BatchHead& b) {
     return std::tie(a.id, a.host, a.path, a.model, a.step, a.min_version, a.target_groups, a.total,
-                    a.submitted_at, a.ended) == std::tie(b.id, b.host, b.path, b.model, b.step,
-                                                         b.min_version, b.target_groups, b.total,
-                                                         b.submitted_at, b.ended);
+                    a.submitted_at, a.ended, a.customer) ==
+           std::tie(b.id, b.host, b.path, b.model, b.step, b.min_version, b.target_groups, b.total,
+                    b.submitted_at, b.ended, b.customer);
   }
   friend bool operator!=(const BatchHead& a, const BatchHead& b) { return !(a == b); }
 };
--- a/anvilcroft/batch_owner.cc
+++ b/anvilcroft/batch_owner.cc
@@ -60,8 +60,8 @@
   return list;
 }
 
-// Describes `item` for its placement, without key and rank. Removes the engines from item.avoid
-// whose time has passed.
+// Describes `item` for its placement, without key, priority and rank. Removes the engines from
+// item.avoid whose time has passed.
 WaitingItem DescribeWaiting(const OwnedJob& job, OwnedItem& item, const ServiceRoute& route,
                             TimePoint now) {
   WaitingItem entry;
@@ -73,7 +73,6 @@
   }
   entry.software = item.text.software;
   entry.events_done = static_cast<double>(item.text.events);
-  entry.priority = route.priority;
   entry.events_left = OrderingEventsLeft(job, item);
   entry.prefer_newest = entry.events_left > kPreferNewestEvents;
   for (auto it = item.avoid.begin(); it != item.avoid.end();) {
@@ -226,6 +225,7 @@
       if (route == nullptr) continue;
       WaitingItem entry = DescribeWaiting(*job, item, *route, now);
       entry.key = items_by_key.size();
+      entry.priority = routes->PriorityOf(route, job->head.customer).value_or(route->priority);
       entry.rank = item.carried                              ? ItemRank::kRequired
                    : dispensable.count(item.item.group) != 0 ? ItemRank::kDispensable
                                                              : ItemRank::kNormal;
--- a/anvilcroft/batch_owner_jobs.cc
+++ b/anvilcroft/batch_owner_jobs.cc
@@ -161,7 +161,7 @@
     if (service != nullptr) job->tokens_per_event = service->tokens_per_event;
   }
   for (OwnedItem& item : job->items) {
-    const auto carried_text = this->carried_texts.Extract(item.item.id);
+    const auto carried_text = this->carried_texts.Extract(head.customer, item.item.id);
     if (!carried_text) continue;
     item.carried = true;
     if (carried_text->VersionsAllowed(head.min_version,
--- a/anvilcroft/batch_records.cc
+++ b/anvilcroft/batch_records.cc
@@ -125,15 +125,18 @@
 }
 
 std::string EncodeHead(const BatchHead& head) {
-  return ToCbor({{"host", ToBinary(head.host)},
-                 {"path", ToBinary(head.path)},
-                 {"model", ToBinary(head.model)},
-                 {"step", head.step},
-                 {"min_version", head.min_version},
-                 {"target_groups", head.target_groups},
-                 {"total", head.total},
-                 {"submitted_at", head.submitted_at},
-                 {"ended", head.ended}});
+  json value = {{"host", ToBinary(head.host)},
+                {"path", ToBinary(head.path)},
+                {"model", ToBinary(head.model)},
+                {"step", head.step},
+                {"min_version", head.min_version},
+                {"target_groups", head.target_groups},
+                {"total", head.total},
+                {"submitted_at", head.submitted_at},
+                {"ended", head.ended}};
+  // Without customers the row is that of earlier builds, which ignore the field.
+  if (!head.customer.empty()) value["customer"] = ToBinary(head.customer);
+  return ToCbor(value);
 }
 
 Result<BatchHead> DecodeHead(const std::string& job, const std::string& value) {
@@ -152,6 +155,7 @@
   head.host = BytesField(*parsed, "host");
   head.path = BytesField(*parsed, "path");
   head.model = BytesField(*parsed, "model");
+  head.customer = BytesField(*parsed, "customer");
   return head;
 }
 
--- a/anvilcroft/batch_service.cc
+++ b/anvilcroft/batch_service.cc
@@ -1,6 +1,7 @@
 #include "anvilcroft/batch_service.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "anvilcroft/log.h"
@@ -22,7 +23,16 @@
     return Fail(ErrorCode::kNotReady, "the metadata store has not answered yet");
   }
   const std::string id = job.head.id;
-  const auto stored = this->store.Submit(task, job, deadline);
+  auto stored = this->store.Submit(task, job, deadline);
+  const auto routes = this->routes();
+  if (stored && !*stored && routes && routes->Customers().Enabled()) {
+    const auto head = this->store.ReadHead(task, id, SteadyNow() + kStoreTimeout);
+    if (!head) {
+      stored = tl::unexpected<Error>(head.error().WithRan(Ran::kUnknown));
+    } else if (*head && !(*head)->customer.empty() && (*head)->customer != job.head.customer) {
+      stored = Fail(ErrorCode::kConflict, "the id of the batch job is in use", id);
+    }
+  }
   LogInfo(kPart,
           stored ? (*stored ? "stored a batch job" : "the batch job is already stored")
                  : "could not store a batch job",
@@ -36,29 +46,42 @@
   return {};
 }
 
-Result<std::optional<int64_t>> BatchService::Total(Task& task, const std::string& job) {
-  const auto known = this->totals.find(job);
-  if (known != this->totals.end()) return std::optional<int64_t>(known->second);
-  const auto head = this->store.ReadHead(task, job, SteadyNow() + kStoreTimeout);
-  if (!head) return tl::unexpected<Error>(head.error());
-  if (!*head) return std::optional<int64_t>();
-  if (this->totals.emplace(job, (*head)->total).second) this->totals_order.push_back(job);
-  if (this->totals_order.size() > kMaxCachedTotals) {
-    this->totals.erase(this->totals_order.front());
-    this->totals_order.pop_front();
+bool BatchService::MayUse(const CallerIdentity& caller, const BatchHead& head) const {
+  const auto routes = this->routes();
+  const ServiceRoute* route =
+      routes ? routes->Match(head.host, head.path.substr(0, head.path.find('?'))) : nullptr;
+  return MayUseJob(caller, head.customer, route != nullptr && route->open);
+}
+
+Result<std::optional<BatchHead>> BatchService::FindHead(Task& task, const CallerIdentity& caller,
+                                                        const std::string& job) {
+  auto known = this->heads.find(job);
+  if (known == this->heads.end()) {
+    auto head = this->store.ReadHead(task, job, SteadyNow() + kStoreTimeout);
+    if (!head) return tl::unexpected<Error>(head.error());
+    if (!*head) return std::optional<BatchHead>();
+    bool added = false;
+    std::tie(known, added) = this->heads.emplace(job, std::move(**head));
+    if (added) this->heads_order.push_back(job);
+    if (this->heads_order.size() > kMaxCachedHeads) {
+      this->heads.erase(this->heads_order.front());
+      this->heads_order.pop_front();
+    }
   }
-  return std::optional<int64_t>((*head)->total);
+  if (!this->MayUse(caller, known->second)) return std::optional<BatchHead>();
+  return std::optional<BatchHead>(known->second);
 }
 
 Result<std::optional<platform::ResultPage>> BatchService::Results(Task& task,
+                                                                  const CallerIdentity& caller,
                                                                   const std::string& job,
                                                                   int64_t from, Duration wait) {
   const TimePoint until = SteadyNow() + wait;
-  const auto total = this->Total(task, job);
-  if (!total) return tl::unexpected<Error>(total.error());
-  if (!*total) return std::optional<platform::ResultPage>();
+  const auto head = this->FindHead(task, caller, job);
+  if (!head) return tl::unexpected<Error>(head.error());
+  if (!*head) return std::optional<platform::ResultPage>();
   platform::ResultPage page;
-  page.total = **total;
+  page.total = (*head)->total;
   while (from < page.total) {
     auto results =
         this->store.ReadResults(task, job, from, kMaxResults, SteadyNow() + kStoreTimeout);
@@ -70,14 +93,15 @@
   return std::optional<platform::ResultPage>(std::move(page));
 }
 
-Result<std::optional<std::string>> BatchService::ItemBody(Task& task, const std::string& job,
+Result<std::optional<std::string>> BatchService::ItemBody(Task& task, const CallerIdentity& caller,
+                                                          const std::string& job,
                                                           const std::string& item) {
+  const auto head = this->FindHead(task, caller, job);
+  if (!head) return tl::unexpected<Error>(head.error());
+  if (!*head) return std::optional<std::string>();
   auto cached = std::find_if(this->bodies.begin(), this->bodies.end(),
                              [&job](const auto& entry) { return entry.first == job; });
   if (cached == this->bodies.end()) {
-    const auto total = this->Total(task, job);
-    if (!total) return tl::unexpected<Error>(total.error());
-    if (!*total) return std::optional<std::string>();
     auto items = this->store.ReadItems(task, job, SteadyNow() + kStoreTimeout);
     if (!items) return tl::unexpected<Error>(items.error());
     Bodies job_bodies;
@@ -91,10 +115,12 @@
   return std::optional<std::string>(found->second);
 }
 
-Result<bool> BatchService::End(Task& task, const std::string& job) {
-  const auto ended = this->store.End(task, job, SteadyNow() + kEndTimeout);
+Result<bool> BatchService::End(Task& task, const CallerIdentity& caller, const std::string& job) {
+  const auto ended =
+      this->store.End(task, job, SteadyNow() + kEndTimeout,
+                      [&](const BatchHead& head) { return this->MayUse(caller, head); });
   LogInfo(kPart,
-          ended ? (*ended ? "ended a batch job" : "the batch job to end does not exist")
+          ended ? (*ended ? "ended a batch job" : "the caller has no such batch job to end")
                 : "could not end a batch job",
           {{"batch", job}, {"error", ended ? "none" : ErrorCodeName(ended.error().code)}});
   return ended;
--- a/anvilcroft/batch_service.h
+++ b/anvilcroft/batch_service.h
@@ -14,6 +14,7 @@
 
 #include "anvilcroft/batch_job.h"
 #include "anvilcroft/batch_store.h"
+#include "anvilcroft/customers/caller_identity.h"
 #include "anvilcroft/metadata_store.h"
 #include "anvilcroft/route_table.h"
 #include "platform/ingress.h"
@@ -26,8 +27,8 @@
   static constexpr Duration kPollInterval = milliseconds(50);
   // Timeout of one read of the store.
   static constexpr Duration kStoreTimeout = milliseconds(900);
-  // Jobs whose number of items is cached.
-  static constexpr std::size_t kMaxCachedTotals = 512;
+  // Jobs whose head is cached.
+  static constexpr std::size_t kMaxCachedHeads = 512;
   // Jobs whose item bodies are cached, about 200 KB each.
   static constexpr std::size_t kMaxCachedJobs = 4;
 
@@ -36,34 +37,38 @@
   BatchService(BatchStore& store, MetadataStore& metadata, Routes routes)
       : store(store), metadata(metadata), routes(std::move(routes)) {}
 
-  // Stores a job for execution. Submitting a job that is already stored succeeds. After an error
-  // with Ran::kNo, no part of the job has run or will run. Fails with kNotReady before the first
-  // answer from the store; otherwise with the errors of BatchStore::Submit.
+  // Stores a job for execution. Submitting a job that is already stored succeeds, unless it belongs
+  // to another customer: then it fails with kConflict. After an error with Ran::kNo, no part of the
+  // job has run or will run. Fails with kNotReady before the first answer from the store; otherwise
+  // with the errors of BatchStore.
   Result<void> Submit(Task& task, BatchJob job, TimePoint deadline);
 
   // Returns results from position `from` on, at most 500. Waits up to `wait` if there are none yet.
-  // Returns nullopt if the job does not exist.
-  Result<std::optional<platform::ResultPage>> Results(Task& task, const std::string& job,
-                                                      int64_t from, Duration wait);
+  // Returns nullopt if `caller` has no such job.
+  Result<std::optional<platform::ResultPage>> Results(Task& task, const CallerIdentity& caller,
+                                                      const std::string& job, int64_t from,
+                                                      Duration wait);
 
-  // Returns the request body of an item, or nullopt if the item does not exist.
-  Result<std::optional<std::string>> ItemBody(Task& task, const std::string& job,
-                                              const std::string& item);
+  // Returns the request body of an item, or nullopt if `caller` has no such item.
+  Result<std::optional<std::string>> ItemBody(Task& task, const CallerIdentity& caller,
+                                              const std::string& job, const std::string& item);
 
-  // Ends a job. Returns whether the job exists.
-  Result<bool> End(Task& task, const std::string& job);
+  // Ends a job. Returns whether `caller` has such a job.
+  Result<bool> End(Task& task, const CallerIdentity& caller, const std::string& job);
 
  private:
   using Bodies = std::map<std::string, std::string>;  // by item
 
-  // The number of items of a job, or nullopt if the job does not exist.
-  Result<std::optional<int64_t>> Total(Task& task, const std::string& job);
+  // The head of a job, in which `ended` may be outdated, or nullopt if `caller` has no such job.
+  Result<std::optional<BatchHead>> FindHead(Task& task, const CallerIdentity& caller,
+                                            const std::string& job);
+  bool MayUse(const CallerIdentity& caller, const BatchHead& head) const;
 
   BatchStore& store;
   MetadataStore& metadata;
   Routes routes;
-  std::map<std::string, int64_t> totals;             // by job
-  std::list<std::string> totals_order;               // oldest first
+  std::map<std::string, BatchHead> heads;            // by job
+  std::list<std::string> heads_order;                // oldest first
   std::list<std::pair<std::string, Bodies>> bodies;  // by job; newest first
 };
 
--- a/anvilcroft/batch_store.cc
+++ b/anvilcroft/batch_store.cc
@@ -235,7 +235,8 @@
   }
 }
 
-Result<bool> BatchStore::End(Task& task, const std::string& job, TimePoint deadline) {
+Result<bool> BatchStore::End(Task& task, const std::string& job, TimePoint deadline,
+                             const std::function<bool(const BatchHead&)>& may_end) {
   while (true) {
     RowRange range;
     range.table = kBatchHeadTable;
@@ -248,6 +249,7 @@
       const StoredRow& row = read->rows.front();
       const auto head = DecodeHead(job, row.value);
       if (!head) return tl::unexpected<Error>(head.error());
+      if (!may_end(*head)) return false;
       if (head->ended) return true;
       BatchHead ended = *head;
       ended.ended = true;
--- a/anvilcroft/batch_store.h
+++ b/anvilcroft/batch_store.h
@@ -7,6 +7,7 @@
 // caller must not report that nothing was done.
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -60,9 +61,11 @@
   Result<std::map<std::string, ItemText>> ReadTexts(Task& task, const std::string& job,
                                                     TimePoint deadline);
 
-  // Ends a job. Returns whether the job exists. Ending it again changes nothing. Retries until
-  // `deadline`; errors of the store are returned with Ran::kUnknown.
-  Result<bool> End(Task& task, const std::string& job, TimePoint deadline);
+  // Ends a job if `may_end` allows it. Returns whether the job exists and was allowed to end.
+  // Ending it again changes nothing. Retries until `deadline`; errors of the store are returned
+  // with Ran::kUnknown.
+  Result<bool> End(Task& task, const std::string& job, TimePoint deadline,
+                   const std::function<bool(const BatchHead&)>& may_end);
 
   // Returns the ids of all open jobs.
   Result<std::vector<std::string>> ListOpenJobs(Task& task, TimePoint deadline);
--- a/anvilcroft/carried_texts.cc
+++ b/anvilcroft/carried_texts.cc
@@ -13,15 +13,16 @@
   for (const OwnedItem& item : job.items) {
     if (item.item.group.empty() || incomplete.count(item.item.group) == 0) continue;
     if (this->bytes + item.text.data.size() > kMaxBytes) continue;
-    Entry& entry = this->entries[item.item.id];
+    Entry& entry = this->entries[{job.head.customer, item.item.id}];
     this->bytes -= entry.text.data.size();
     entry = Entry{item.text, now};
     this->bytes += entry.text.data.size();
   }
 }
 
-std::optional<ItemText> CarriedTexts::Extract(const std::string& item_id) {
-  const auto found = this->entries.find(item_id);
+std::optional<ItemText> CarriedTexts::Extract(const std::string& customer,
+                                              const std::string& item_id) {
+  const auto found = this->entries.find({customer, item_id});
   if (found == this->entries.end()) return std::nullopt;
   ItemText text = std::move(found->second.text);
   this->bytes -= text.data.size();
--- a/anvilcroft/carried_texts.h
+++ b/anvilcroft/carried_texts.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "anvilcroft/item_text.h"
 #include "anvilcroft/owned_job.h"
@@ -27,9 +28,10 @@
   // would bring the total above kMaxBytes.
   void AddIncompleteGroups(const OwnedJob& job, TimePoint now);
 
-  // Removes and returns the text of an item; the text is empty if none was generated. Returns
-  // nullopt if the item is not held.
-  std::optional<ItemText> Extract(const std::string& item_id);
+  // Removes and returns the text of an item of `customer`; the text is empty if none was generated.
+  // Returns nullopt if the item is not held. Customers choose the ids of their items themselves, so
+  // two customers may use the same one.
+  std::optional<ItemText> Extract(const std::string& customer, const std::string& item_id);
 
   // Removes the texts that are older than kLifetime.
   void Expire(TimePoint now);
@@ -40,7 +42,7 @@
     TimePoint added_at;
   };
 
-  std::map<std::string, Entry> entries;
+  std::map<std::pair<std::string, std::string>, Entry> entries;  // by customer and item
   std::size_t bytes = 0;
 };
 
--- a/anvilcroft/front_instance.cc
+++ b/anvilcroft/front_instance.cc
@@ -7,6 +7,8 @@
 #include "anvilcroft/batch_owner.h"
 #include "anvilcroft/batch_service.h"
 #include "anvilcroft/crash_limiter.h"
+#include "anvilcroft/customers/config_peers.h"
+#include "anvilcroft/customers/refused_keys.h"
 #include "anvilcroft/front_directory.h"
 #include "anvilcroft/hash.h"
 #include "anvilcroft/http_server.h"
@@ -37,6 +39,7 @@
 // Number of instances that an owner without access to the store asks for a later lease record:
 // those that may acquire the lease, and one more.
 constexpr std::size_t kMaxLeasePeers = 4;
+constexpr std::size_t kAllInstances = SIZE_MAX;
 // Retry-After of refused requests.
 constexpr Duration kRetryAfter = milliseconds(100);       // another target or instance may serve it
 constexpr Duration kStoreRetryAfter = milliseconds(300);  // outages of the store last seconds
@@ -115,6 +118,10 @@
                 BootTime::zero(),
                 {}},
         batch_owner(this->context),
+        config_peers(
+            this->runtime, this->view, this->metrics,
+            [this] { return this->directory.TakeoverCandidates(kAllInstances); },
+            StableHash(settings.InstanceId()) + 3),
         ingress(this->MakeHooks()) {}
 
   bool Start() {
@@ -159,6 +166,7 @@
     this->paths.Start();
     this->origins.Start();
     this->view.Start();
+    this->config_peers.Start();
     this->directory.Start();
     this->lease_keeper.Start();
     this->batch_owner.Start();
@@ -285,14 +293,20 @@
     hooks.submit = [this](Task& task, BatchJob job, TimePoint deadline) {
       return this->batch_service.Submit(task, std::move(job), deadline);
     };
-    hooks.results = [this](Task& task, const std::string& job, int64_t from, Duration wait) {
-      return this->batch_service.Results(task, job, from, wait);
+    hooks.configuration = [this] { return this->view.Routes(); };
+    hooks.on_refused_key = [this](const CallerIdentity& caller, const std::string& request) {
+      RecordRefusedKey(this->metrics, caller, request);
     };
-    hooks.item_body = [this](Task& task, const std::string& job, const std::string& item) {
-      return this->batch_service.ItemBody(task, job, item);
+    hooks.results = [this](Task& task, const CallerIdentity& caller, const std::string& job,
+                           int64_t from, Duration wait) {
+      return this->batch_service.Results(task, caller, job, from, wait);
     };
-    hooks.end = [this](Task& task, const std::string& job) {
-      return this->batch_service.End(task, job);
+    hooks.item_body = [this](Task& task, const CallerIdentity& caller, const std::string& job,
+                             const std::string& item) {
+      return this->batch_service.ItemBody(task, caller, job, item);
+    };
+    hooks.end = [this](Task& task, const CallerIdentity& caller, const std::string& job) {
+      return this->batch_service.End(task, caller, job);
     };
     hooks.ready = [this] { return this->Ready(); };
     hooks.addresses = [this](const std::string& zone) {
@@ -376,6 +390,10 @@
                               : ErrorResponse(answer.error()));
             return;
           }
+          if (request.Path() == ConfigPeers::kPath) {
+            reply.Send(task, this->config_peers.Answer(request));
+            return;
+          }
           if (request.Path() == LeasePeers::kPath) {
             reply.Send(task, JsonResponse(200, EncodeOwner(this->lease_keeper.LastRecord())));
             return;
@@ -444,6 +462,7 @@
   LeasePeers lease_peers;
   BatchContext context;
   BatchOwner batch_owner;
+  ConfigPeers config_peers;
   platform::Ingress ingress;
   std::unique_ptr<HttpServer> caller_server;
   std::unique_ptr<HttpServer> directory_server;
--- a/anvilcroft/item_placement.h
+++ b/anvilcroft/item_placement.h
@@ -50,7 +50,7 @@
   // text anew. Only with `events_done`.
   std::string software;
   double events_done = 0;  // events of the text so far
-  int priority = 0;        // of the route; 0 is the most urgent
+  int priority = 0;        // of the customer or route; 0 is the most urgent
   ItemRank rank = ItemRank::kNormal;
   double events_left = 0;  // expected number of events still to be generated
   // A later step may need the text, and accepts newer versions only.
--- a/anvilcroft/item_runner.cc
+++ b/anvilcroft/item_runner.cc
@@ -42,7 +42,8 @@
 int ItemRunner::Urgency(const OwnedJob& job) const {
   const auto routes = this->context.routes();
   const ServiceRoute* route = routes ? routes->Match(job.head.host, job.head.path) : nullptr;
-  return route == nullptr ? kMaxUrgency : std::clamp(route->priority, 0, kMaxUrgency);
+  const auto priority = routes ? routes->PriorityOf(route, job.head.customer) : std::nullopt;
+  return std::clamp(priority.value_or(kMaxUrgency), 0, kMaxUrgency);
 }
 
 Duration ItemRunner::MaxSilence(const std::string& engine) const {
@@ -100,6 +101,11 @@
   request.resume_after = item.text.events;
   request.expected_version = version;
   request.urgency = this->Urgency(*job);
+  const auto routes = this->context.routes();
+  // The customer of a job stays its customer after its keys, or all customers, have been removed.
+  if (!job->head.customer.empty() || (routes && routes->Customers().Enabled())) {
+    request.customer = job->head.customer;
+  }
   const CallOptions options = CallOptions(started + kMaxRunTime, this->MaxSilence(engine.id))
                                   .WithCancellation(run)
                                   .WithSendGuard([this, job] { return this->MaySend(*job); });
--- a/anvilcroft/item_runner.h
+++ b/anvilcroft/item_runner.h
@@ -35,7 +35,7 @@
   // Whether requests for the job may be sent now: it has not ended, the lease is valid and the
   // state of the jobs is recent enough.
   bool MaySend(const OwnedJob& job) const;
-  // Priority in an engine's queue: that of the job's route.
+  // Priority in an engine's queue: that of the job's customer or route.
   int Urgency(const OwnedJob& job) const;
   // Time without an event after which a run on `engine` fails.
   Duration MaxSilence(const std::string& engine) const;
--- a/anvilcroft/live_request.h
+++ b/anvilcroft/live_request.h
@@ -35,7 +35,8 @@
   std::shared_ptr<Cancellation> caller_disconnected;  // may be null
   // Whether another instance, or this one, may have sent a request with the same id before.
   bool id_repeats = false;
-  // Identifies the customer; empty if the caller has not told.
+  // Identifies the caller: the name of the customer where the configuration names customers, else
+  // what the caller has told; may be empty.
   std::string caller;
   // Name of the customer, from the configuration; empty: the configuration names no customers, or
   // the request belongs to none.
--- a/anvilcroft/platform_view.cc
+++ b/anvilcroft/platform_view.cc
@@ -75,24 +75,32 @@
       version = std::max(version, feed->version);
     }
     this->routes_confirmed_at = asked;
+    this->routes_answered_at = SteadyNow();
   }
 }
 
+bool PlatformView::ApplyConfiguration(const std::string& row) {
+  auto table = platform::DecodeConfiguration(row);
+  if (!table) {
+    LogError(kPart, "cannot decode the configuration; keeping the current one",
+             {{"part", table.error().part}, {"error", table.error().message}});
+    return false;
+  }
+  if (this->routes && table->Version() <= this->routes->Version()) return false;
+  LogInfo(kPart, "the configuration changed",
+          {{"before", this->routes ? std::to_string(this->routes->Version()) : "none"},
+           {"version", std::to_string(table->Version())},
+           {"routes", std::to_string(table->Routes().size())},
+           {"customers", std::to_string(table->Customers().Size())}});
+  this->routes = std::make_shared<const RouteTable>(std::move(*table));
+  this->routes_row = row;
+  this->on_change();
+  return true;
+}
+
 void PlatformView::ApplyOperatorRow(const StoredRow& row) {
   if (platform::IsConfigurationRow(row)) {
-    auto table = platform::DecodeConfiguration(row.value);
-    if (!table) {
-      LogError(kPart, "cannot decode the configuration; keeping the current one",
-               {{"part", table.error().part}, {"error", table.error().message}});
-      return;
-    }
-    if (this->routes && table->Version() <= this->routes->Version()) return;
-    LogInfo(kPart, "the configuration changed",
-            {{"before", this->routes ? std::to_string(this->routes->Version()) : "none"},
-             {"version", std::to_string(table->Version())},
-             {"routes", std::to_string(table->Routes().size())}});
-    this->routes = std::make_shared<const RouteTable>(std::move(*table));
-    this->on_change();
+    this->ApplyConfiguration(row.value);
     return;
   }
   const auto requested = platform::DecodeRequestedVersion(row);
--- a/anvilcroft/platform_view.h
+++ b/anvilcroft/platform_view.h
@@ -41,8 +41,17 @@
   const std::map<std::string, int64_t>& RequestedVersions() const {
     return this->requested_versions;
   }
-  // When the configuration was last confirmed to be the newest; TimePoint(): never.
+  // The row of Routes() as the store returned it; empty until one has been read.
+  const std::string& RoutesRow() const { return this->routes_row; }
+  // When the configuration was last confirmed to be the newest; TimePoint(): never. This is the
+  // start of the call that confirmed it.
   TimePoint RoutesConfirmedAt() const { return this->routes_confirmed_at; }
+  // When the store last answered whether there is a newer configuration.
+  TimePoint RoutesAnsweredAt() const { return this->routes_answered_at; }
+
+  // Puts the configuration in `row` into force if it is valid and newer than the current one.
+  // Returns whether it did.
+  bool ApplyConfiguration(const std::string& row);
 
  private:
   void FollowOperatorTable(Task& task);
@@ -63,7 +72,9 @@
   std::function<void()> on_change;
   std::shared_ptr<const RouteTable> routes;
   std::map<std::string, int64_t> requested_versions;
+  std::string routes_row;
   TimePoint routes_confirmed_at;
+  TimePoint routes_answered_at;
 };
 
 }  // namespace anvilcroft
--- a/anvilcroft/route_table.cc
+++ b/anvilcroft/route_table.cc
@@ -24,6 +24,13 @@
   return nullptr;
 }
 
+std::optional<int> RouteTable::PriorityOf(const ServiceRoute* route,
+                                          const std::string& customer) const {
+  const Customer* known = customer.empty() ? nullptr : this->customers->Find(customer);
+  if (known != nullptr && known->priority) return known->priority;
+  return route == nullptr ? std::nullopt : std::optional<int>(route->priority);
+}
+
 RouteTable::Builder& RouteTable::Builder::SetVersion(int64_t value) {
   this->table.version = value;
   return *this;
@@ -35,6 +42,7 @@
 }
 
 RouteTable::Builder& RouteTable::Builder::AddRoute(ServiceRoute route) {
+  this->table.open_jobs |= route.open && route.kind == RouteKind::kRollout;
   this->table.index[route.host][route.prefix] = this->table.routes.size();
   this->table.routes.push_back(std::move(route));
   return *this;
@@ -45,4 +53,9 @@
   return *this;
 }
 
+RouteTable::Builder& RouteTable::Builder::SetCustomers(CustomerTable customers) {
+  this->table.customers = std::make_shared<const CustomerTable>(std::move(customers));
+  return *this;
+}
+
 }  // namespace anvilcroft
--- a/anvilcroft/service_route.h
+++ b/anvilcroft/service_route.h
@@ -29,6 +29,7 @@
   int priority = 0;                            // 0 is the most urgent
   int max_targets = 1;                         // maximum number of targets tried for a request
   bool resumable = false;  // an interrupted stream can continue on another target
+  bool open = false;       // requests need no key where the configuration names customers
   Duration result_target = Duration::zero();  // batch jobs: all results are due after this time
   Duration item_lifetime = Duration::zero();  // batch jobs: an item may expire after this time
   bool single_version = false;  // batch jobs: each text must come from one weight version
@@ -50,10 +51,10 @@
   friend bool operator==(const ServiceRoute& a, const ServiceRoute& b) {
     return std::tie(a.name, a.host, a.prefix, a.kind, a.timeout, a.target_latency, a.priority,
                     a.max_targets, a.resumable, a.result_target, a.item_lifetime, a.single_version,
-                    a.split) == std::tie(b.name, b.host, b.prefix, b.kind, b.timeout,
-                                         b.target_latency, b.priority, b.max_targets, b.resumable,
-                                         b.result_target, b.item_lifetime, b.single_version,
-                                         b.split);
+                    a.split, a.open) == std::tie(b.name, b.host, b.prefix, b.kind, b.timeout,
+                                                 b.target_latency, b.priority, b.max_targets,
+                                                 b.resumable, b.result_target, b.item_lifetime,
+                                                 b.single_version, b.split, b.open);
   }
   friend bool operator!=(const ServiceRoute& a, const ServiceRoute& b) { return !(a == b); }
 };
--- a/fakes/platform_engine.cc
+++ b/fakes/platform_engine.cc
@@ -108,6 +108,7 @@
     return;
   }
   const std::string attempt(headers.Find("X-Attempt-Id"));
+  this->last_headers[attempt] = headers;
   const auto planned = this->planned_statuses.find(attempt);
   if (planned != this->planned_statuses.end() && !planned->second.empty()) {
     const int status = planned->second.front();
--- a/fakes/platform_engine.h
+++ b/fakes/platform_engine.h
@@ -67,12 +67,13 @@
 
   // Requests, orders and reads of the report that the target received.
   std::vector<TimePoint> arrivals;
-  std::vector<std::string> started;      // ids of executed requests, in order
-  std::map<std::string, int> cancelled;  // runs whose caller disconnected, by request id
-  std::vector<int64_t> accepted_fences;  // fencing tokens of the accepted orders
-  int64_t version = 1;                   // of the weights
-  std::string software = kSoftware;      // version of the software
-  int resumed_runs = 0;                  // runs that were requested to resume after an event
+  std::vector<std::string> started;                 // ids of executed requests, in order
+  std::map<std::string, HttpHeaders> last_headers;  // of the requests, by request id
+  std::map<std::string, int> cancelled;             // runs whose caller disconnected, by request id
+  std::vector<int64_t> accepted_fences;             // fencing tokens of the accepted orders
+  int64_t version = 1;                              // of the weights
+  std::string software = kSoftware;                 // version of the software
+  int resumed_runs = 0;  // runs that were requested to resume after an event
 
  private:
   // Sends `answer` with the fields that every answer has.
--- a/fakes/platform_store.cc
+++ b/fakes/platform_store.cc
@@ -100,6 +100,17 @@
   return found == this->rows.end() ? "" : found->second.value;
 }
 
+std::vector<RowId> PlatformStore::RowsWith(const std::string& text,
+                                           const std::string& excluded_table) const {
+  std::vector<RowId> found;
+  for (const auto& [id, row] : this->rows) {
+    if (id.table == excluded_table) continue;
+    const std::string whole = id.partition + "\n" + id.key + "\n" + row.value;
+    if (whole.find(text) != std::string::npos) found.push_back(id);
+  }
+  return found;
+}
+
 std::size_t PlatformStore::CountRows(const std::string& table) const {
   std::size_t count = 0;
   for (const auto& [id, row] : this->rows) count += id.table == table ? 1 : 0;
--- a/fakes/platform_store.h
+++ b/fakes/platform_store.h
@@ -12,6 +12,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "anvilcroft/event.h"
 #include "anvilcroft/stored_row.h"
@@ -44,6 +45,8 @@
 
   // Returns the value of a row, or "" if it does not exist.
   std::string Value(const RowId& id) const;
+  // The rows, except those of `excluded_table`, whose key or value contains `text`.
+  std::vector<RowId> RowsWith(const std::string& text, const std::string& excluded_table) const;
   std::size_t CountRows(const std::string& table) const;
   int64_t Transactions() const { return this->transactions; }
 
--- a/testing/item_text_test.cc
+++ b/testing/item_text_test.cc
@@ -60,11 +60,11 @@
   }
   CarriedTexts texts;
   texts.AddIncompleteGroups(job, kStart);
-  CHECK_FALSE(texts.Extract("0"));
-  REQUIRE(texts.Extract("2"));
-  CHECK_FALSE(texts.Extract("2"));
+  CHECK_FALSE(texts.Extract("", "0"));
+  REQUIRE(texts.Extract("", "2"));
+  CHECK_FALSE(texts.Extract("", "2"));
   texts.Expire(kStart + CarriedTexts::kLifetime);
-  CHECK_FALSE(texts.Extract("3"));
+  CHECK_FALSE(texts.Extract("", "3"));
 }
 
 }  // namespace
