--- a/testing/platform_fuzz_test.cc
+++ b/testing/platform_fuzz_test.cc
@@ -35,6 +35,7 @@
   head.id = "job";
   head.host = "h";
   head.path = "/p/";
+  head.customer = "one";
   FrontRecord front;
   front.instance = "one";
   front.address = "127.0.0.1:1";
@@ -53,9 +54,14 @@
     row.value = value;
     return row;
   };
+  json customers = {{"Version", 3}, {"Routes", json::array()}, {"Services", json::array()}};
+  customers["Tenants"] = {{{"Name", "one"}, {"ApiKeys", {"a", "b"}}, {"Priority", 1}},
+                          {{"Name", "two"}, {"ApiKeys", {"c"}}}};
   return {
       {PlatformFixture::Configuration(3).dump(),
        [](const auto& v) { return platform::DecodeConfiguration(v).has_value(); }},
+      {customers.dump(),
+       [](const auto& v) { return platform::DecodeConfiguration(v).has_value(); }},
       {target.dump(),
        [](const auto& v) { return platform::DecodeTargetEntry("i", v).has_value(); }},
       {R"({"Model":"m","Version":4})",
