Report the use of each window by customer

Customers are billed by the live requests that targets began to run in windows of 5 s. Without reports, the platform has no figures.

Each instance counts its requests by customer and window and writes the counts to usage-counts. The holder of the owner lease fixes one content for each window in usage-reports and sends it until the API has accepted it; a successor repeats exactly that. The begin of a request is estimated from the send time and half of the fastest recent connection; a stream begins with its first event.

--- a/anvilcroft/front_instance.cc
+++ b/anvilcroft/front_instance.cc
@@ -18,6 +18,7 @@
 #include "anvilcroft/process_stats.h"
 #include "anvilcroft/request_limiter.h"
 #include "anvilcroft/target_paths.h"
+#include "anvilcroft/usage/usage_duty.h"
 #include "platform/ingress.h"
 #include "platform/store_client.h"
 
@@ -32,6 +33,8 @@
 constexpr Duration kHandoverTimeout = milliseconds(700);
 // Part of the grace period that is reserved for the last responses and the exit.
 constexpr Duration kExitMargin = milliseconds(700);
+// Part of kExitMargin in which the last counts of usage are written.
+constexpr Duration kLastCountsTime = milliseconds(450);
 // Idle connections of callers are closed this much later than callers stop using them.
 constexpr Duration kIdleMargin = seconds(2);
 // Number of instances that an owner without access to the store asks for a later lease record:
@@ -115,6 +118,8 @@
                 BootTime::zero(),
                 {}},
         batch_owner(this->context),
+        usage(UsageDuty::Create(this->runtime, this->store, this->directory, this->metrics,
+                                settings, [this] { return this->lease_keeper.Held(); })),
         ingress(this->MakeHooks()) {}
 
   bool Start() {
@@ -162,6 +167,10 @@
     this->directory.Start();
     this->lease_keeper.Start();
     this->batch_owner.Start();
+    if (this->usage) {
+      this->live.SetUsageRecorder(this->usage->Recorder());
+      this->usage->Start();
+    }
     return true;
   }
 
@@ -170,6 +179,7 @@
     LogInfo(kPart, "applied changed settings",
             {{"cause", cause}, {"store", changed.StoreAddress().ToString()}});
     this->store.SetAddress(changed.StoreAddress());
+    if (this->usage) this->usage->ApplySettings(changed);
     this->settings = changed;
   }
 
@@ -417,6 +427,7 @@
             {{"open_requests", std::to_string(this->caller_server->ActiveRequests())},
              {"open_connections", std::to_string(this->caller_server->Connections())},
              {"ms", std::to_string(ToMillis(SteadyNow() - started))}});
+    if (this->usage) this->usage->Recorder().Finish(task, end + kLastCountsTime);
     this->on_stopped();
   }
 
@@ -444,6 +455,7 @@
   LeasePeers lease_peers;
   BatchContext context;
   BatchOwner batch_owner;
+  std::unique_ptr<UsageDuty> usage;  // null: use is not reported
   platform::Ingress ingress;
   std::unique_ptr<HttpServer> caller_server;
   std::unique_ptr<HttpServer> directory_server;
--- a/anvilcroft/live_forwarder.cc
+++ b/anvilcroft/live_forwarder.cc
@@ -25,14 +25,31 @@
   struct Attempt {
     std::string target;
     TimePoint started;
-    bool ended = false;      // `result` is set
-    bool processed = false;  // Serve() has evaluated `result`
+    bool ended = false;                 // `result` is set
+    bool processed = false;             // Serve() has evaluated `result`
+    std::optional<WallMillis> sent_at;  // the first byte was written
+    Duration network_delay = Duration::zero();
     Result<platform::ForwardReply> result = Fail(ErrorCode::kInternal, "the attempt has not ended");
   };
 
   AttemptGroup(CrashLimiter& limiter, const LiveRequest& request)
       : request(request), crashes(limiter, this->request) {}
 
+  // When a target first began to run the request: the earliest attempt that was sent and not
+  // refused. A target begins as soon as the request arrives.
+  std::optional<WallMillis> BeganAt() const {
+    std::optional<WallMillis> began_at;
+    for (const Attempt& attempt : this->attempts) {
+      if (!attempt.sent_at) continue;
+      const bool refused =
+          attempt.ended &&
+          (attempt.result ? attempt.result->not_executed : attempt.result.error().ran == Ran::kNo);
+      const WallMillis begins = *attempt.sent_at + ToMillis(attempt.network_delay);
+      if (!refused && (!began_at || begins < *began_at)) began_at = begins;
+    }
+    return began_at;
+  }
+
   LiveRequest request;
   RequestCrashes crashes;
   std::string service;
@@ -108,11 +125,21 @@
       return;
     }
     const Duration time_left = group->request.deadline - started;
-    const CallOptions options =
-        CallOptions(group->request.deadline, time_left).WithCancellation(group->cancellation);
+    const CallOptions options = CallOptions(group->request.deadline, time_left)
+                                    .WithCancellation(group->cancellation)
+                                    .WithSendGuard([this, group, entry, index] {
+                                      AttemptGroup::Attempt& attempt = group->attempts[index];
+                                      attempt.sent_at = WallNow();
+                                      attempt.network_delay = this->engines.NetworkDelay(entry);
+                                      const auto& on_begin = group->request.on_begin;
+                                      if (on_begin) on_begin(*group->BeganAt(), false);
+                                      return true;
+                                    });
     auto result = this->engines.Forward(task, std::move(*permit), entry, group->request.message,
                                         time_left, options, group->path);
     const TimePoint ended = SteadyNow();
+    // The first connection to a target is measured with its answer.
+    group->attempts[index].network_delay = this->engines.NetworkDelay(entry);
     TargetOutcome outcome = TargetOutcome::kServed;
     if (!result) {
       outcome = group->cancellation->Cancelled()                    ? TargetOutcome::kAbandoned
@@ -160,6 +187,7 @@
     outcome.kind = kind;
     outcome.reason = std::move(reason);
     outcome.attempts = static_cast<int>(group->attempts.size());
+    if (kind != LiveOutcome::Kind::kNotRun) outcome.began_at = group->BeganAt();
     return outcome;
   };
   while (true) {
--- a/anvilcroft/live_request.h
+++ b/anvilcroft/live_request.h
@@ -4,6 +4,7 @@
 // A request that is served while its caller waits, and its outcome.
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -49,6 +50,9 @@
   std::string resumes;
   // Time within which the caller may take up the stream, in this or another attempt.
   Duration caller_time = Duration::zero();
+  // Called with the wall-clock time at which a target has most likely begun to run the request, and
+  // whether that is certain. A later call replaces a time that was not. May be empty.
+  std::function<void(WallMillis began_at, bool certain)> on_begin;
 };
 
 struct LiveOutcome {
@@ -72,6 +76,10 @@
   int failures = 0;  // responses in which a target reported a failure
   // kNotRun: when the caller may come back, if that is known.
   std::optional<Duration> retry_after;
+  // Wall-clock time at which a target first began to run the request: a stream with its first
+  // event. A short request that was sent and not refused counts as run, also without an answer,
+  // because a request is lost far less often than the answer. nullopt: no target began.
+  std::optional<WallMillis> began_at;
 };
 
 }  // namespace anvilcroft
--- a/anvilcroft/live_service.cc
+++ b/anvilcroft/live_service.cc
@@ -64,12 +64,24 @@
   return decision.serve;
 }
 
-LiveOutcome LiveService::ServeAndLog(const LiveRequest& request, const char* kind,
+LiveOutcome LiveService::ServeAndLog(LiveRequest& request, const char* kind,
                                      const std::function<LiveOutcome()>& serve) {
   const TimePoint started = SteadyNow();
   const std::string id = request.message.id;
   const Duration limit = request.deadline - started;
+  std::unique_ptr<UsageRecorder::Entry> counted;
+  // An attempt that takes up its own stream, perhaps at another instance, was counted with its
+  // first event.
+  const bool counted_before = request.resume_after > 0 && request.resumes == id;
+  if (this->usage != nullptr && !counted_before) {
+    counted = this->usage->Open(request.customer, id);
+    request.on_begin = [recorder = this->usage, handle = counted->Handle()](WallMillis began_at,
+                                                                            bool certain) {
+      recorder->OnBegin(handle, began_at, certain);
+    };
+  }
   LiveOutcome outcome = serve();
+  if (counted) counted->Close(outcome.began_at);
   const Duration took = SteadyNow() - started;
   const char* name = OutcomeName(outcome.kind);
   this->metrics.Increment("anvilcroft_live_requests_total", {{"kind", kind}, {"outcome", name}});
--- a/anvilcroft/live_service.h
+++ b/anvilcroft/live_service.h
@@ -14,6 +14,7 @@
 #include "anvilcroft/metrics.h"
 #include "anvilcroft/route_table.h"
 #include "anvilcroft/stop_plan.h"
+#include "anvilcroft/usage/usage_recorder.h"
 
 namespace anvilcroft {
 
@@ -27,6 +28,9 @@
   // From now on, serves only the requests that can end before the process does.
   void SetStopPlan(StopPlan plan) { this->stop_plan = plan; }
 
+  // From now on, counts the requests of customers. `value` must outlive this.
+  void SetUsageRecorder(UsageRecorder& value) { this->usage = &value; }
+
   LiveOutcome Forward(Task& task, LiveRequest request);
   // See LiveStreamer::Serve for what has been written to `reply`.
   LiveOutcome Stream(Task& task, LiveRequest request, HttpReply& reply);
@@ -35,7 +39,7 @@
   // Decides whether a request is served although this instance may be stopping, and by when.
   bool AdmitWhileStopping(LiveRequest& request, bool stream) const;
   // Calls `serve` for a request, then counts and logs the outcome.
-  LiveOutcome ServeAndLog(const LiveRequest& request, const char* kind,
+  LiveOutcome ServeAndLog(LiveRequest& request, const char* kind,
                           const std::function<LiveOutcome()>& serve);
 
   LiveForwarder& forwarder;
@@ -43,6 +47,7 @@
   Metrics& metrics;
   Routes routes;
   std::optional<StopPlan> stop_plan;  // set while this instance stops
+  UsageRecorder* usage = nullptr;     // null: use is not reported
 };
 
 }  // namespace anvilcroft
--- a/anvilcroft/live_streamer.cc
+++ b/anvilcroft/live_streamer.cc
@@ -151,6 +151,10 @@
   TargetEntry entry;
   hooks.on_event = [&](const platform::StreamEvent& event) {
     if (!progress.origin) progress.origin = StreamOrigin{entry.service, entry.software};
+    if (!result.began_at) {
+      result.began_at = WallNow() - ToMillis(this->engines.NetworkDelay(entry));
+      if (request.on_begin) request.on_begin(*result.began_at, true);
+    }
     return reply.Write(task, event.bytes);
   };
   while (true) {
--- a/testing/platform_codec_test.cc
+++ b/testing/platform_codec_test.cc
@@ -300,6 +300,49 @@
   for (int round = 0; round < 2000; ++round) ParseFrontSettings(Damage(text, random), "f.yaml");
 }
 
+// Guards against duties that start where the platform does not ask for them, and against a wrong
+// window length, which would make every report a report of another window.
+TEST_CASE("the section of the cloud API is optional and checked", "[front_settings]") {
+  const std::string text = kSettings;
+  const auto none = ParseFrontSettings(text, "f.yaml");
+  REQUIRE(none);
+  CHECK_FALSE(none->Cloud());
+  const auto defaults = ParseFrontSettings(text + "cloud:\n  address: \"127.0.0.1:9\"\n", "f.yaml");
+  REQUIRE(defaults);
+  REQUIRE(defaults->Cloud());
+  CHECK(defaults->Cloud()->address == Endpoint{"127.0.0.1", 9});
+  CHECK_FALSE(defaults->Cloud()->report_usage);
+  CHECK_FALSE(defaults->Cloud()->order_engines);
+  CHECK_FALSE(defaults->Cloud()->checks_fencing);
+  CHECK(defaults->Cloud()->usage_window == seconds(5));
+  CHECK(defaults->Cloud()->usage_due == seconds(10));
+  const auto full = ParseFrontSettings(text + R"(cloud:
+  address: "127.0.0.1:9"
+  calls_per_s: 2.5
+  duties: ["usage_report", "autoscale", "a later one"]
+  checks_fencing: true
+  usage_window_s: 1.5
+  usage_due_s: 4
+)",
+                                       "f.yaml");
+  REQUIRE(full);
+  REQUIRE(full->Cloud());
+  CHECK(full->Cloud()->calls_per_s == 2.5);
+  CHECK(full->Cloud()->report_usage);
+  CHECK(full->Cloud()->order_engines);
+  CHECK(full->Cloud()->checks_fencing);
+  CHECK(full->Cloud()->usage_window == milliseconds(1500));
+  CHECK(full->Cloud()->usage_due == seconds(4));
+  for (const char* wrong : {"  calls_per_s: 0\n", "  usage_window_s: 0\n", "  usage_due_s: soon\n",
+                            "  checks_fencing: 3\n", "  usage_windows: 5\n"}) {
+    INFO(wrong);
+    const auto broken =
+        ParseFrontSettings(text + "cloud:\n  address: \"127.0.0.1:9\"\n" + wrong, "f.yaml");
+    REQUIRE_FALSE(broken);
+    CHECK(broken.error().front().line == 19);
+  }
+}
+
 // Feeds the stream in pieces of every size. SseParser, which parses the fields, is the oracle.
 TEST_CASE("a stream is split into events without changing their bytes", "[platform]") {
   const std::string text =
--- a/testing/platform_fixture.h
+++ b/testing/platform_fixture.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -105,6 +106,7 @@
             .SetMetricsAddress(any)
             .SetStoreAddress(*ParseEndpoint(store.empty() ? this->store_address : store))
             .SetAddressTtl(milliseconds(100))
+            .SetCloud(this->cloud_settings)
             .Build();
     this->instances.push_back(
         std::make_unique<FrontInstance>(this->runtime, settings, [this] { ++this->stopped; }));
@@ -194,6 +196,7 @@
   HttpClient http;
   fakes::PlatformStore store;
   std::string store_address;
+  std::optional<CloudSettings> cloud_settings;  // of the instances that are added
   fakes::PlatformEngine app;
   std::vector<std::unique_ptr<fakes::PlatformEngine>> engines;
   std::vector<std::unique_ptr<FrontInstance>> instances;
