--- a/anvilcroft/front_instance.cc
+++ b/anvilcroft/front_instance.cc
@@ -17,6 +17,7 @@
 #include "anvilcroft/platform_view.h"
 #include "anvilcroft/process_stats.h"
 #include "anvilcroft/request_limiter.h"
+#include "anvilcroft/scaling/engine_scaler.h"
 #include "anvilcroft/target_paths.h"
 #include "platform/ingress.h"
 #include "platform/store_client.h"
@@ -115,7 +116,12 @@
                 BootTime::zero(),
                 {}},
         batch_owner(this->context),
-        ingress(this->MakeHooks()) {}
+        ingress(this->MakeHooks()) {
+    if (settings.Cloud() && settings.Cloud()->order_engines) {
+      this->scaler = std::make_unique<EngineScaler>(this->context, *settings.Cloud(),
+                                                    settings.OwnerLease());
+    }
+  }
 
   bool Start() {
     LogInfo(kPart, "starting",
@@ -162,6 +168,7 @@
     this->directory.Start();
     this->lease_keeper.Start();
     this->batch_owner.Start();
+    if (this->scaler) this->scaler->Start();
     return true;
   }
 
@@ -170,6 +177,7 @@
     LogInfo(kPart, "applied changed settings",
             {{"cause", cause}, {"store", changed.StoreAddress().ToString()}});
     this->store.SetAddress(changed.StoreAddress());
+    if (this->scaler && changed.Cloud()) this->scaler->ApplySettings(*changed.Cloud());
     this->settings = changed;
   }
 
@@ -444,6 +452,7 @@
   LeasePeers lease_peers;
   BatchContext context;
   BatchOwner batch_owner;
+  std::unique_ptr<EngineScaler> scaler;  // null: this platform takes no orders for engines
   platform::Ingress ingress;
   std::unique_ptr<HttpServer> caller_server;
   std::unique_ptr<HttpServer> directory_server;
--- a/anvilcroft/lease_keeper.h
+++ b/anvilcroft/lease_keeper.h
@@ -92,6 +92,8 @@
   const std::string& Holder() const { return this->view.record.holder; }
   // The record that was last read or written.
   const OwnerRecord& LastRecord() const { return this->view.record; }
+  // The row in the metadata store that holds the lease.
+  RowId Row() const { return {"lease", "", this->settings.key}; }
 
  private:
   void Run(Task& task);
@@ -106,7 +108,6 @@
   // Offers the lease to other instances. Returns whether one has it.
   bool OfferLease(Task& task);
   void MarkLost(const char* reason);
-  RowId Row() const { return {"lease", "", this->settings.key}; }
 
   Runtime& runtime;
   MetadataStore& store;
--- a/anvilcroft/target_entry.h
+++ b/anvilcroft/target_entry.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <tuple>
 
@@ -24,6 +25,9 @@
   bool draining = false;                       // accepts no new requests
   Duration cold_remaining = Duration::zero();  // remaining warm-up time, during which it is slow
   std::map<std::string, int64_t> versions;     // model engines: weight version by model
+  bool reclaimable = false;  // a cheaper engine that the platform may take away at short notice
+  // When the platform takes the engine away; nullopt: it has not announced that.
+  std::optional<WallMillis> leaves_at;
 
   // Whether both entries describe the same target without a restart in between.
   bool IsSameStart(const TargetEntry& other) const {
@@ -32,9 +36,9 @@
 
   friend bool operator==(const TargetEntry& a, const TargetEntry& b) {
     return std::tie(a.id, a.started_at, a.service, a.software, a.address, a.zone, a.slots,
-                    a.draining, a.cold_remaining, a.versions) ==
+                    a.draining, a.cold_remaining, a.versions, a.reclaimable, a.leaves_at) ==
            std::tie(b.id, b.started_at, b.service, b.software, b.address, b.zone, b.slots,
-                    b.draining, b.cold_remaining, b.versions);
+                    b.draining, b.cold_remaining, b.versions, b.reclaimable, b.leaves_at);
   }
   friend bool operator!=(const TargetEntry& a, const TargetEntry& b) { return !(a == b); }
 };
