--- a/anvilcroft/scaling/engine_scaler.cc
+++ b/anvilcroft/scaling/engine_scaler.cc
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "anvilcroft/item_placement.h"
-
 namespace anvilcroft {
 namespace {
 
@@ -16,8 +14,6 @@
 // Assumed for items without an estimate, as for their placement.
 constexpr double kDefaultItemEvents = 20;
 constexpr Duration kDefaultDue = milliseconds(7500);
-// Share of the engines that are faster than EventTimes::slow_ms.
-constexpr double kSlowQuantile = 0.8;
 // A load report tells for this long whether an engine runs requests.
 constexpr Duration kReportLifetime = seconds(1);
 
@@ -35,11 +31,19 @@
   return tokens / job.tokens_per_event;
 }
 
-double Quantile(std::vector<double> values, double share) {
-  const auto at =
-      values.begin() + static_cast<std::ptrdiff_t>(share * static_cast<double>(values.size() - 1));
-  std::nth_element(values.begin(), at, values.end());
-  return *at;
+// Expected events of the longest item of the groups that the trainer waits for.
+double LongestRequired(const OwnedJob& job) {
+  std::map<std::string, double> by_group;
+  for (const OwnedItem& item : job.items) {
+    double& longest = by_group[item.item.group];
+    longest = std::max(longest, ExpectedEvents(job, item.item));
+  }
+  std::vector<double> longest;
+  for (const auto& [group, events] : by_group) longest.push_back(events);
+  if (longest.empty()) return 0;
+  std::sort(longest.begin(), longest.end());
+  const auto target = static_cast<std::size_t>(std::max<int64_t>(0, job.head.target_groups));
+  return target == 0 || target > longest.size() ? longest.back() : longest[target - 1];
 }
 
 }  // namespace
@@ -167,10 +171,9 @@
     step.due = routes.Match(job->head.host, job->head.path)->result_target;
     if (step.due <= Duration::zero()) step.due = kDefaultDue;
     for (const OwnedItem& item : job->items) {
-      const double events = ExpectedEvents(*job, item.item);
-      step.events += events;
-      step.longest_events = std::max(step.longest_events, events);
+      step.events += ExpectedEvents(*job, item.item);
     }
+    step.longest_events = LongestRequired(*job);
     this->services[service].demand.Record(step);
   }
   for (auto& [name, service] : this->services) service.demand.Expire(now);
@@ -190,18 +193,17 @@
   return events;
 }
 
-EventTimes EngineScaler::MeasuredTimes(const std::string& service) const {
+double EngineScaler::MeasuredEventMs(const std::string& service) const {
   std::vector<double> times;
   for (const auto& [id, state] : this->context.engine_tracker.All()) {
     if (state.entry.service == service && state.pace.NormalMs() > 0) {
       times.push_back(state.pace.NormalMs());
     }
   }
-  if (times.empty()) {
-    const double assumed = this->context.engine_tracker.MedianEventMs();
-    return {assumed, assumed};
-  }
-  return {Quantile(times, 0.5), Quantile(times, kSlowQuantile)};
+  if (times.empty()) return this->context.engine_tracker.MedianEventMs();
+  const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+  std::nth_element(times.begin(), middle, times.end());
+  return *middle;
 }
 
 void EngineScaler::AddGroups(const TargetService& service) {
@@ -223,7 +225,7 @@
   ScalingInputs inputs;
   inputs.scaling = *service.scaling;
   inputs.slots = std::max(1, service.slots);
-  inputs.times = this->MeasuredTimes(service.name);
+  inputs.event_ms = this->MeasuredEventMs(service.name);
   inputs.steps = state.demand.Steps();
   inputs.outstanding_events = this->OutstandingEvents(*routes, service.name);
   inputs.observed_since = this->observed_since;
--- a/anvilcroft/scaling/engine_scaler.h
+++ b/anvilcroft/scaling/engine_scaler.h
@@ -66,7 +66,8 @@
   void Observe(const RouteTable& routes, TimePoint now);
   void ObserveDemand(const RouteTable& routes, TimePoint now);
   double OutstandingEvents(const RouteTable& routes, const std::string& service) const;
-  EventTimes MeasuredTimes(const std::string& service) const;
+  // Median time for an event on an otherwise idle engine of the service, in ms.
+  double MeasuredEventMs(const std::string& service) const;
   // Adds the groups that may be ordered, and their metrics.
   void AddGroups(const TargetService& service);
   Group& GetGroup(const GroupId& id);
--- a/anvilcroft/scaling/scaling_demand.cc
+++ b/anvilcroft/scaling/scaling_demand.cc
@@ -21,6 +21,8 @@
 constexpr Duration kSameInterval = milliseconds(3500);
 // Load of the engines while only long items are left.
 constexpr double kTailLoad = 0.5;
+// Engines in relation to those for the throughput beyond which the longest items hardly get faster.
+constexpr double kMaxForLongest = 1.5;
 
 double Millis(Duration duration) {
   return std::chrono::duration<double, std::milli>(duration).count();
@@ -61,22 +63,19 @@
   return demand;
 }
 
-int RequiredEngines(const IntervalDemand& demand, const EventTimes& times, int slots) {
-  if (demand.events <= 0 || times.usual_ms <= 0 || slots <= 0) return 0;
-  const double full_ms = times.usual_ms * LoadFactor(1);
+int RequiredEngines(const IntervalDemand& demand, double event_ms, int slots) {
+  if (demand.events <= 0 || event_ms <= 0 || slots <= 0) return 0;
+  const double full_ms = event_ms * LoadFactor(1);
+  const double tail_ms = event_ms * LoadFactor(kTailLoad);
   const double slot_ms = demand.events * full_ms;  // work in slot time
   const double by_throughput = slot_ms / (slots * kMaxUtilization * Millis(kStepInterval));
-  // While all slots are in use, for slot_ms / (engines * slots), the longest item proceeds at
-  // slow_full_ms for an event, afterwards at slow_tail_ms.
-  const double slow_full_ms = times.slow_ms * LoadFactor(1);
-  const double slow_tail_ms = times.slow_ms * LoadFactor(kTailLoad);
-  const double spare_ms = kDueShare * Millis(demand.due) - demand.longest_events * slow_tail_ms;
-  const double full_load_ms = spare_ms / (1 - slow_tail_ms / slow_full_ms);
-  // More than twice the engines for the throughput make the longest items hardly faster.
-  const double by_longest = spare_ms <= 0
-                                ? 2 * by_throughput
-                                : std::min(slot_ms / (full_load_ms * slots), 2 * by_throughput);
-  return static_cast<int>(std::ceil(std::max(by_throughput, by_longest)));
+  // The longest item proceeds at full_ms for an event as long as all slots are in use, which is for
+  // slot_ms / (engines * slots), and at tail_ms afterwards.
+  const double spare_ms = kDueShare * Millis(demand.due) - demand.longest_events * tail_ms;
+  const double full_load_ms = spare_ms / (1 - tail_ms / full_ms);
+  const double by_longest = spare_ms > 0 ? slot_ms / (full_load_ms * slots) : HUGE_VAL;
+  return static_cast<int>(
+      std::ceil(std::clamp(by_longest, by_throughput, kMaxForLongest * by_throughput)));
 }
 
 }  // namespace anvilcroft
--- a/anvilcroft/scaling/scaling_demand.h
+++ b/anvilcroft/scaling/scaling_demand.h
@@ -22,8 +22,9 @@
   std::string job;
   std::string model;
   TimePoint submitted_at;
-  double events = 0;                // expected, of all items
-  double longest_events = 0;        // expected, of the longest item
+  double events = 0;  // expected, of all items
+  double longest_events =
+      0;  // expected, of the longest item without which the step is not complete
   Duration due = Duration::zero();  // after the submission
 };
 
@@ -55,14 +56,10 @@
 // For each model, the largest work that was submitted within one interval; the sum over all models.
 IntervalDemand SummarizeDemand(const std::deque<StepDemand>& steps);
 
-// Times for an event on an otherwise idle engine, in ms.
-struct EventTimes {
-  double usual_ms = 0;
-  double slow_ms = 0;  // on the slower engines
-};
-
-// The number of engines on which the steps are on time.
-int RequiredEngines(const IntervalDemand& demand, const EventTimes& times, int slots);
+// The number of engines of `slots` slots on which the steps are on time. `event_ms`: time for an
+// event on an otherwise idle engine. The longest items are few, and their placement avoids slower
+// engines, so the median engine's time is the one to use.
+int RequiredEngines(const IntervalDemand& demand, double event_ms, int slots);
 
 }  // namespace anvilcroft
 
--- a/anvilcroft/scaling/scaling_plan.cc
+++ b/anvilcroft/scaling/scaling_plan.cc
@@ -106,10 +106,16 @@
   void FindNeed() {
     int initial = 0;
     for (const EngineGroup& group : this->inputs.groups) initial += group.initial;
+    std::optional<TimePoint>& demand_since = this->plan.memory.demand_since;
+    if (!this->DemandKnown()) {
+      demand_since.reset();
+    } else if (!demand_since) {
+      demand_since = this->now;
+    }
     if (this->DemandKnown()) {
       IntervalDemand demand = SummarizeDemand(this->inputs.steps);
       demand.events = std::max(demand.events, this->inputs.outstanding_events);
-      this->plan.secure = RequiredEngines(demand, this->inputs.times, this->inputs.slots);
+      this->plan.secure = RequiredEngines(demand, this->inputs.event_ms, this->inputs.slots);
       this->plan.total = static_cast<int>(std::ceil(kTotalFactor * this->plan.secure));
     } else if (!this->ObservedWindow()) {
       this->plan.secure = static_cast<int>(std::ceil(kSecureShareBeforeDemand * initial));
@@ -127,62 +133,71 @@
     const int reachable = std::min(regular, this->Possible(false));
     // More regular engines than needed replace reclaimable ones until they are removed.
     const int existing = std::max(reachable, this->UsableOfKind(false));
+    // Without enough regular engines, the steps must be on time after the loss of the reclaimable
+    // engines of any one zone.
+    const int remaining = std::max(0, secure - reachable);
     int reclaimable = 0;
     if (offered) {
       reclaimable = std::max(0, total - existing);
-      if (reachable < secure) {
-        // The regular engines alone are not enough, so the steps must be on time after the loss of
-        // any one zone.
-        const int zones = this->AvailableZones(true);
-        const int missing = secure - reachable;
-        reclaimable = std::max(reclaimable,
-                               zones > 1 ? (missing * zones + zones - 2) / (zones - 1) : missing);
-      }
       const int found = std::min(reclaimable, this->Possible(true));
       if (existing + found < total) regular = total - found;
     }
-    this->RaiseKind(false, regular);
-    this->RaiseKind(true, reclaimable);
+    this->regular_needed = regular;
+    this->RaiseKind(false, regular, 0);
+    if (offered) this->RaiseKind(true, reclaimable, remaining);
     this->SetIdeal(false, regular);
     this->SetIdeal(true, offered ? std::max(reclaimable, total - regular) : 0);
   }
 
-  // Raises the groups of a kind by the engines that are missing from `needed`: each goes where the
-  // zone's price times its number of engines is lowest.
-  void RaiseKind(bool reclaimable, int needed) {
+  // Raises the groups of a kind until it has `needed` engines, and `remaining` without those of any
+  // one zone. Each engine goes where the zone's price times its number of engines is lowest.
+  void RaiseKind(bool reclaimable, int needed, int remaining) {
     std::vector<int> counts;
     std::set<std::string> used;
+    int sum = 0;
     for (std::size_t i = 0; i < this->ideal.size(); ++i) {
       counts.push_back(this->Usable(i));
-      if (this->Group(i).reclaimable == reclaimable && counts[i] > 0) {
-        used.insert(this->Group(i).zone);
-      }
+      if (this->Group(i).reclaimable != reclaimable || counts[i] == 0) continue;
+      used.insert(this->Group(i).zone);
+      sum += counts[i];
     }
     // Engines in a single zone would all be lost with it.
-    const bool spread = used.size() != 1 || needed < 2 || this->AvailableZones(reclaimable) < 2;
-    const int have = this->UsableOfKind(reclaimable);
-    int missing = spread ? needed - have : std::max(needed - have, needed - ZoneShare(needed));
-    for (; missing > 0; --missing) {
+    const bool several = this->AvailableZones(reclaimable) > 1;
+    const bool spread = used.size() != 1 || needed < 2 || !several;
+    int missing = std::max(needed - sum, spread ? 0 : needed - ZoneShare(needed));
+    while (missing > 0 || (several && sum - this->Largest(counts, reclaimable) < remaining)) {
       std::optional<std::size_t> best;
+      double best_price = 0;
       for (std::size_t i = 0; i < counts.size(); ++i) {
         const EngineGroup& group = this->Group(i);
         if (group.reclaimable != reclaimable || !this->Available(i)) continue;
         if (counts[i] >= this->Room(i)) continue;
         if (!spread && used.count(group.zone) != 0) continue;
-        if (!best || (counts[i] + 1) * this->Price(i) < (counts[*best] + 1) * this->Price(*best)) {
-          best = i;
-        }
+        // Equal zones need the fewest engines to outlast the loss of one.
+        const double price = (counts[i] + 1) * (remaining > 0 ? 1 : this->Price(i));
+        if (best && price >= best_price) continue;
+        best = i;
+        best_price = price;
       }
       if (!best) break;
       ++counts[*best];
+      ++sum;
+      --missing;
       PlannedCount& planned = this->plan.counts[*best];
-      if (counts[*best] > planned.count) {
-        planned.count = counts[*best];
-        planned.reason = this->DemandKnown() ? CountReason::kDemand : CountReason::kBeforeDemand;
-      }
+      if (counts[*best] <= planned.count) continue;
+      planned.count = counts[*best];
+      planned.reason = this->DemandKnown() ? CountReason::kDemand : CountReason::kBeforeDemand;
     }
   }
 
+  int Largest(const std::vector<int>& counts, bool reclaimable) const {
+    int largest = 0;
+    for (std::size_t i = 0; i < counts.size(); ++i) {
+      if (this->Group(i).reclaimable == reclaimable) largest = std::max(largest, counts[i]);
+    }
+    return largest;
+  }
+
   static int ZoneShare(int count) { return static_cast<int>(std::ceil(kMaxZoneShare * count)); }
 
   // Distributes `count` engines of a kind over the zones without regard to those that are present.
@@ -243,6 +258,7 @@
     if (memory.changed_at && this->now - *memory.changed_at < kStepInterval) return false;
     // After a loss, the same demand needs more engines than before.
     if (this->now - this->inputs.lost_at < delay) return false;
+    if (memory.demand_since && this->now - *memory.demand_since < kDemandWindow) return false;
     return this->ObservedWindow();
   }
 
@@ -265,7 +281,7 @@
     if (!this->MayRemove()) return;
     const int part = std::max(1, serving / kLoweringParts);
     const int spare = serving - this->plan.total;
-    if (spare > 0 ? this->Lower(std::min(part, spare)) : this->Shift(part)) {
+    if ((spare > 0 && this->Lower(std::min(part, spare))) || this->Shift(part)) {
       this->plan.memory.changed_at = this->now;
     }
   }
@@ -277,8 +293,11 @@
     int found_surplus = 0;
     for (std::size_t i = 0; i < this->ideal.size(); ++i) {
       const EngineGroup& group = this->Group(i);
-      const int surplus = std::min(group.intended - std::max(this->ideal[i], group.busy),
-                                   this->IntendedOfZone(i) - this->inputs.scaling.min);
+      int surplus = std::min(group.intended - std::max(this->ideal[i], group.busy),
+                             this->IntendedOfZone(i) - this->inputs.scaling.min);
+      if (!group.reclaimable) {
+        surplus = std::min(surplus, this->UsableOfKind(false) - this->regular_needed);
+      }
       const double price = this->Price(i) * surplus;
       if (surplus <= 0 || (found && price <= found_price)) continue;
       found = i;
@@ -320,6 +339,7 @@
 
   const ScalingInputs& inputs;
   TimePoint now;
+  int regular_needed = 0;
   std::vector<int> ideal;  // engines by group, without regard to those that are present
   ScalingPlan plan;
 };
--- a/anvilcroft/scaling/scaling_plan.h
+++ b/anvilcroft/scaling/scaling_plan.h
@@ -44,18 +44,20 @@
 struct ScalingMemory {
   // Since when some zone has more engines of a kind than it should.
   std::optional<TimePoint> surplus_since;
-  std::optional<TimePoint> changed_at;  // last reduction or shift
+  std::optional<TimePoint> demand_since;  // since when steps have been known
+  std::optional<TimePoint> changed_at;    // last reduction or shift
 
   friend bool operator==(const ScalingMemory& a, const ScalingMemory& b) {
-    return std::tie(a.surplus_since, a.changed_at) == std::tie(b.surplus_since, b.changed_at);
+    return std::tie(a.surplus_since, a.demand_since, a.changed_at) ==
+           std::tie(b.surplus_since, b.demand_since, b.changed_at);
   }
   friend bool operator!=(const ScalingMemory& a, const ScalingMemory& b) { return !(a == b); }
 };
 
 struct ScalingInputs {
   EngineScaling scaling;
-  int slots = 1;  // of one engine
-  EventTimes times;
+  int slots = 1;                  // of one engine
+  double event_ms = 0;            // for an event on an otherwise idle engine
   std::deque<StepDemand> steps;   // within kDemandWindow
   double outstanding_events = 0;  // expected, of all unfinished items
   // Since when this instance has seen the steps and engines without interruption.
