--- a/anvilcroft/scaling/engine_scaler.cc
+++ b/anvilcroft/scaling/engine_scaler.cc
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr Duration kPlanInterval = milliseconds(100);
+// Instances without the lease only follow which engines come and go.
+constexpr Duration kStandbyInterval = milliseconds(500);
 // A target's entry may be missing this long around an outage of the store.
 constexpr Duration kPresenceWindow = seconds(3);
 // Before the first step, orders wait until no further engine has registered for this long. An order
@@ -72,7 +74,7 @@
 
 void EngineScaler::Run(Task& task) {
   while (true) {
-    SleepUntil(task, SteadyNow() + kPlanInterval);
+    SleepUntil(task, SteadyNow() + (this->fencing != 0 ? kPlanInterval : kStandbyInterval));
     const auto routes = this->context.routes();
     if (!routes) continue;
     this->Observe(*routes, SteadyNow());
@@ -163,18 +165,20 @@
   for (const auto& [id, job] : this->context.jobs) {
     const std::string service = ServiceOf(routes, job->head);
     if (service.empty()) continue;
+    Service& state = this->services[service];
+    const milliseconds age(std::max<StoreMillis>(0, store_now - job->head.submitted_at));
+    if (age > kDemandWindow || state.demand.Contains(id)) continue;
     StepDemand step;
     step.job = id;
     step.model = job->head.model;
-    step.submitted_at = now - milliseconds(std::clamp<StoreMillis>(
-                                  store_now - job->head.submitted_at, 0, ToMillis(kDemandWindow)));
+    step.submitted_at = now - age;
     step.due = routes.Match(job->head.host, job->head.path)->result_target;
     if (step.due <= Duration::zero()) step.due = kDefaultDue;
     for (const OwnedItem& item : job->items) {
       step.events += ExpectedEvents(*job, item.item);
     }
     step.longest_events = LongestRequired(*job);
-    this->services[service].demand.Record(step);
+    state.demand.Record(step);
   }
   for (auto& [name, service] : this->services) service.demand.Expire(now);
 }
@@ -218,6 +222,14 @@
   }
 }
 
+bool EngineScaler::ZoneOrderedRecently(const GroupId& id, TimePoint now) const {
+  const auto other = this->groups.find({id.service, id.zone, !id.reclaimable});
+  if (other == this->groups.end()) return false;
+  const GroupOrders& orders = other->second.orders;
+  const TimePoint lost_at = std::max(orders.lost_at, this->groups.at(id).orders.lost_at);
+  return now - orders.ordered_at < kCallInterval && lost_at <= orders.ordered_at;
+}
+
 void EngineScaler::PlanService(const TargetService& service, TimePoint now) {
   this->AddGroups(service);
   Service& state = this->services[service.name];
@@ -241,7 +253,7 @@
     entry.busy = group.busy;
     entry.intended = group.orders.Intended(entry.present);
     entry.initial = group.orders.initial;
-    entry.ordered_at = group.orders.ordered_at;
+    entry.raised_at = group.orders.raised_at;
     entry.unavailable_until = group.orders.unavailable_until;
     entry.settled = group.orders.Settled(now);
     inputs.groups.push_back(std::move(entry));
@@ -256,7 +268,7 @@
     Group& group = this->groups[ids[i]];
     const PlannedCount& planned = plan.counts[i];
     group.desired = planned.count;
-    if (now < this->limited_until) continue;
+    if (now < this->limited_until || this->ZoneOrderedRecently(ids[i], now)) continue;
     const bool changes = planned.reason != CountReason::kKeep;
     const auto count =
         NextOrder(group.orders, changes ? std::optional<int>(planned.count) : std::nullopt,
--- a/anvilcroft/scaling/engine_scaler.h
+++ b/anvilcroft/scaling/engine_scaler.h
@@ -71,6 +71,9 @@
   // Adds the groups that may be ordered, and their metrics.
   void AddGroups(const TargetService& service);
   Group& GetGroup(const GroupId& id);
+  // Whether the other kind of engines has been ordered in the zone within kCallInterval: the API
+  // takes both kinds for one subject.
+  bool ZoneOrderedRecently(const GroupId& id, TimePoint now) const;
   void PlanService(const TargetService& service, TimePoint now);
 
   // Starts to use the lease's token: forgets what is known of orders and reads the rows. Returns
--- a/anvilcroft/scaling/order_record.cc
+++ b/anvilcroft/scaling/order_record.cc
@@ -67,6 +67,7 @@
   orders.initial = record.initial;
   orders.accepted = record.accepted;
   orders.ordered_at = time(std::min(record.ordered_at, store_now));
+  orders.raised_at = orders.ordered_at;
   if (record.uncertain_until > store_now) orders.uncertain_until = time(record.uncertain_until);
   if (!record.answered) {
     orders.attempted = record.count;
--- a/anvilcroft/scaling/order_schedule.cc
+++ b/anvilcroft/scaling/order_schedule.cc
@@ -43,6 +43,9 @@
 GroupOrders WithCall(GroupOrders orders, int count, TimePoint now) {
   orders.in_flight = true;
   orders.ordered_at = now;
+  // Repeats don't make missing engines count as booting again.
+  const int known = std::max(orders.accepted.value_or(-1), orders.attempted.value_or(-1));
+  if (count > known) orders.raised_at = now;
   orders.repeats = orders.attempted.has_value();
   orders.attempted = std::max(count, orders.attempted.value_or(count));
   return orders;
--- a/anvilcroft/scaling/order_schedule.h
+++ b/anvilcroft/scaling/order_schedule.h
@@ -51,6 +51,7 @@
   bool repeats = false;  // the call in flight follows one without an answer
   int failures = 0;      // calls in succession that failed or were not answered
   TimePoint ordered_at;  // start of the last call
+  TimePoint raised_at;   // start of the last call that raised the number
   TimePoint not_before;  // of the next call
   TimePoint unavailable_until;
   TimePoint uncertain_until;  // an earlier order may be carried out until then
@@ -64,10 +65,11 @@
 
   friend bool operator==(const GroupOrders& a, const GroupOrders& b) {
     return std::tie(a.accepted, a.attempted, a.initial, a.in_flight, a.repeats, a.failures,
-                    a.ordered_at, a.not_before, a.unavailable_until, a.uncertain_until,
+                    a.ordered_at, a.raised_at, a.not_before, a.unavailable_until, a.uncertain_until,
                     a.lost_at) == std::tie(b.accepted, b.attempted, b.initial, b.in_flight,
-                                           b.repeats, b.failures, b.ordered_at, b.not_before,
-                                           b.unavailable_until, b.uncertain_until, b.lost_at);
+                                           b.repeats, b.failures, b.ordered_at, b.raised_at,
+                                           b.not_before, b.unavailable_until, b.uncertain_until,
+                                           b.lost_at);
   }
   friend bool operator!=(const GroupOrders& a, const GroupOrders& b) { return !(a == b); }
 };
--- a/anvilcroft/scaling/scaling_demand.cc
+++ b/anvilcroft/scaling/scaling_demand.cc
@@ -30,10 +30,13 @@
 
 }  // namespace
 
+bool DemandWindow::Contains(const std::string& job) const {
+  return std::any_of(this->steps.begin(), this->steps.end(),
+                     [&](const StepDemand& step) { return step.job == job; });
+}
+
 void DemandWindow::Record(const StepDemand& step) {
-  const bool known = std::any_of(this->steps.begin(), this->steps.end(),
-                                 [&](const StepDemand& other) { return other.job == step.job; });
-  if (!known) this->steps.push_back(step);
+  if (!this->Contains(step.job)) this->steps.push_back(step);
 }
 
 void DemandWindow::Expire(TimePoint now) {
--- a/anvilcroft/scaling/scaling_demand.h
+++ b/anvilcroft/scaling/scaling_demand.h
@@ -36,6 +36,7 @@
 // The steps that were submitted within kDemandWindow.
 class DemandWindow {
  public:
+  bool Contains(const std::string& job) const;
   // Records a step unless its job is recorded already.
   void Record(const StepDemand& step);
   // Removes the steps that have left the window.
--- a/anvilcroft/scaling/scaling_plan.cc
+++ b/anvilcroft/scaling/scaling_plan.cc
@@ -54,8 +54,7 @@
   // Engines of the group that serve or can be expected to serve within the boot time.
   int Usable(std::size_t i) const {
     const EngineGroup& group = this->Group(i);
-    const bool booting =
-        this->now < group.ordered_at + this->inputs.scaling.boot_time + kBootMargin;
+    const bool booting = this->now < group.raised_at + this->inputs.scaling.boot_time + kBootMargin;
     return booting ? std::max(group.present, group.intended) : group.present;
   }
 
--- a/anvilcroft/scaling/scaling_plan.h
+++ b/anvilcroft/scaling/scaling_plan.h
@@ -35,7 +35,7 @@
   // ordered since the platform took engines away.
   int intended = 0;
   int initial = 0;              // the engines that were present before the first order
-  TimePoint ordered_at;         // when `intended` was ordered
+  TimePoint raised_at;          // when engines were last ordered
   TimePoint unavailable_until;  // an order was refused because none are to be had
   bool settled = true;          // every order was answered, and none may still be carried out
 };
--- a/testing/scaling_plan_test.cc
+++ b/testing/scaling_plan_test.cc
@@ -174,7 +174,7 @@
         group.busy = static_cast<int>(group.present * this->busy_share);
         group.intended = orders.Intended(group.present);
         group.initial = orders.initial;
-        group.ordered_at = orders.ordered_at;
+        group.raised_at = orders.raised_at;
         group.unavailable_until = orders.unavailable_until;
         group.settled = orders.Settled(this->now);
         inputs.groups.push_back(group);
