Engine scaling: lower a group only while half of it is idle; order the minimum without engines

Which engines the platform removes is not known, so a reduction while most are busy could hit running items. A site without any engine ordered nothing before its first step. 41 cases [scaling] pass (94 s, mostly waits).

--- a/anvilcroft/scaling/engine_scaler.cc
+++ b/anvilcroft/scaling/engine_scaler.cc
@@ -13,6 +13,8 @@
 // Before the first step, orders wait until no further engine has registered for this long. An order
 // for fewer engines than are present would remove some.
 constexpr Duration kRegistrationPause = milliseconds(1500);
+// Without any engine, orders wait this long for the first one to register.
+constexpr Duration kFirstRegistration = seconds(5);
 // Assumed for items without an estimate, as for their placement.
 constexpr double kDefaultItemEvents = 20;
 constexpr Duration kDefaultDue = milliseconds(7500);
@@ -260,7 +262,9 @@
     ids.push_back(id);
   }
   const bool registering =
-      inputs.steps.empty() && (state.present == 0 || now - state.grown_at < kRegistrationPause);
+      inputs.steps.empty() &&
+      (now - state.grown_at < kRegistrationPause ||
+       (state.present == 0 && now - this->observed_since < kFirstRegistration));
   if (registering) return;
   const ScalingPlan plan = PlanEngines(inputs, now);
   state.memory = plan.memory;
--- a/anvilcroft/scaling/scaling_plan.cc
+++ b/anvilcroft/scaling/scaling_plan.cc
@@ -21,6 +21,8 @@
 constexpr int kLoweringSteps = 3;
 // Engines that are removed at a time: this part of all, one at least.
 constexpr int kLoweringParts = 20;
+// Engines of a group are removed only while this share of them, at most, runs requests.
+constexpr double kMaxBusyShare = 0.5;
 // An ordered engine that has not appeared this long after its boot time is not counted on.
 constexpr Duration kBootMargin = seconds(3);
 // Engines are replaced by cheaper ones if these cost less by this factor.
@@ -294,6 +296,8 @@
       const EngineGroup& group = this->Group(i);
       int surplus = std::min(group.intended - std::max(this->ideal[i], group.busy),
                              this->IntendedOfZone(i) - this->inputs.scaling.min);
+      // The platform chooses the engines that it removes, so most of them have to be idle.
+      if (group.busy > kMaxBusyShare * group.intended) continue;
       if (!group.reclaimable) {
         surplus = std::min(surplus, this->UsableOfKind(false) - this->regular_needed);
       }
