--- a/anvilcroft/front_instance.cc
+++ b/anvilcroft/front_instance.cc
@@ -19,6 +19,7 @@
 #include "anvilcroft/platform_view.h"
 #include "anvilcroft/process_stats.h"
 #include "anvilcroft/request_limiter.h"
+#include "anvilcroft/scaling/engine_scaler.h"
 #include "anvilcroft/target_paths.h"
 #include "anvilcroft/usage/usage_duty.h"
 #include "platform/ingress.h"
@@ -130,7 +131,12 @@
             StableHash(settings.InstanceId()) + 3),
         usage(UsageDuty::Create(this->runtime, this->store, this->directory, this->metrics,
                                 settings, [this] { return this->lease_keeper.Held(); })),
-        ingress(this->MakeHooks()) {}
+        ingress(this->MakeHooks()) {
+    if (settings.Cloud() && settings.Cloud()->order_engines) {
+      this->scaler =
+          std::make_unique<EngineScaler>(this->context, *settings.Cloud(), settings.OwnerLease());
+    }
+  }
 
   bool Start() {
     LogInfo(kPart, "starting",
@@ -182,6 +188,7 @@
       this->live.SetUsageRecorder(this->usage->Recorder());
       this->usage->Start();
     }
+    if (this->scaler) this->scaler->Start();
     return true;
   }
 
@@ -191,6 +198,7 @@
             {{"cause", cause}, {"store", changed.StoreAddress().ToString()}});
     this->store.SetAddress(changed.StoreAddress());
     if (this->usage) this->usage->ApplySettings(changed);
+    if (this->scaler && changed.Cloud()) this->scaler->ApplySettings(*changed.Cloud());
     this->settings = changed;
   }
 
@@ -478,6 +486,7 @@
   BatchOwner batch_owner;
   ConfigPeers config_peers;
   std::unique_ptr<UsageDuty> usage;  // null: use is not reported
+  std::unique_ptr<EngineScaler> scaler;  // null: this platform takes no orders for engines
   platform::Ingress ingress;
   std::unique_ptr<HttpServer> caller_server;
   std::unique_ptr<HttpServer> directory_server;
