--- a/fakes/fake_server.cc
+++ b/fakes/fake_server.cc
@@ -11,6 +11,8 @@
 constexpr char kPart[] = "fakes";
 // Longer than any deadline in the system. Limits how long a silent fake keeps a connection open.
 constexpr Duration kHoldLimit = seconds(600);
+// Larger than any body that an instance forwards.
+constexpr std::size_t kMaxBodyBytes = 64 << 20;
 
 }  // namespace
 
@@ -32,6 +34,7 @@
   this->servers.push_back(
       HttpServer::Builder(this->runtime)
           .SetAddress(listen_address)
+          .SetMaxBodyBytes(kMaxBodyBytes)
           .SetHandler([this](Task& task, const HttpRequest& request, HttpReply& reply) {
             this->Handle(task, request, reply);
           })
--- a/soak/site.cc
+++ b/soak/site.cc
@@ -62,6 +62,8 @@
     instance.id = "n-" + std::to_string(i);
     instance.front = fakes::FreeAddress();
     instance.ready = fakes::FreeAddress();
+    instance.directory = fakes::FreeAddress();
+    instance.internal = fakes::FreeAddress();
     instance.settings_file = this->options.directory + "/" + instance.id + ".yaml";
     instance.log_file = this->options.directory + "/" + instance.id + ".log";
     const auto store_view = this->StartTargetLinks(instance);
@@ -76,11 +78,12 @@
     std::ofstream(instance.settings_file)
         << "instance_id: " << instance.id << "\nzone: a\nregion: r\ncpu_share: 0.5\n"
         << "log_level: info\naddress:\n  front: \"" << instance.front << "\"\n  directory: \""
-        << fakes::FreeAddress() << "\"\n  ready: \"" << instance.ready << "\"\n  metrics: \""
-        << fakes::FreeAddress() << "\"\n  store: \"" << *link
+        << instance.directory << "\"\n  ready: \"" << instance.ready << "\"\n  metrics: \""
+        << instance.internal << "\"\n  store: \"" << *link
         << "\"\ntiming:\n  grace_s: 8\n  address_ttl_s: " << this->options.address_ttl_s
         << "\n  owner_lease_ms: 3000\n"
-        << "  cancel_ms: 3000\n";
+        << "  cancel_ms: 3000\n"
+        << this->options.more_settings;
     this->instances.push_back(std::move(instance));
     if (auto started = this->StartProcess(this->instances.back()); !started) return started;
   }
@@ -142,6 +145,8 @@
   for (int64_t extra = 4; extra <= version; ++extra) {
     routes.push_back(Route("extra" + std::to_string(extra), "safe", "app"));
   }
+  json limits = {{"MaxHeaderBytes", 16384}, {"IdleTimeoutMs", 15000}};
+  if (this->options.max_body_bytes > 0) limits["MaxBodyBytes"] = this->options.max_body_bytes;
   const json config = {
       {"Version", version},
       {"Routes", routes},
@@ -149,7 +154,7 @@
                                 {{"Name", "model"},
                                  {"HealthPath", "/healthz"},
                                  {"Engine", {{"Slots", 4}, {"Models", {{{"Name", kModel}}}}}}}})},
-      {"Limits", {{"MaxHeaderBytes", 16384}, {"IdleTimeoutMs", 15000}}}};
+      {"Limits", limits}};
   this->store.Put("op", "config", config.dump());
 }
 
--- a/soak/site.h
+++ b/soak/site.h
@@ -24,13 +24,18 @@
   int apps = 2;
   int address_ttl_s = 1;     // how long callers may use the addresses that they are given
   bool link_targets = true;  // false: instances connect to the targets themselves
+  // Largest body of a caller, as the configuration names it; 0: not named.
+  int64_t max_body_bytes = 0;
+  std::string more_settings;  // lines that are added to the settings of each instance
 };
 
 // An instance: its process, which may be down, and the state that outlives a restart.
 struct SoakInstance {
   std::string id;
-  std::string front;  // "ip:port" for callers
-  std::string ready;  // "ip:port" of the readiness check
+  std::string front;      // "ip:port" for callers
+  std::string ready;      // "ip:port" of the readiness check
+  std::string directory;  // "ip:port" for lookups of addresses
+  std::string internal;   // "ip:port" for metrics and other instances
   std::string settings_file;
   std::string log_file;
   std::unique_ptr<fakes::FakeLink> store_link;
