Charge what clients make serve hold to one memory budget; store bodies once

Crowds of large or unfinished bodies took the process over the memory of its machine, and one body of 32 MiB alone took 241 MB, because each stage copied it.

anvilcroft/limits/ decides purely who may hold how much (charge_decision) and accounts for it (memory_budget). The HTTP server reads requests within the budget (request_reader): a body with a length is admitted by its head or refused with 503 before it is read, a chunked one is charged piece by piece and not read further while there is no memory. Clients without progress are disconnected for others. Bodies are shared (SharedBody) from the reader to the last attempt, and written without a copy; large blocks are mapped separately. limits.memory_mb and limits.max_descriptors switch it on.

--- a/anvilcroft/crash_limiter.cc
+++ b/anvilcroft/crash_limiter.cc
@@ -291,7 +291,7 @@
   if (this->fingerprint.empty()) {
     const auto& message = this->request.message;
     this->fingerprint =
-        HexDigestOf({this->request.caller, this->request.host, message.target, message.body});
+        HexDigestOf({this->request.caller, this->request.host, message.target, message.body.Text()});
   }
   return this->fingerprint;
 }
--- a/anvilcroft/front_instance.cc
+++ b/anvilcroft/front_instance.cc
@@ -11,6 +11,7 @@
 #include "anvilcroft/hash.h"
 #include "anvilcroft/http_server.h"
 #include "anvilcroft/lease_peers.h"
+#include "anvilcroft/limits/front_limits.h"
 #include "anvilcroft/live_service.h"
 #include "anvilcroft/live_streamer.h"
 #include "anvilcroft/log.h"
@@ -52,6 +53,7 @@
       : runtime(runtime),
         settings(settings),
         on_stopped(std::move(on_stopped)),
+        limits(settings.Limits(), this->metrics),
         store(this->runtime, settings.StoreAddress(),
               [this](const char* call, const char* outcome, Duration took) {
                 this->CountStoreCall(call, outcome, took);
@@ -125,6 +127,7 @@
              {"store", this->settings.StoreAddress().ToString()},
              {"version", ANVILCROFT_VERSION}});
     if (!this->StartServers()) return false;
+    this->limits.Start(this->runtime);
     this->metrics.RegisterCounter("anvilcroft_log_lines_left_out_total", {},
                                   [] { return static_cast<double>(DroppedLogLines()); });
     this->metrics.RegisterGauge("anvilcroft_config_version", {}, [this] {
@@ -170,6 +173,7 @@
     LogInfo(kPart, "applied changed settings",
             {{"cause", cause}, {"store", changed.StoreAddress().ToString()}});
     this->store.SetAddress(changed.StoreAddress());
+    this->limits.Apply(changed.Limits());
     this->settings = changed;
   }
 
@@ -282,6 +286,7 @@
     hooks.stream = [this](Task& task, LiveRequest request, HttpReply& reply) {
       return this->live.Stream(task, std::move(request), reply);
     };
+    hooks.reserve = [this](std::size_t bytes) { return this->limits.Reserve(bytes); };
     hooks.submit = [this](Task& task, BatchJob job, TimePoint deadline) {
       return this->batch_service.Submit(task, std::move(job), deadline);
     };
@@ -329,12 +334,16 @@
   }
 
   bool StartServers() {
-    const auto start = [this](const Endpoint& address, std::string& bound, HttpHandler handler) {
+    this->engines.SetBudget(this->limits.Budget());
+    const auto start = [this](Listener listener, const Endpoint& address, std::string& bound,
+                              HttpHandler handler) {
       auto server = HttpServer::Builder(this->runtime)
                         .SetAddress(address.ToString())
                         .SetHandler(std::move(handler))
                         .SetMaxBodyBytes(CallerLimits().max_body_bytes)
+                        .SetBudget(this->limits.Budget(), FrontLimits::PoolOf(listener))
                         .Build();
+      this->limits.Register(listener, *server);
       const auto started = server->Start();
       if (!started) {
         LogError(kPart, "cannot listen on the address",
@@ -345,21 +354,22 @@
       }
       return server;
     };
-    this->caller_server = start(this->settings.FrontAddress(), this->front_address,
-                                [this](Task& task, const HttpRequest& request, HttpReply& reply) {
-                                  this->ingress.HandleCaller(task, request, reply);
-                                });
+    this->caller_server =
+        start(Listener::kCallers, this->settings.FrontAddress(), this->front_address,
+              [this](Task& task, const HttpRequest& request, HttpReply& reply) {
+                this->ingress.HandleCaller(task, request, reply);
+              });
     this->directory_server =
-        start(this->settings.DirectoryAddress(), this->directory_address,
+        start(Listener::kDirectory, this->settings.DirectoryAddress(), this->directory_address,
               [this](Task& task, const HttpRequest& request, HttpReply& reply) {
                 this->ingress.HandleDirectory(task, request, reply);
               });
-    this->ready_server = start(this->settings.ReadyAddress(), this->ready_address,
+    this->ready_server = start(Listener::kReady, this->settings.ReadyAddress(), this->ready_address,
                                [this](Task& task, const HttpRequest& request, HttpReply& reply) {
                                  this->ingress.HandleReady(task, request, reply);
                                });
     this->metrics_server = start(
-        this->settings.MetricsAddress(), this->metrics_address,
+        Listener::kInternal, this->settings.MetricsAddress(), this->metrics_address,
         [this](Task& task, const HttpRequest& request, HttpReply& reply) {
           if (TargetRelay::IsRelayed(request)) {
             this->relay.Handle(task, request, reply);
@@ -424,6 +434,7 @@
   FrontSettings settings;
   std::function<void()> on_stopped;
   Metrics metrics;
+  FrontLimits limits;
   platform::StoreClient store;
   bool store_reachable = true;
   platform::EngineClient engines;
--- a/anvilcroft/front_process.cc
+++ b/anvilcroft/front_process.cc
@@ -2,6 +2,7 @@
 
 #include "anvilcroft/exit_code.h"
 #include "anvilcroft/front_instance.h"
+#include "anvilcroft/limits/front_limits.h"
 #include "anvilcroft/log.h"
 
 namespace anvilcroft {
@@ -14,6 +15,7 @@
 }  // namespace
 
 int RunFrontInstance(const FrontSettings& settings, const std::string& path) {
+  ConfigureAllocator();
   LogToStandardOutput();
   InitLog(settings.MinimumLogLevel());
   Runtime runtime;
--- a/anvilcroft/front_settings.cc
+++ b/anvilcroft/front_settings.cc
@@ -84,6 +84,11 @@
   return *this;
 }
 
+FrontSettings::Builder& FrontSettings::Builder::SetLimits(ProcessLimits value) {
+  this->settings.limits = value;
+  return *this;
+}
+
 FrontSettings::Builder& FrontSettings::Builder::SetCloud(std::optional<CloudSettings> value) {
   this->settings.cloud = std::move(value);
   return *this;
@@ -106,6 +111,15 @@
   return cloud;
 }
 
+ProcessLimits ReadLimits(SettingsReader& reader) {
+  ProcessLimits limits;
+  const double memory_mb = reader.Real("limits.memory_mb", 0, 32, 1e6);
+  if (memory_mb > 0) limits.memory_bytes = static_cast<std::size_t>(memory_mb * 1e6);
+  const double descriptors = reader.Real("limits.max_descriptors", 0, 64, 1e7);
+  if (descriptors > 0) limits.max_descriptors = static_cast<std::size_t>(descriptors);
+  return limits;
+}
+
 }  // namespace
 
 FrontSettingsResult ParseFrontSettings(std::string_view text, const std::string& name) {
@@ -133,6 +147,9 @@
                          "timing.address_ttl_s",
                          "timing.owner_lease_ms",
                          "timing.cancel_ms",
+                         "limits",
+                         "limits.memory_mb",
+                         "limits.max_descriptors",
                          "cloud",
                          "cloud.address",
                          "cloud.calls_per_s",
@@ -140,7 +157,7 @@
                          "cloud.checks_fencing",
                          "cloud.usage_window_s",
                          "cloud.usage_due_s"},
-                        {"address", "timing", "cloud"});
+                        {"address", "timing", "limits", "cloud"});
   const auto address = [&reader](const char* key) {
     return reader.Address(key, true).value_or(Endpoint());
   };
@@ -160,6 +177,7 @@
       .SetAddressTtl(reader.Seconds("timing.address_ttl_s", defaults.AddressTtl(), 0.1, 3600))
       .SetOwnerLease(reader.Millis("timing.owner_lease_ms", defaults.OwnerLease(), 1000, 600000))
       .SetCancelBound(reader.Millis("timing.cancel_ms", defaults.CancelBound(), 1000, 600000))
+      .SetLimits(ReadLimits(reader))
       .SetCloud(ReadCloud(reader));
   auto problems = reader.TakeProblems();
   if (!problems.empty()) return tl::unexpected<std::vector<SettingsProblem>>(std::move(problems));
--- a/anvilcroft/front_settings.h
+++ b/anvilcroft/front_settings.h
@@ -4,6 +4,7 @@
 // The settings of an instance that runs on a hosted platform (`anvilcroft serve`). Immutable;
 // created by LoadFrontSettings from a YAML file, or by FrontSettings::Builder in tests.
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -38,6 +39,18 @@
   friend bool operator!=(const CloudSettings& a, const CloudSettings& b) { return !(a == b); }
 };
 
+// What the platform lets the process use; nullopt: no limit is given.
+struct ProcessLimits {
+  std::optional<std::size_t> memory_bytes;
+  std::optional<std::size_t> max_descriptors;
+
+  friend bool operator==(const ProcessLimits& a, const ProcessLimits& b) {
+    return std::tie(a.memory_bytes, a.max_descriptors) ==
+           std::tie(b.memory_bytes, b.max_descriptors);
+  }
+  friend bool operator!=(const ProcessLimits& a, const ProcessLimits& b) { return !(a == b); }
+};
+
 class FrontSettings {
  public:
   class Builder;
@@ -67,6 +80,7 @@
   Duration OwnerLease() const { return this->owner_lease; }
   // Upper bound on the time in which items of a batch job may still start after the job has ended.
   Duration CancelBound() const { return this->cancel_bound; }
+  const ProcessLimits& Limits() const { return this->limits; }
   // nullopt: the platform has no API for singleton duties.
   const std::optional<CloudSettings>& Cloud() const { return this->cloud; }
 
@@ -74,11 +88,11 @@
     return std::tie(a.instance_id, a.zone, a.region, a.front_address, a.directory_address,
                     a.ready_address, a.metrics_address, a.store_address, a.store_writes_per_s,
                     a.cpu_share, a.log_level, a.grace_period, a.address_ttl, a.owner_lease,
-                    a.cancel_bound, a.cloud) ==
+                    a.cancel_bound, a.limits, a.cloud) ==
            std::tie(b.instance_id, b.zone, b.region, b.front_address, b.directory_address,
                     b.ready_address, b.metrics_address, b.store_address, b.store_writes_per_s,
                     b.cpu_share, b.log_level, b.grace_period, b.address_ttl, b.owner_lease,
-                    b.cancel_bound, b.cloud);
+                    b.cancel_bound, b.limits, b.cloud);
   }
   friend bool operator!=(const FrontSettings& a, const FrontSettings& b) { return !(a == b); }
 
@@ -98,6 +112,7 @@
   Duration address_ttl = seconds(2);
   Duration owner_lease = seconds(3);
   Duration cancel_bound = seconds(3);
+  ProcessLimits limits;
   std::optional<CloudSettings> cloud;
 };
 
@@ -118,6 +133,7 @@
   Builder& SetAddressTtl(Duration value);
   Builder& SetOwnerLease(Duration value);
   Builder& SetCancelBound(Duration value);
+  Builder& SetLimits(ProcessLimits value);
   Builder& SetCloud(std::optional<CloudSettings> value);
   FrontSettings Build() const { return this->settings; }
 
--- a/anvilcroft/http_beast.cc
+++ b/anvilcroft/http_beast.cc
@@ -14,34 +14,25 @@
   return HttpHeaders(std::move(list));
 }
 
-HttpRequest FromBeast(const http::request<http::string_body>& message) {
-  return HttpRequest::Builder()
-      .SetMethod(message.method_string().to_string())
-      .SetTarget(message.target().to_string())
-      .SetHeaders(FromBeast(message.base()))
-      .SetBody(message.body())
-      .Build();
-}
-
-http::request<http::string_body> ToBeast(const HttpRequest& request, const std::string& host) {
-  http::request<http::string_body> message;
+http::request<BorrowedBody> ToBeast(const HttpRequest& request, const std::string& host) {
+  http::request<BorrowedBody> message;
   message.method_string(request.Method());
   message.target(request.Target());
   message.version(11);
   for (const auto& [name, value] : request.Headers().Fields()) message.insert(name, value);
   if (request.Headers().Find("Host").empty()) message.set(http::field::host, host);
-  message.body() = request.Body();
+  message.body() = BorrowedBody::value_type(request.Body().data(), request.Body().size());
   message.prepare_payload();
   return message;
 }
 
-http::response<http::string_body> ToBeast(const HttpResponse& response, bool keep_alive) {
-  http::response<http::string_body> message;
+http::response<BorrowedBody> ToBeast(const HttpResponse& response, bool keep_alive) {
+  http::response<BorrowedBody> message;
   message.result(static_cast<unsigned>(response.Status()));
   message.version(11);
   for (const auto& [name, value] : response.Headers().Fields()) message.insert(name, value);
   message.keep_alive(keep_alive);
-  message.body() = response.Body();
+  message.body() = BorrowedBody::value_type(response.Body().data(), response.Body().size());
   message.prepare_payload();
   return message;
 }
--- a/anvilcroft/http_beast.h
+++ b/anvilcroft/http_beast.h
@@ -5,7 +5,7 @@
 // the HTTP client and server.
 
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <string>
 
 #include "anvilcroft/http_request.h"
@@ -16,16 +16,16 @@
 // Converts the header fields of a Beast message.
 HttpHeaders FromBeast(const boost::beast::http::fields& fields);
 
-// Converts a request that the server received.
-HttpRequest FromBeast(const boost::beast::http::request<boost::beast::http::string_body>& message);
+// A body that refers to the text of an HttpRequest or HttpResponse, which must outlive it.
+using BorrowedBody = boost::beast::http::span_body<const char>;
 
-// Converts a request. Sets the Host header to `host` unless the request has one.
-boost::beast::http::request<boost::beast::http::string_body> ToBeast(const HttpRequest& request,
-                                                                     const std::string& host);
+// Converts a request, whose body is not copied. Sets the Host header to `host` unless the request
+// has one.
+boost::beast::http::request<BorrowedBody> ToBeast(const HttpRequest& request,
+                                                  const std::string& host);
 
-// Converts a response. `keep_alive` determines the Connection header.
-boost::beast::http::response<boost::beast::http::string_body> ToBeast(const HttpResponse& response,
-                                                                      bool keep_alive);
+// Converts a response, whose body is not copied. `keep_alive` determines the Connection header.
+boost::beast::http::response<BorrowedBody> ToBeast(const HttpResponse& response, bool keep_alive);
 
 }  // namespace anvilcroft
 
--- a/anvilcroft/http_client.cc
+++ b/anvilcroft/http_client.cc
@@ -89,6 +89,14 @@
   return std::min<Duration>(HttpClient::kMaxIdleTime, seconds(limit_s) - kMargin);
 }
 
+// The announced length of a body; 0: none.
+std::size_t LengthOf(const HttpHeaders& headers) {
+  const std::string_view field = headers.Find("Content-Length");
+  std::size_t length = 0;
+  std::from_chars(field.data(), field.data() + field.size(), length);
+  return length;
+}
+
 std::shared_ptr<void> CloseOnCancel(const CallOptions& options,
                                     const std::shared_ptr<Connection>& connection) {
   if (!options.CancellationToken()) return nullptr;
@@ -349,6 +357,8 @@
   if (!stream) return tl::unexpected<Error>(stream.error());
   const std::size_t max_bytes = options.MaxResponseBytes().value_or(kMaxResponseBytes);
   std::string body;
+  const std::size_t length = LengthOf((*stream)->Headers());
+  if (length <= max_bytes) body.reserve(length);
   while (true) {
     auto chunk = (*stream)->Read(task);
     if (!chunk) return tl::unexpected<Error>(chunk.error());
--- a/anvilcroft/http_request.cc
+++ b/anvilcroft/http_request.cc
@@ -53,7 +53,7 @@
   return *this;
 }
 
-HttpRequest::Builder& HttpRequest::Builder::SetBody(std::string body) {
+HttpRequest::Builder& HttpRequest::Builder::SetBody(SharedBody body) {
   this->request.body = std::move(body);
   return *this;
 }
--- a/anvilcroft/http_request.h
+++ b/anvilcroft/http_request.h
@@ -8,6 +8,7 @@
 #include <tuple>
 
 #include "anvilcroft/http_headers.h"
+#include "anvilcroft/limits/shared_body.h"
 
 namespace anvilcroft {
 
@@ -25,6 +26,8 @@
   std::string QueryValue(const std::string& name) const;
   const HttpHeaders& Headers() const { return this->headers; }
   const std::string& Body() const { return this->body; }
+  // The body as copies of this message share it.
+  const SharedBody& Content() const { return this->body; }
 
   friend bool operator==(const HttpRequest& a, const HttpRequest& b) {
     return std::tie(a.method, a.target, a.headers, a.body) ==
@@ -38,7 +41,7 @@
   std::string path = "/";
   Query query;
   HttpHeaders headers;
-  std::string body;
+  SharedBody body;
 };
 
 class HttpRequest::Builder {
@@ -49,7 +52,7 @@
   Builder& SetHeaders(HttpHeaders headers);
   Builder& SetHeader(std::string name, std::string value);
   // Sets the body only; the caller sets the Content-Type header.
-  Builder& SetBody(std::string body);
+  Builder& SetBody(SharedBody body);
   // Sets the body and the content type application/json.
   Builder& SetJson(std::string body);
   HttpRequest Build() const { return this->request; }
--- a/anvilcroft/http_response.cc
+++ b/anvilcroft/http_response.cc
@@ -20,7 +20,7 @@
   return *this;
 }
 
-HttpResponse::Builder& HttpResponse::Builder::SetBody(std::string body) {
+HttpResponse::Builder& HttpResponse::Builder::SetBody(SharedBody body) {
   this->response.body = std::move(body);
   return *this;
 }
--- a/anvilcroft/http_response.h
+++ b/anvilcroft/http_response.h
@@ -9,6 +9,7 @@
 
 #include "anvilcroft/error.h"
 #include "anvilcroft/http_headers.h"
+#include "anvilcroft/limits/shared_body.h"
 
 namespace anvilcroft {
 
@@ -19,6 +20,8 @@
   int Status() const { return this->status; }
   const HttpHeaders& Headers() const { return this->headers; }
   const std::string& Body() const { return this->body; }
+  // The body as copies of this message share it.
+  const SharedBody& Content() const { return this->body; }
 
   friend bool operator==(const HttpResponse& a, const HttpResponse& b) {
     return std::tie(a.status, a.headers, a.body) == std::tie(b.status, b.headers, b.body);
@@ -28,7 +31,7 @@
  private:
   int status = 200;
   HttpHeaders headers;
-  std::string body;
+  SharedBody body;
 };
 
 class HttpResponse::Builder {
@@ -36,7 +39,7 @@
   Builder& SetStatus(int status);
   Builder& SetHeaders(HttpHeaders headers);
   Builder& SetHeader(std::string name, std::string value);
-  Builder& SetBody(std::string body);
+  Builder& SetBody(SharedBody body);
   // Sets the body and the content type application/json.
   Builder& SetJson(std::string body);
   HttpResponse Build() const { return this->response; }
--- a/anvilcroft/http_server.cc
+++ b/anvilcroft/http_server.cc
@@ -5,12 +5,14 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <exception>
+#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
 
 #include "anvilcroft/endpoint.h"
 #include "anvilcroft/http_beast.h"
+#include "anvilcroft/limits/request_reader.h"
 #include "anvilcroft/log.h"
 #include "anvilcroft/runtime_impl.h"
 
@@ -29,9 +31,9 @@
 // Limits for input that is discarded before a connection is closed.
 constexpr Duration kDiscardTime = seconds(1);
 constexpr std::size_t kMaxDiscardedBytes = 4 << 20;
-// Input that is buffered in addition to a header block. Also bounds a chunk header and a trailer,
-// whose length nothing else limits.
-constexpr std::size_t kMaxBufferedBytes = 64 << 10;
+// Retry-After of a request that was refused for lack of memory, in seconds. Within this time,
+// clients that make no progress are disconnected for others.
+constexpr char kMemoryRetryAfter[] = "1";
 
 // One open connection and the response to the request that it is serving.
 class Session : public HttpReply, public std::enable_shared_from_this<Session> {
@@ -59,13 +61,24 @@
   Result<void> Send(Task& task, const HttpResponse& response) override {
     ANVILCROFT_CHECK(!this->answered);
     this->answered = true;
+    // A slow reader must not keep a large response that nothing accounts for.
+    std::shared_ptr<MemoryCharge> charge;
+    if (response.Body().size() > kSmallBodyBytes && !response.Content().Charged()) {
+      charge = this->budget->Open(MemoryPool::kLarge);
+      if (!charge->Resize(response.Body().size(), SteadyNow())) {
+        LogWarning(kPart, "there is no memory for a response",
+                   {{"bytes", std::to_string(response.Body().size())}});
+        this->Abort();
+        return Fail(ErrorCode::kOverloaded, "there is no memory for the response");
+      }
+    }
     auto message = ToBeast(response, this->keep_alive && !this->closing);
     this->keep_alive = message.keep_alive();
     error_code failed;
     this->stream.expires_after(this->write_timeout);
     if (this->head_only) {
       // The caller would read a body after the response to HEAD as the next response.
-      http::response_serializer<http::string_body> serializer(message);
+      http::response_serializer<BorrowedBody> serializer(message);
       http::async_write_header(this->stream, serializer, task.yield[failed]);
     } else {
       http::async_write(this->stream, message, task.yield[failed]);
@@ -142,6 +155,10 @@
 
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
+  std::shared_ptr<MemoryBudget> budget;
+  std::shared_ptr<MemoryCharge> memory;   // of the connection
+  TimePoint waiting_since = SteadyNow();  // for a request, or for the rest of it
+  bool serving = false;                   // the handler is running
   bool answered = false;
   bool streaming = false;
   bool head_only = false;  // the request is a HEAD
@@ -234,6 +251,12 @@
     for (const auto& session : *this->sessions) session->closing = true;
   }
 
+  void SetMaxConnections(std::size_t connections) override {
+    this->options.max_connections = connections;
+  }
+
+  std::size_t ClosedForLimit() const override { return this->closed_for_limit; }
+
   void SetLimits(std::size_t max_header_bytes, std::size_t max_body_bytes, Duration read_timeout,
                  Duration idle_timeout) override {
     this->options.max_header_bytes = max_header_bytes;
@@ -274,13 +297,29 @@
 
   void StartSession(asio::ip::tcp::socket socket) {
     if (this->sessions->size() >= this->options.max_connections) {
-      LogWarning(kPart, "connection limit reached; closing the new connection");
-      return;
+      ++this->closed_for_limit;
+      const auto other = this->ReplaceableSession();
+      LogWarning(kPart, "connection limit reached",
+                 {{"limit", std::to_string(this->options.max_connections)},
+                  {"closed", other ? "the longest waiting connection" : "the new connection"}});
+      if (!other) return;
+      other->stream.close();
+      this->sessions->erase(other);
     }
     error_code ignored;
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     auto session = std::make_shared<Session>(std::move(socket), this->options.write_timeout);
     session->closing = this->closing;
+    session->budget = this->options.budget;
+    const std::weak_ptr<Session> weak = session;
+    session->memory = this->options.budget->Open(this->options.pool, [weak] {
+      if (const auto open = weak.lock()) open->stream.close();
+    });
+    if (!session->memory->Resize(RequestReader::kConnectionBytes, SteadyNow())) {
+      ++this->closed_for_limit;
+      LogWarning(kPart, "no memory for a connection; closing the new one");
+      return;
+    }
     this->sessions->insert(session);
     this->runtime.Spawn([this, session](Task& task) {
       // Also runs when the task is unwound, possibly after the end of this server.
@@ -293,34 +332,73 @@
     });
   }
 
+  // The connection that a new one replaces: an idle one, else one whose request does not arrive.
+  // Null: there is none.
+  std::shared_ptr<Session> ReplaceableSession() const {
+    std::shared_ptr<Session> chosen;
+    const TimePoint stalled = SteadyNow() - kStallTime;
+    for (const auto& session : *this->sessions) {
+      if (session->serving || (session->busy && session->waiting_since > stalled)) continue;
+      if (chosen && session->busy && !chosen->busy) continue;
+      const bool better = !chosen || (chosen->busy && !session->busy) ||
+                          session->waiting_since < chosen->waiting_since;
+      if (better) chosen = session;
+    }
+    return chosen;
+  }
+
   // Reads and serves one request. Returns false if the connection must be closed.
   bool ServeRequest(Task& task, Session& session) {
     error_code failed;
+    session.waiting_since = SteadyNow();
+    session.memory->SetIncomplete(session.waiting_since);
     if (session.buffer.size() == 0) {
+      if (session.buffer.capacity() > RequestReader::kReadBytes) session.buffer.shrink_to_fit();
+      session.memory->Resize(RequestReader::kConnectionBytes, SteadyNow());
       session.stream.expires_after(this->options.idle_timeout);
-      const std::size_t read =
-          session.stream.async_read_some(session.buffer.prepare(4096), task.yield[failed]);
+      const std::size_t read = session.stream.async_read_some(
+          session.buffer.prepare(RequestReader::kReadBytes), task.yield[failed]);
       if (failed) return false;
       session.buffer.commit(read);
     }
     session.busy = true;
-    session.buffer.max_size(this->options.max_header_bytes + kMaxBufferedBytes);
-    http::request_parser<http::string_body> parser;
-    parser.header_limit(static_cast<std::uint32_t>(this->options.max_header_bytes));
-    parser.body_limit(this->options.max_body_bytes);
-    session.stream.expires_after(this->options.read_timeout);
-    http::async_read(session.stream, session.buffer, parser, task.yield[failed]);
-    if (failed) {
-      this->RejectRequest(task, session, failed);
+    session.waiting_since = SteadyNow();
+    session.memory->SetIncomplete(session.waiting_since);
+    const std::weak_ptr<Session> weak = session.shared_from_this();
+    const auto open_body = [this, weak](MemoryPool pool) {
+      return this->options.budget->Open(pool, [weak] {
+        if (const auto open = weak.lock()) open->stream.close();
+      });
+    };
+    const RequestReader::Limits limits = {this->options.max_header_bytes,
+                                          this->options.max_body_bytes, this->options.read_timeout};
+    // Its buffers are freed before the handler runs.
+    std::optional<RequestReader> reader(std::in_place, session.stream, session.buffer,
+                                        *session.memory, open_body, limits);
+    const RequestReader::Outcome outcome = reader->Read(task);
+    if (outcome != RequestReader::Outcome::kComplete) {
+      failed = reader->Error();
+      reader.reset();
+      if (outcome == RequestReader::Outcome::kMalformed) {
+        this->RejectRequest(task, session, failed);
+      } else if (outcome == RequestReader::Outcome::kRefused) {
+        this->RefuseRequest(task, session);
+      }
       return false;
     }
-    session.BeginRequest(parser.keep_alive(), parser.get().method() == http::verb::head);
-    const HttpRequest request = FromBeast(parser.get());
+    const bool keep_alive = reader->KeepAlive();
+    session.BeginRequest(keep_alive, reader->HeadOnly());
+    const HttpRequest request = reader->TakeRequest();
+    reader.reset();
     // The handler may run for many minutes (a long stream), so only its writes have a time limit.
     session.stream.expires_never();
     {
       ++*this->active;
-      const std::shared_ptr<void> counted(nullptr, [count = this->active](void*) { --*count; });
+      session.serving = true;
+      const std::shared_ptr<void> counted(nullptr, [count = this->active, weak](void*) {
+        --*count;
+        if (const auto open = weak.lock()) open->serving = false;
+      });
       try {
         this->options.handler(task, request, session);
       } catch (const std::exception& error) {
@@ -340,10 +418,25 @@
       return true;
     }
     // A caller that did not ask to close the connection may have sent another request.
-    if (parser.keep_alive() && session.stream.socket().is_open()) session.DiscardInput(task);
+    if (keep_alive && session.stream.socket().is_open()) session.DiscardInput(task);
     return false;
   }
 
+  // Answers a request for whose body there is no memory. It has not run.
+  void RefuseRequest(Task& task, Session& session) {
+    LogWarning(kPart, "a request is refused for lack of memory");
+    session.BeginRequest(false);
+    const HttpResponse response = ErrorResponse(
+        Error{ErrorCode::kOverloaded, "there is no memory for the request", "memory", Ran::kNo});
+    session.Send(task, HttpResponse::Builder()
+                           .SetStatus(503)
+                           .SetHeaders(response.Headers())
+                           .SetHeader("Retry-After", kMemoryRetryAfter)
+                           .SetBody(response.Content())
+                           .Build());
+    session.DiscardInput(task);
+  }
+
   void RejectRequest(Task& task, Session& session, const error_code& failed) {
     Error error{ErrorCode::kInvalidArgument, "malformed HTTP request: " + failed.message(), "",
                 Ran::kNo};
@@ -356,7 +449,7 @@
       status = 431;
     } else if (failed.category() != http::make_error_code(http::error::bad_value).category() ||
                failed == http::error::end_of_stream || failed == http::error::partial_message) {
-      return;  // the connection was closed or timed out, so no response can be sent
+      return;  // no response can be sent
     }
     session.BeginRequest(false);
     const HttpResponse response = ErrorResponse(error);
@@ -376,6 +469,7 @@
       std::make_shared<std::set<std::shared_ptr<Session>>>();
   std::shared_ptr<std::size_t> active = std::make_shared<std::size_t>(0);
   bool closing = false;
+  std::size_t closed_for_limit = 0;
 };
 
 HttpServer::Builder& HttpServer::Builder::SetAddress(std::string address) {
@@ -418,6 +512,13 @@
   return *this;
 }
 
+HttpServer::Builder& HttpServer::Builder::SetBudget(std::shared_ptr<MemoryBudget> budget,
+                                                    MemoryPool pool) {
+  this->budget = std::move(budget);
+  this->pool = pool;
+  return *this;
+}
+
 std::unique_ptr<HttpServer> HttpServer::Builder::Build() {
   return std::make_unique<HttpServerImpl>(this->runtime, *this);
 }
--- a/anvilcroft/http_server.h
+++ b/anvilcroft/http_server.h
@@ -17,7 +17,9 @@
 //
 // The limits are enforced before the handler runs. A malformed request is answered with 400, a body
 // that is too large with 413 and a header block that is too large with 431; then the connection is
-// closed. A request that is not read in time is not answered.
+// closed. A request that is not read in time is not answered. What a connection and its request
+// hold is charged to a memory budget; without memory for its body, a request is answered with 503
+// before the body is read.
 
 #include <cstddef>
 #include <functional>
@@ -28,6 +30,7 @@
 #include "anvilcroft/error.h"
 #include "anvilcroft/http_request.h"
 #include "anvilcroft/http_response.h"
+#include "anvilcroft/limits/memory_budget.h"
 #include "anvilcroft/runtime.h"
 
 namespace anvilcroft {
@@ -88,6 +91,12 @@
   // Number of requests whose handler is running.
   virtual std::size_t ActiveRequests() const = 0;
 
+  // Most connections from now on; see the builder.
+  virtual void SetMaxConnections(std::size_t connections) = 0;
+
+  // Number of connections that were closed, or not accepted, because there were too many.
+  virtual std::size_t ClosedForLimit() const = 0;
+
   // Number of open connections. After StopAccepting, the server is done once there are none.
   virtual std::size_t Connections() const = 0;
 };
@@ -109,8 +118,12 @@
   Builder& SetWriteTimeout(Duration timeout);
   // Longest time that a connection may be idle. Default 60 s.
   Builder& SetIdleTimeout(Duration timeout);
-  // Most connections open at once; further ones are closed immediately. Default 4,096.
+  // Most connections open at once. A further one replaces the one that has been idle longest, or
+  // the oldest whose request does not arrive; if there is neither, it is closed. Default 4,096.
   Builder& SetMaxConnections(std::size_t connections);
+  // The budget for what clients make the server hold, and the pool for connections. Default: no
+  // limit.
+  Builder& SetBudget(std::shared_ptr<MemoryBudget> budget, MemoryPool pool);
 
   std::unique_ptr<HttpServer> Build();
 
@@ -126,6 +139,8 @@
   Duration write_timeout = seconds(30);
   Duration idle_timeout = seconds(60);
   std::size_t max_connections = 4096;
+  std::shared_ptr<MemoryBudget> budget = MemoryBudget::Unlimited();
+  MemoryPool pool = MemoryPool::kCallers;
 };
 
 }  // namespace anvilcroft
--- a/anvilcroft/target_relay.cc
+++ b/anvilcroft/target_relay.cc
@@ -69,7 +69,7 @@
                                     .SetMethod(message.Method())
                                     .SetTarget(message.Target())
                                     .SetHeaders(std::move(headers))
-                                    .SetBody(message.Body())
+                                    .SetBody(message.Content())
                                     .Build(),
                                 options.WithConnectTimeout(TargetRelay::kConnectTimeout));
   if (!stream) {
@@ -118,7 +118,7 @@
                                      .SetMethod(request.Method())
                                      .SetTarget(request.Target())
                                      .SetHeaders(RelayedHeaders(headers))
-                                     .SetBody(request.Body())
+                                     .SetBody(request.Content())
                                      .Build(),
                                  options);
   if (!stream) {
--- a/testing/memory_budget_process_test.cc
+++ b/testing/memory_budget_process_test.cc
@@ -112,13 +112,14 @@
   }
 
  private:
-  static soak::SiteOptions Options(int /*memory_mb*/, int /*max_descriptors*/,
-                                   int64_t max_body_bytes) {
+  static soak::SiteOptions Options(int memory_mb, int max_descriptors, int64_t max_body_bytes) {
     soak::SiteOptions options;
     options.instances = 1;
     options.engines = 1;
     options.link_targets = false;
     options.max_body_bytes = max_body_bytes;
+    options.more_settings = "limits:\n  memory_mb: " + std::to_string(memory_mb) +
+                            "\n  max_descriptors: " + std::to_string(max_descriptors) + "\n";
     return options;
   }
 
