Fit the memory pools to what the process takes without requests

An owner of many batch jobs takes 50 to 95 MB by itself; fixed pools would then add up to more than a machine of 120 MB has. The pools follow the difference of resident and charged memory, with a half-life of 60 s. Events and responses over 64 KiB that no charge covers are charged while slow readers take them.

--- a/anvilcroft/http_server.cc
+++ b/anvilcroft/http_server.cc
@@ -61,17 +61,9 @@
   Result<void> Send(Task& task, const HttpResponse& response) override {
     ANVILCROFT_CHECK(!this->answered);
     this->answered = true;
-    // A slow reader must not keep a large response that nothing accounts for.
-    std::shared_ptr<MemoryCharge> charge;
-    if (response.Body().size() > kSmallBodyBytes && !response.Content().Charged()) {
-      charge = this->budget->Open(MemoryPool::kLarge);
-      if (!charge->Resize(response.Body().size(), SteadyNow())) {
-        LogWarning(kPart, "there is no memory for a response",
-                   {{"bytes", std::to_string(response.Body().size())}});
-        this->Abort();
-        return Fail(ErrorCode::kOverloaded, "there is no memory for the response");
-      }
-    }
+    const auto charge =
+        this->ChargeOutput(response.Content().Charged() ? 0 : response.Body().size());
+    if (!charge) return tl::unexpected<Error>(charge.error());
     auto message = ToBeast(response, this->keep_alive && !this->closing);
     this->keep_alive = message.keep_alive();
     error_code failed;
@@ -106,6 +98,8 @@
 
   Result<void> Write(Task& task, const std::string& chunk) override {
     if (chunk.empty()) return {};  // an empty chunk would end the body
+    const auto charge = this->ChargeOutput(chunk.size());
+    if (!charge) return tl::unexpected<Error>(charge.error());
     error_code failed;
     this->stream.expires_after(this->write_timeout);
     asio::async_write(this->stream, http::make_chunk(asio::buffer(chunk)), task.yield[failed]);
@@ -168,6 +162,17 @@
   bool closing = false;  // close the connection after the current response
 
  private:
+  // Charges output that nothing else accounts for, so that slow readers do not make the process
+  // keep much of it. Closes the connection if there is no memory.
+  Result<std::shared_ptr<MemoryCharge>> ChargeOutput(std::size_t bytes) {
+    if (bytes <= kSmallBodyBytes) return std::shared_ptr<MemoryCharge>();
+    auto charge = this->budget->Open(MemoryPool::kLarge);
+    if (charge->Resize(bytes, SteadyNow())) return charge;
+    LogWarning(kPart, "there is no memory for a response", {{"bytes", std::to_string(bytes)}});
+    this->Abort();
+    return Fail(ErrorCode::kOverloaded, "there is no memory for the response");
+  }
+
   Result<void> CheckWrite(const error_code& failed) {
     if (!failed) return {};
     this->keep_alive = false;
--- a/anvilcroft/limits/charge_decision.cc
+++ b/anvilcroft/limits/charge_decision.cc
@@ -1,14 +1,15 @@
 #include "anvilcroft/limits/charge_decision.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <utility>
 
 namespace anvilcroft {
 namespace {
 
-// Memory that the process needs without any request: code, tables of targets, batch jobs. A
-// process with a site's usual state takes 12 to 20 MB.
+// Allowance for what the process takes without any request: code, tables of targets, batch jobs.
+// A process with the state of a small site takes 11 to 13 MB.
 constexpr std::size_t kMinBaseBytes = 20 << 20;
 constexpr std::size_t kBaseDivisor = 4;
 // Shares of the rest, in percent. On 120 MB, the large pool is 49 MB: one body of 32 MiB and the
@@ -42,15 +43,26 @@
   return sizes;
 }
 
-PoolSizes PoolSizes::For(std::size_t memory_bytes) {
+PoolSizes PoolSizes::For(std::size_t memory_bytes, std::size_t base_bytes) {
   const std::size_t base =
-      std::min(memory_bytes, std::max(kMinBaseBytes, memory_bytes / kBaseDivisor));
+      std::min(memory_bytes, std::max({kMinBaseBytes, memory_bytes / kBaseDivisor, base_bytes}));
   const std::size_t rest = memory_bytes - base;
   const std::size_t large = rest / 100 * kLargePercent;
   const std::size_t callers = rest / 100 * kCallersPercent;
   return PoolSizes{{large, callers, rest - large - callers}};
 }
 
+void BaseEstimate::Observe(std::size_t resident, std::size_t charged, TimePoint now) {
+  const std::size_t difference = resident - std::min(resident, charged);
+  double kept = static_cast<double>(this->bytes);
+  if (this->observed_at) {
+    kept *= std::exp2(-std::chrono::duration<double>(now - *this->observed_at) /
+                      std::chrono::duration<double>(kBaseHalfLife));
+  }
+  this->observed_at = now;
+  this->bytes = std::max(difference, static_cast<std::size_t>(kept));
+}
+
 ConnectionLimits ConnectionLimits::For(std::size_t max_descriptors) {
   // A caller's request takes a connection to a target, and at most 15% take a second one, so about
   // half of the descriptors have to be left.
--- a/anvilcroft/limits/charge_decision.h
+++ b/anvilcroft/limits/charge_decision.h
@@ -17,6 +17,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <tuple>
 #include <vector>
 
@@ -50,13 +51,29 @@
 
   // Pools without limits.
   static PoolSizes Unlimited();
-  // Divides the memory of a process of `memory_bytes`.
-  static PoolSizes For(std::size_t memory_bytes);
+  // Divides the memory of a process of `memory_bytes`, which takes `base_bytes` without any
+  // request; less than an allowance for the usual state of a site counts as that allowance.
+  static PoolSizes For(std::size_t memory_bytes, std::size_t base_bytes = 0);
 
   friend bool operator==(const PoolSizes& a, const PoolSizes& b) { return a.bytes == b.bytes; }
   friend bool operator!=(const PoolSizes& a, const PoolSizes& b) { return !(a == b); }
 };
 
+// Estimates what the process takes without any request, from its resident and its charged memory.
+// Both change with every request, and charged memory need not be resident yet, so the estimate is
+// the largest difference, which falls by half in kBaseHalfLife.
+class BaseEstimate {
+ public:
+  static constexpr Duration kBaseHalfLife = seconds(60);
+
+  void Observe(std::size_t resident, std::size_t charged, TimePoint now);
+  std::size_t Bytes() const { return this->bytes; }
+
+ private:
+  std::size_t bytes = 0;
+  std::optional<TimePoint> observed_at;
+};
+
 // Most connections of each listener.
 struct ConnectionLimits {
   std::size_t callers = 4096;
--- a/anvilcroft/limits/front_limits.cc
+++ b/anvilcroft/limits/front_limits.cc
@@ -1,7 +1,10 @@
 #include "anvilcroft/limits/front_limits.h"
 
 #include <malloc.h>
+#include <unistd.h>
 
+#include <algorithm>
+#include <fstream>
 #include <string>
 
 #include "anvilcroft/log.h"
@@ -9,13 +12,15 @@
 namespace anvilcroft {
 namespace {
 
-constexpr char kPart[] = "limits";
+constexpr char kPart[] = "memory";
 // Blocks of this size and above are mapped separately. By default, the allocator raises the
 // threshold to 32 MiB as such blocks are freed, and keeps what is below it. Stacks of tasks
 // (256 KiB) stay below, because mapping one for each request costs about 10 us.
 constexpr int kMapThresholdBytes = 320 << 10;
 constexpr int kTrimThresholdBytes = 1 << 20;
-constexpr Duration kTrimInterval = seconds(1);
+constexpr Duration kWatchInterval = seconds(1);
+// Smallest change of a pool within kWatchInterval that is logged.
+constexpr std::size_t kLoggedChangeBytes = 4 << 20;
 
 const char* NameOf(Listener listener) {
   switch (listener) {
@@ -45,8 +50,17 @@
   return limits.internal;
 }
 
-PoolSizes SizesFor(const ProcessLimits& limits) {
-  return limits.memory_bytes ? PoolSizes::For(*limits.memory_bytes) : PoolSizes::Unlimited();
+PoolSizes SizesFor(const ProcessLimits& limits, std::size_t base_bytes = 0) {
+  return limits.memory_bytes ? PoolSizes::For(*limits.memory_bytes, base_bytes)
+                             : PoolSizes::Unlimited();
+}
+
+std::size_t ResidentBytes() {
+  std::ifstream statm("/proc/self/statm");
+  std::size_t total_pages = 0;
+  std::size_t resident_pages = 0;
+  if (!(statm >> total_pages >> resident_pages)) return 0;
+  return resident_pages * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
 }
 
 ConnectionLimits ConnectionsFor(const ProcessLimits& limits) {
@@ -78,22 +92,41 @@
 FrontLimits::FrontLimits(const ProcessLimits& limits, Metrics& metrics)
     : metrics(metrics),
       budget(std::make_shared<MemoryBudget>(SizesFor(limits))),
+      limits(limits),
       connections(ConnectionsFor(limits)) {
   LogLimits(limits, this->budget->Sizes(), this->connections);
   this->budget->Register(metrics);
+  metrics.RegisterGauge("anvilcroft_memory_base_bytes", {},
+                        [this] { return static_cast<double>(this->base.Bytes()); });
 }
 
 void FrontLimits::Start(Runtime& runtime) {
-  runtime.SpawnService("return free memory", [budget = this->budget](Task& task) {
+  runtime.SpawnService("watch the memory", [this](Task& task) {
     while (true) {
-      SleepUntil(task, SteadyNow() + kTrimInterval);
-      if (budget->ShouldTrim()) ::malloc_trim(0);
+      SleepUntil(task, SteadyNow() + kWatchInterval);
+      if (this->budget->ShouldTrim()) ::malloc_trim(0);
+      this->Adapt();
     }
   });
 }
 
+void FrontLimits::Adapt() {
+  this->base.Observe(ResidentBytes(), this->budget->TotalUsed(), SteadyNow());
+  const PoolSizes sizes = SizesFor(this->limits, this->base.Bytes());
+  const std::size_t before = this->budget->Sizes().Of(MemoryPool::kLarge);
+  const std::size_t after = sizes.Of(MemoryPool::kLarge);
+  this->budget->SetSizes(sizes);
+  if (std::max(before, after) - std::min(before, after) < kLoggedChangeBytes) return;
+  LogInfo(kPart, "the pools follow the memory of the process",
+          {{"base", std::to_string(this->base.Bytes())},
+           {"large", std::to_string(after)},
+           {"before", std::to_string(before)}});
+}
+
 void FrontLimits::Apply(const ProcessLimits& changed) {
-  this->budget->SetSizes(SizesFor(changed));
+  if (changed == this->limits) return;
+  this->limits = changed;
+  this->budget->SetSizes(SizesFor(changed, this->base.Bytes()));
   this->connections = ConnectionsFor(changed);
   for (const auto& [listener, server] : this->servers) {
     server->SetMaxConnections(LimitOf(this->connections, listener));
--- a/anvilcroft/limits/front_limits.h
+++ b/anvilcroft/limits/front_limits.h
@@ -22,7 +22,8 @@
  public:
   FrontLimits(const ProcessLimits& limits, Metrics& metrics);
 
-  // Starts the task that returns free memory to the system after bursts.
+  // Starts the task that returns free memory to the system after bursts, and adapts the pools to
+  // the memory that the process takes without any request.
   void Start(Runtime& runtime);
   // Applies changed limits to the budget and to all listeners.
   void Apply(const ProcessLimits& changed);
@@ -37,8 +38,12 @@
   std::shared_ptr<void> Reserve(std::size_t bytes);
 
  private:
+  void Adapt();
+
   Metrics& metrics;
   std::shared_ptr<MemoryBudget> budget;
+  ProcessLimits limits;
+  BaseEstimate base;
   ConnectionLimits connections;
   std::map<Listener, HttpServer*> servers;
 };
--- a/anvilcroft/limits/memory_budget.cc
+++ b/anvilcroft/limits/memory_budget.cc
@@ -9,7 +9,7 @@
 namespace anvilcroft {
 namespace {
 
-constexpr char kPart[] = "limits";
+constexpr char kPart[] = "memory";
 // Free memory below this is not worth a scan of the allocator's pages.
 constexpr std::size_t kTrimBytes = 4 << 20;
 
@@ -163,6 +163,8 @@
   return this->state->pools[IndexOf(pool)].used;
 }
 
+std::size_t MemoryBudget::TotalUsed() const { return this->state->Total(); }
+
 uint64_t MemoryBudget::Refused(MemoryPool pool) const {
   return this->state->pools[IndexOf(pool)].refused;
 }
--- a/anvilcroft/limits/memory_budget.h
+++ b/anvilcroft/limits/memory_budget.h
@@ -72,6 +72,8 @@
   void SetSizes(const PoolSizes& sizes);
   const PoolSizes& Sizes() const;
   std::size_t Used(MemoryPool pool) const;
+  // Of all pools.
+  std::size_t TotalUsed() const;
   // Requests and connections that were refused for lack of memory, holders that were disconnected
   // for others, and charges that had to wait.
   uint64_t Refused(MemoryPool pool) const;
--- a/testing/memory_budget_test.cc
+++ b/testing/memory_budget_test.cc
@@ -45,6 +45,20 @@
   CHECK(limits.callers + limits.directory + limits.ready + limits.internal <= 3075 / 2);
 }
 
+// Guards against pools that, with the state of a large site, add up to more than the machine has.
+TEST_CASE("the pools leave what the process takes without requests", "[memory_budget]") {
+  BaseEstimate base;
+  base.Observe(70'000'000, 0, kStart);
+  CHECK(base.Bytes() == 70'000'000);
+  const PoolSizes sizes = PoolSizes::For(kSmallestMachine, base.Bytes());
+  CHECK(sizes.bytes[0] + sizes.bytes[1] + sizes.bytes[2] <= 50'000'000);
+  // Charged memory that is not resident yet does not lower the estimate at once.
+  base.Observe(70'000'000, 40'000'000, kStart + seconds(6));
+  CHECK(base.Bytes() > 60'000'000);
+  base.Observe(70'000'000, 40'000'000, kStart + seconds(606));
+  CHECK(base.Bytes() == 30'000'000);
+}
+
 // Guards against disconnecting clients whose request may run, or that wait for the process itself.
 TEST_CASE("holders without progress are disconnected, most waste first", "[memory_budget]") {
   const PoolSizes sizes{{100, 100, 100}};
