--- a/testing/platform_customers_test.cc
+++ b/testing/platform_customers_test.cc
@@ -463,5 +463,22 @@
   });
 }
 
+// Guards against an instance that starts while the row is unreadable and refuses all callers,
+// although others serve with the last good configuration.
+TEST_CASE("an instance that starts with an unreadable row gets the last good configuration",
+          "[platform][customers]") {
+  CustomerFixture fixture;
+  FrontInstance& one = fixture.AddInstance("one");
+  fixture.Run([&](Task& task) {
+    fixture.AwaitReady(task, one);
+    fixture.store.Put("op", "config", "{\"Version\":5,\"Tenants\":7}");
+    FrontInstance& two = fixture.AddInstance("two");
+    fixture.AwaitReady(task, two);
+    const std::string& address = two.FrontAddress();
+    CHECK(fixture.Status(task, address, "POST", "/lookup/1", "r", {{"X-Key", kKey}}) == 200);
+    CHECK(fixture.Status(task, address, "POST", "/lookup/1", "r", {}) == 401);
+  });
+}
+
 }  // namespace
 }  // namespace anvilcroft
