--- a/anvilcroft/limits/memory_budget.cc
+++ b/anvilcroft/limits/memory_budget.cc
@@ -99,7 +99,7 @@
   const auto budget = this->state;
   MemoryHolder& holder = budget->holders.at(this->id);
   auto& pool = budget->pools[IndexOf(holder.pool)];
-  ++pool.waited;
+  if (SteadyNow() < limit) ++pool.waited;
   const std::shared_ptr<void> waits(nullptr, [&holder](void*) { holder.waiting = false; });
   while (SteadyNow() < limit) {
     holder.waiting = true;
