Give other instances a tenth of the descriptors

Each of 380 instances may keep an idle connection to another; a sixteenth of 3,075 descriptors held 192 of them, and each further one would have closed one in use. The directory gets a twentieth and readiness checks a sixty-fourth; the sum stays under half, as the test of the limits checks.

--- a/anvilcroft/limits/charge_decision.cc
+++ b/anvilcroft/limits/charge_decision.cc
@@ -68,9 +68,10 @@
   // half of the descriptors have to be left.
   ConnectionLimits limits;
   limits.callers = std::max<std::size_t>(4, max_descriptors / 3);
-  limits.directory = std::max<std::size_t>(2, max_descriptors / 16);
-  limits.ready = std::max<std::size_t>(2, max_descriptors / 32);
-  limits.internal = std::max<std::size_t>(2, max_descriptors / 16);
+  limits.directory = std::max<std::size_t>(4, max_descriptors / 20);
+  limits.ready = std::max<std::size_t>(4, max_descriptors / 64);
+  // 307 on 3,075 descriptors: an idle connection of most of 380 instances.
+  limits.internal = std::max<std::size_t>(4, max_descriptors / 10);
   return limits;
 }
 
