Defer whole training steps when the engines cannot finish all in time

Where the platform changes the number of engines of a service, steps that cannot be in time behind the more urgent and earlier due ones are placed behind these as a whole; trainers that have been deferred for long take their turn.

--- a/anvilcroft/batch_owner.cc
+++ b/anvilcroft/batch_owner.cc
@@ -208,6 +208,8 @@
 void BatchOwner::PlaceWaitingItems(TimePoint now) {
   const auto routes = this->context.routes();
   if (!routes || BootNow() - this->context.jobs_confirmed_at > this->context.max_job_age) return;
+  const std::vector<PlacementEngine> engines = this->DescribeEngines(now);
+  this->deferred_jobs = this->DeferredJobs(engines, now);
   std::vector<WaitingItem> waiting;
   std::vector<std::pair<std::shared_ptr<OwnedJob>, std::size_t>> items_by_key;
   for (const auto& [id, job] : this->context.jobs) {
@@ -229,18 +231,69 @@
       entry.rank = item.carried                              ? ItemRank::kRequired
                    : dispensable.count(item.item.group) != 0 ? ItemRank::kDispensable
                                                              : ItemRank::kNormal;
+      entry.deferred = this->deferred_jobs.count(id) != 0;
       items_by_key.emplace_back(job, i);
       waiting.push_back(std::move(entry));
     }
   }
   if (waiting.empty()) return;
-  for (const Placement& placement : PlaceItems(std::move(waiting), this->DescribeEngines(now))) {
+  for (const Placement& placement : PlaceItems(std::move(waiting), engines)) {
     const auto& [job, index] = items_by_key[placement.key];
     if (placement.anew) this->DropText(*job, index, placement.engine);
     this->runner.Start(job, index, placement.engine, placement.version);
   }
 }
 
+std::set<std::string> BatchOwner::DeferredJobs(const std::vector<PlacementEngine>& engines,
+                                               TimePoint now) {
+  const auto routes = this->context.routes();
+  const double event_ms =
+      this->context.engine_tracker.MedianEventMs() * LoadFactor(kUsableShareWithLongItem);
+  const StoreMillis store_time = this->context.metadata.StoreTime(BootNow());
+  std::map<std::string, int> slots;  // by service
+  for (const PlacementEngine& engine : engines) slots[engine.service] += engine.slots;
+  std::vector<OpenStep> steps;
+  std::vector<std::string> trainers;
+  std::vector<std::string> jobs;
+  for (const auto& [id, job] : this->context.jobs) {
+    const ServiceRoute* route = routes->Match(job->head.host, job->head.path);
+    if (route == nullptr || route->split.empty() || route->result_target <= Duration::zero()) {
+      continue;
+    }
+    const TargetService* service = routes->FindService(route->split.front().first);
+    if (service == nullptr || !service->scaling || event_ms <= 0) continue;
+    OpenStep step;
+    step.key = jobs.size();
+    step.service = service->name;
+    step.priority = routes->PriorityOf(route, job->head.customer).value_or(route->priority);
+    step.time_limit = route->result_target;
+    step.due_in = route->result_target - milliseconds(store_time - job->head.submitted_at);
+    const std::set<std::string> dispensable =
+        DispensableGroups(GroupsOf(*job), job->head.target_groups);
+    for (const OwnedItem& item : job->items) {
+      if (item.phase == ItemPhase::kFinished || item.text.complete) continue;
+      if (dispensable.count(item.item.group) != 0) continue;
+      const double item_ms = EventsLeft(*job, item) * event_ms;
+      step.work_ms += item_ms;
+      step.longest_ms = std::max(step.longest_ms, item_ms);
+    }
+    steps.push_back(std::move(step));
+    trainers.push_back(job->head.model);
+    jobs.push_back(id);
+  }
+  std::set<std::string> deferred;
+  if (steps.empty()) return deferred;
+  for (const std::size_t key : this->steps.Defer(std::move(steps), trainers, slots, now)) {
+    deferred.insert(jobs[key]);
+    if (this->deferred_jobs.count(jobs[key]) == 0) {
+      LogInfo(kPart, "deferred a step that cannot be in time together with the others",
+              {{"batch", jobs[key]}, {"open", std::to_string(jobs.size())}});
+      this->context.metrics.Increment("anvilcroft_deferred_steps_total", {});
+    }
+  }
+  return deferred;
+}
+
 void BatchOwner::DropText(OwnedJob& job, std::size_t index, const std::string& engine) {
   OwnedItem& item = job.items[index];
   LogInfo(kPart, "starting a text anew on another software version",
--- a/anvilcroft/batch_owner.h
+++ b/anvilcroft/batch_owner.h
@@ -15,6 +15,7 @@
 #include "anvilcroft/item_runner.h"
 #include "anvilcroft/owner_handover.h"
 #include "anvilcroft/result_lister.h"
+#include "anvilcroft/sharing/step_tracker.h"
 #include "anvilcroft/weight_control.h"
 
 namespace anvilcroft {
@@ -61,6 +62,9 @@
   // Gives up waiting items that are too old or have failed too often.
   void ExpireItems();
   void PlaceWaitingItems(TimePoint now);
+  // The jobs whose steps are deferred because the engines cannot finish all open steps in time.
+  // Only steps of services whose number of engines the platform changes count.
+  std::set<std::string> DeferredJobs(const std::vector<PlacementEngine>& engines, TimePoint now);
   // Drops the text of an item that starts anew on `engine`.
   static void DropText(OwnedJob& job, std::size_t index, const std::string& engine);
   void MoveStragglers(TimePoint now);
@@ -71,6 +75,8 @@
   ItemRunner runner;
   ResultLister lister;
   WeightControl weights;
+  StepTracker steps;
+  std::set<std::string> deferred_jobs;  // by the last plan
   CarriedTexts carried_texts;
   JobTexts handed_texts;
   TimePoint handed_texts_at;
--- a/anvilcroft/item_placement.cc
+++ b/anvilcroft/item_placement.cc
@@ -44,8 +44,10 @@
 std::vector<Placement> PlaceItems(std::vector<WaitingItem> items,
                                   std::vector<PlacementEngine> engines) {
   std::stable_sort(items.begin(), items.end(), [](const WaitingItem& a, const WaitingItem& b) {
-    return std::make_tuple(a.rank == ItemRank::kDispensable, a.priority, a.rank, -a.events_left) <
-           std::make_tuple(b.rank == ItemRank::kDispensable, b.priority, b.rank, -b.events_left);
+    return std::make_tuple(a.rank == ItemRank::kDispensable, a.deferred, a.priority, a.rank,
+                           -a.events_left) < std::make_tuple(b.rank == ItemRank::kDispensable,
+                                                             b.deferred, b.priority, b.rank,
+                                                             -b.events_left);
   });
   std::map<std::string, int64_t> newest;
   for (const PlacementEngine& engine : engines) {
--- a/anvilcroft/item_placement.h
+++ b/anvilcroft/item_placement.h
@@ -5,8 +5,9 @@
 //
 // Load pattern: a training step submits all its items at once, more than there are free slots. The
 // trainer waits for most of the groups, so the slowest of those determines how long the step takes.
-// The items of groups that the trainer can do without are placed last. Among the others, items of
-// more urgent routes are placed first, then those that must be part of the step, then the longest.
+// The items of groups that the trainer can do without are placed last, and before them those of
+// steps that are deferred (sharing/step_order.h). Among the others, items of more urgent routes are
+// placed first, then those that must be part of the step, then the longest.
 // Each item is placed on the engine on which it is expected to finish first; an engine that can't
 // continue its text has all of it to generate.
 //
@@ -52,6 +53,7 @@
   double events_done = 0;  // events of the text so far
   int priority = 0;        // of the customer or route; 0 is the most urgent
   ItemRank rank = ItemRank::kNormal;
+  bool deferred = false;   // its step cannot be in time together with the others
   double events_left = 0;  // expected number of events still to be generated
   // A later step may need the text, and accepts newer versions only.
   bool prefer_newest = false;
