--- a/testing/platform_began_test.cc
+++ b/testing/platform_began_test.cc
@@ -37,8 +37,9 @@
       : client(this->runtime, *ParseEndpoint(this->store_address),
                [](const char*, const char*, Duration) {}),
         engine_client(this->runtime),
-        view(this->runtime, this->client, this->pool, [] {}),
-        directory(this->runtime, this->client, RecordOf("one"), 800),
+        view(
+            this->runtime, this->client, this->pool, [] {}, [] { return Duration::zero(); }),
+        directory(this->runtime, this->client, RecordOf("one"), 800, 0),
         limiter(RequestLimiter::Builder(this->runtime, this->metrics)
                     .SetStore(this->client)
                     .SetDirectory(this->directory)
