--- a/anvilcroft/scaling/engine_scaler.cc
+++ b/anvilcroft/scaling/engine_scaler.cc
@@ -109,11 +109,10 @@
 }
 
 void EngineScaler::Observe(const RouteTable& routes, TimePoint now) {
-  struct Count {
-    int present = 0;
-    int busy = 0;
-  };
-  std::map<GroupId, Count> counts;
+  for (auto& [id, group] : this->groups) {
+    group.present = 0;
+    group.busy = 0;
+  }
   std::set<GroupId> losses;
   std::set<std::pair<std::string, WallMillis>> still_leaving;
   for (const auto& [id, target] : this->context.pool.All()) {
@@ -121,15 +120,14 @@
     const TargetService* service = routes.FindService(entry.service);
     if (service == nullptr || !service->scaling || entry.zone.empty()) continue;
     const GroupId group_id{entry.service, entry.zone, entry.reclaimable};
-    this->GetGroup(group_id);
+    Group& group = this->GetGroup(group_id);
     if (target.Leaving()) {
       still_leaving.emplace(id, entry.started_at);
       const bool is_new = this->leaving.count({id, entry.started_at}) == 0;
       if (is_new && entry.reclaimable) losses.insert(group_id);
       continue;
     }
-    Count& count = counts[group_id];
-    ++count.present;
+    ++group.present;
     const EngineState* state = this->context.engine_tracker.Find(id);
     bool busy = target.in_flight > 0;
     busy = busy || (target.report && target.report->running > 0 &&
@@ -137,12 +135,7 @@
     if (state != nullptr) {
       for (const auto& [model, running] : state->running) busy = busy || running > 0;
     }
-    count.busy += busy ? 1 : 0;
-  }
-  for (auto& [id, group] : this->groups) {
-    const Count& count = counts[id];
-    group.present = count.present;
-    group.busy = count.busy;
+    group.busy += busy ? 1 : 0;
   }
   this->leaving = std::move(still_leaving);
   for (const GroupId& id : losses) {
