Give the group of engines a type name of its own

Two types named GroupId in the same namespace (group_id.h and scaling/order_record.h) violated the one-definition rule: the linker kept one of the two comparisons, so maps of the other type were corrupted. The type of the scaling part is EngineGroupId now; no other name stands twice.

--- a/anvilcroft/scaling/engine_scaler.cc
+++ b/anvilcroft/scaling/engine_scaler.cc
@@ -89,7 +89,7 @@
   }
 }
 
-EngineScaler::Group& EngineScaler::GetGroup(const GroupId& id) {
+EngineScaler::Group& EngineScaler::GetGroup(const EngineGroupId& id) {
   Group& group = this->groups[id];
   if (!this->gauges.insert(id).second) return group;
   const MetricLabels labels = {{"service", id.service},
@@ -113,13 +113,13 @@
     group.present = 0;
     group.busy = 0;
   }
-  std::set<GroupId> losses;
+  std::set<EngineGroupId> losses;
   std::set<std::pair<std::string, WallMillis>> still_leaving;
   for (const auto& [id, target] : this->context.pool.All()) {
     const TargetEntry& entry = target.entry;
     const TargetService* service = routes.FindService(entry.service);
     if (service == nullptr || !service->scaling || entry.zone.empty()) continue;
-    const GroupId group_id{entry.service, entry.zone, entry.reclaimable};
+    const EngineGroupId group_id{entry.service, entry.zone, entry.reclaimable};
     Group& group = this->GetGroup(group_id);
     if (target.Leaving()) {
       still_leaving.emplace(id, entry.started_at);
@@ -138,7 +138,7 @@
     group.busy += busy ? 1 : 0;
   }
   this->leaving = std::move(still_leaving);
-  for (const GroupId& id : losses) {
+  for (const EngineGroupId& id : losses) {
     Group& group = this->groups[id];
     // Engines also leave after an order for fewer of them.
     if (group.orders.accepted && group.present >= *group.orders.accepted) continue;
@@ -224,7 +224,7 @@
   }
 }
 
-bool EngineScaler::ZoneOrderedRecently(const GroupId& id, TimePoint now) const {
+bool EngineScaler::ZoneOrderedRecently(const EngineGroupId& id, TimePoint now) const {
   const auto other = this->groups.find({id.service, id.zone, !id.reclaimable});
   if (other == this->groups.end()) return false;
   const GroupOrders& orders = other->second.orders;
@@ -245,7 +245,7 @@
   inputs.observed_since = this->observed_since;
   inputs.lost_at = state.lost_at;
   inputs.memory = state.memory;
-  std::vector<GroupId> ids;
+  std::vector<EngineGroupId> ids;
   for (const auto& [id, group] : this->groups) {
     if (id.service != service.name) continue;
     EngineGroup entry;
--- a/anvilcroft/scaling/engine_scaler.h
+++ b/anvilcroft/scaling/engine_scaler.h
@@ -47,7 +47,7 @@
     int StablePresent() const;
   };
   struct Order {
-    GroupId group;
+    EngineGroupId group;
     int count = 0;
     const char* reason = "";
     std::optional<int> before;  // the number that was accepted before
@@ -70,10 +70,10 @@
   double MeasuredEventMs(const std::string& service) const;
   // Adds the groups that may be ordered, and their metrics.
   void AddGroups(const TargetService& service);
-  Group& GetGroup(const GroupId& id);
+  Group& GetGroup(const EngineGroupId& id);
   // Whether the other kind of engines has been ordered in the zone within kCallInterval: the API
   // takes both kinds for one subject.
-  bool ZoneOrderedRecently(const GroupId& id, TimePoint now) const;
+  bool ZoneOrderedRecently(const EngineGroupId& id, TimePoint now) const;
   void PlanService(const TargetService& service, TimePoint now);
 
   // Starts to use the lease's token: forgets what is known of orders and reads the rows. Returns
@@ -85,7 +85,7 @@
   // Whether the store's lease row still names this holder; if not, the token is not used again.
   bool ConfirmLease(Task& task, int64_t fencing);
 
-  void StartOrder(const GroupId& id, int count, const char* reason, TimePoint now);
+  void StartOrder(const EngineGroupId& id, int count, const char* reason, TimePoint now);
   void SendOrder(Task& task, const Order& order);
   // Writes the row of the group. On failure, all rows are read again before the next order.
   bool WriteRow(Task& task, const Order& order, bool answered);
@@ -106,10 +106,10 @@
   TimePoint next_call_at;  // limits the rate of calls
   TimePoint limited_until;
   int limited = 0;  // refusals in succession because of too many calls
-  std::map<GroupId, Group> groups;
+  std::map<EngineGroupId, Group> groups;
   std::map<std::string, Service> services;
   std::set<std::pair<std::string, WallMillis>> leaving;  // engines that are known to leave
-  std::set<GroupId> gauges;                              // groups with registered metrics
+  std::set<EngineGroupId> gauges;                        // groups with registered metrics
 };
 
 }  // namespace anvilcroft
--- a/anvilcroft/scaling/engine_scaler_calls.cc
+++ b/anvilcroft/scaling/engine_scaler_calls.cc
@@ -133,7 +133,8 @@
   return false;
 }
 
-void EngineScaler::StartOrder(const GroupId& id, int count, const char* reason, TimePoint now) {
+void EngineScaler::StartOrder(const EngineGroupId& id, int count, const char* reason,
+                              TimePoint now) {
   Group& group = this->groups[id];
   const std::optional<int> before = group.orders.accepted;
   group.orders = WithCall(group.orders, count, now);
@@ -148,7 +149,7 @@
 }
 
 void EngineScaler::SendOrder(Task& task, const Order& order) {
-  const GroupId& id = order.group;
+  const EngineGroupId& id = order.group;
   Group& group = this->groups[id];
   if (!this->WriteRow(task, order, false)) {
     if (order.fencing != this->fencing) return;
@@ -193,7 +194,7 @@
 
 bool EngineScaler::WriteRow(Task& task, const Order& order, bool answered) {
   if (order.fencing != this->fencing || !this->MayOrder(order.fencing)) return false;
-  const GroupId& id = order.group;
+  const EngineGroupId& id = order.group;
   Group& group = this->groups[id];
   const StoreMillis store_now = this->context.metadata.StoreTime(BootNow());
   OrderRecord record;
--- a/anvilcroft/scaling/order_record.cc
+++ b/anvilcroft/scaling/order_record.cc
@@ -15,7 +15,7 @@
 
 }  // namespace
 
-RowId OrderRow(const GroupId& group) {
+RowId OrderRow(const EngineGroupId& group) {
   return {kOrderTable, "",
           RowKey({group.service, group.zone, group.reclaimable ? kReclaimableKind : kRegularKind})};
 }
--- a/anvilcroft/scaling/order_record.h
+++ b/anvilcroft/scaling/order_record.h
@@ -17,14 +17,18 @@
 
 namespace anvilcroft {
 
-struct GroupId {
+struct EngineGroupId {
   std::string service;
   std::string zone;
   bool reclaimable = false;
 
-  friend bool operator==(const GroupId& a, const GroupId& b) { return a.Tie() == b.Tie(); }
-  friend bool operator!=(const GroupId& a, const GroupId& b) { return !(a == b); }
-  friend bool operator<(const GroupId& a, const GroupId& b) { return a.Tie() < b.Tie(); }
+  friend bool operator==(const EngineGroupId& a, const EngineGroupId& b) {
+    return a.Tie() == b.Tie();
+  }
+  friend bool operator!=(const EngineGroupId& a, const EngineGroupId& b) { return !(a == b); }
+  friend bool operator<(const EngineGroupId& a, const EngineGroupId& b) {
+    return a.Tie() < b.Tie();
+  }
 
  private:
   std::tuple<const std::string&, const std::string&, bool> Tie() const {
@@ -33,7 +37,7 @@
 };
 
 struct OrderRecord {
-  GroupId group;
+  EngineGroupId group;
   int count = 0;                // the number that was ordered last
   std::optional<int> accepted;  // as GroupOrders::accepted
   int initial = 0;
@@ -55,7 +59,7 @@
 constexpr char kOrderTable[] = "engine-orders";
 
 // The row of a group: SERVICE/ZONE/KIND.
-RowId OrderRow(const GroupId& group);
+RowId OrderRow(const EngineGroupId& group);
 
 std::string EncodeOrder(const OrderRecord& record);
 Result<OrderRecord> DecodeOrder(const std::string& value);
--- a/testing/platform_config_peers_test.cc
+++ b/testing/platform_config_peers_test.cc
@@ -25,7 +25,8 @@
   PeerFixture()
       : peer(this->runtime, "127.0.0.1:0"),
         store(this->runtime, Endpoint{"127.0.0.1", 1}, [](const char*, const char*, Duration) {}),
-        view(this->runtime, this->store, this->pool, [] {}),
+        view(
+            this->runtime, this->store, this->pool, [] {}, [] { return Duration::zero(); }),
         peers(
             this->runtime, this->view, this->metrics,
             [this] {
