--- a/anvilcroft/scaling/engine_scaler.cc
+++ b/anvilcroft/scaling/engine_scaler.cc
@@ -90,8 +90,9 @@
 }
 
 EngineScaler::Group& EngineScaler::GetGroup(const GroupId& id) {
-  Group& group = this->groups[id];
-  if (!this->gauges.insert(id).second) return group;
+  const auto [entry, added] = this->groups.try_emplace(id);
+  Group& group = entry->second;
+  if (!added) return group;
   const MetricLabels labels = {{"service", id.service},
                                {"zone", id.zone},
                                {"kind", id.reclaimable ? "reclaimable" : "regular"}};
--- a/anvilcroft/scaling/engine_scaler.h
+++ b/anvilcroft/scaling/engine_scaler.h
@@ -109,7 +109,6 @@
   std::map<GroupId, Group> groups;
   std::map<std::string, Service> services;
   std::set<std::pair<std::string, WallMillis>> leaving;  // engines that are known to leave
-  std::set<GroupId> gauges;                              // groups with registered metrics
 };
 
 }  // namespace anvilcroft
--- a/anvilcroft/scaling/scaling_plan.cc
+++ b/anvilcroft/scaling/scaling_plan.cc
@@ -25,6 +25,8 @@
 constexpr double kMaxBusyShare = 0.5;
 // An ordered engine that has not appeared this long after its boot time is not counted on.
 constexpr Duration kBootMargin = seconds(3);
+// Engines without a price are distributed equally.
+constexpr double kMinPrice = 1e-6;
 // Engines are replaced by cheaper ones if these cost less by this factor.
 constexpr double kShiftSaving = 1.1;
 
@@ -70,8 +72,9 @@
 
   double Price(std::size_t i) const {
     const EngineScaling& scaling = this->inputs.scaling;
-    return scaling.ZonePrice(this->Group(i).zone) *
-           (this->Group(i).reclaimable ? scaling.reclaimable_price.value_or(1) : 1);
+    const double price = scaling.ZonePrice(this->Group(i).zone) *
+                         (this->Group(i).reclaimable ? scaling.reclaimable_price.value_or(1) : 1);
+    return std::max(price, kMinPrice);
   }
 
   // The number that the group may be raised to with regard to the zone's maximum.
--- a/testing/scaling_plan_test.cc
+++ b/testing/scaling_plan_test.cc
@@ -459,6 +459,15 @@
   CHECK(replay.Ordered("a", false) > 0);
 }
 
+TEST_CASE("engines without a price are distributed equally", "[scaling]") {
+  Replay replay(kThreeTrainers);
+  replay.scaling.zone_prices = {{"a", 0}, {"b", 0}, {"c", 0}};
+  replay.Run(seconds(40));
+  CHECK(std::abs(replay.Ordered("a", false) - replay.Ordered("b", false)) <= 1);
+  CHECK(std::abs(replay.Ordered("b", false) - replay.Ordered("c", false)) <= 1);
+  CHECK(replay.Serving(false) >= replay.plan.secure);
+}
+
 TEST_CASE("regular engines in a single zone are joined by some in another", "[scaling]") {
   Replay replay(kThreeTrainers);
   replay.Add("a", false, 30);
