--- a/anvilcroft/scaling/scaling_plan.cc
+++ b/anvilcroft/scaling/scaling_plan.cc
@@ -10,8 +10,8 @@
 // All engines in relation to those that must remain after a loss. The additional ones are mostly
 // reclaimable, so they cost little, and they make the steps faster.
 constexpr double kTotalFactor = 1.5;
-// Before the first step is known: share of the engines present that must be regular. The users' site
-// starts with 45 engines, and its steps need 23.
+// Before the first step is known: share of the engines present that must be regular. The users'
+// site starts with 45 engines, and its steps need 23.
 constexpr double kSecureShareBeforeDemand = 0.5;
 // Largest share of the engines of a kind that one zone gets, if there are several.
 constexpr double kMaxZoneShare = 0.6;
