--- a/anvilcroft/scaling/scaling_plan.cc
+++ b/anvilcroft/scaling/scaling_plan.cc
@@ -10,8 +10,8 @@
 // All engines in relation to those that must remain after a loss. The additional ones are mostly
 // reclaimable, so they cost little, and they make the steps faster.
 constexpr double kTotalFactor = 1.5;
-// Before the first step is known: share of the engines present that must be regular. Each of the
-// users' sites starts with twice the engines that its steps need.
+// Before the first step is known: share of the engines present that must be regular. The users'
+// site starts with 45 engines, and its steps need 23.
 constexpr double kSecureShareBeforeDemand = 0.5;
 // Largest share of the engines of a kind that one zone gets, if there are several.
 constexpr double kMaxZoneShare = 0.6;
@@ -25,6 +25,8 @@
 constexpr double kMaxBusyShare = 0.5;
 // An ordered engine that has not appeared this long after its boot time is not counted on.
 constexpr Duration kBootMargin = seconds(3);
+// Engines without a price are distributed equally.
+constexpr double kMinPrice = 1e-6;
 // Engines are replaced by cheaper ones if these cost less by this factor.
 constexpr double kShiftSaving = 1.1;
 
@@ -70,8 +72,9 @@
 
   double Price(std::size_t i) const {
     const EngineScaling& scaling = this->inputs.scaling;
-    return scaling.ZonePrice(this->Group(i).zone) *
-           (this->Group(i).reclaimable ? scaling.reclaimable_price.value_or(1) : 1);
+    const double price = scaling.ZonePrice(this->Group(i).zone) *
+                         (this->Group(i).reclaimable ? scaling.reclaimable_price.value_or(1) : 1);
+    return std::max(price, kMinPrice);
   }
 
   // The number that the group may be raised to with regard to the zone's maximum.
