Slices of items and engines, each with an owner; off by default

With fleet.engines_per_slice the owners of several slices run the items of a job and order the engines of their slice. Without it nothing changes.

--- a/anvilcroft/batch_context.h
+++ b/anvilcroft/batch_context.h
@@ -11,6 +11,7 @@
 #include "anvilcroft/batch_store.h"
 #include "anvilcroft/engine_tracker.h"
 #include "anvilcroft/event.h"
+#include "anvilcroft/fleet/slice_view.h"
 #include "anvilcroft/lease_keeper.h"
 #include "anvilcroft/live_forwarder.h"
 #include "anvilcroft/metrics.h"
@@ -45,6 +46,7 @@
   // Time at which `jobs` was last confirmed to match the store.
   BootTime jobs_confirmed_at = BootTime::zero();
   Event plan_inputs_changed;  // notified when a new plan may differ from the last one
+  SliceScope scope;           // the items that are run and the engines that are ordered
 };
 
 }  // namespace anvilcroft
--- a/anvilcroft/batch_owner.cc
+++ b/anvilcroft/batch_owner.cc
@@ -164,6 +164,7 @@
     if (this->context.plan_inputs_changed.WaitUntil(task, SteadyNow() + kPlanInterval)) {
       SleepUntil(task, SteadyNow() + kCoalesceDelay);
     }
+    if (this->context.scope.Generation() != this->generation) this->ChangeSlice(task);
     // A successor runs the same items, so the runs end without waiting for a call to the store.
     if (this->context.lease.Held().fencing == 0) this->DropAllJobs();
     if (this->handing_over || !this->context.lease.Held().ValidAt(BootNow())) continue;
@@ -173,7 +174,7 @@
 
 void BatchOwner::Plan(TimePoint now) {
   this->carried_texts.Expire(now);
-  this->context.engine_tracker.Update(this->context.pool.All(), now);
+  this->context.engine_tracker.Update(this->context.pool.All(), now, this->context.scope);
   this->ExpireItems();
   this->MoveStragglers(now);
   this->PlaceWaitingItems(now);
@@ -212,8 +213,7 @@
   std::vector<WaitingItem> waiting;
   std::vector<std::pair<std::shared_ptr<OwnedJob>, std::size_t>> items_by_key;
   for (const auto& [id, job] : this->context.jobs) {
-    const std::set<std::string> dispensable =
-        DispensableGroups(GroupsOf(*job), job->head.target_groups);
+    const std::set<std::string> dispensable = DispensableGroups(GroupsOf(*job), job->target_groups);
     for (std::size_t i = 0; i < job->items.size(); ++i) {
       OwnedItem& item = job->items[i];
       if (item.phase != ItemPhase::kWaiting || now < item.not_before) continue;
--- a/anvilcroft/batch_owner.h
+++ b/anvilcroft/batch_owner.h
@@ -48,6 +48,8 @@
   // Reads the items, the listing and the saved texts of a job and starts to run it.
   void LoadJob(Task& task, const BatchHead& head);
   void EndJob(const std::string& id);
+  // Drops all jobs after a change of the slice plan and saves their texts for the new owners.
+  void ChangeSlice(Task& task);
   // Drops all jobs and cancels their runs after the lease has been lost.
   void DropAllJobs();
 
@@ -76,6 +78,7 @@
   TimePoint handed_texts_at;
   bool following = false;  // `context.jobs` is complete and follows the changes in the store
   bool handing_over = false;
+  int64_t generation = 0;                     // of the slice plan by which the jobs were loaded
   std::set<std::string> loading_jobs;         // jobs whose items are being read
   std::set<std::string> ended_while_loading;  // jobs that ended while their items were being read
 };
--- a/anvilcroft/batch_owner_jobs.cc
+++ b/anvilcroft/batch_owner_jobs.cc
@@ -94,11 +94,23 @@
   return true;
 }
 
+void BatchOwner::ChangeSlice(Task& task) {
+  const JobTexts texts = this->UnfinishedTexts();
+  this->generation = this->context.scope.Generation();
+  this->DropAllJobs();
+  std::map<std::string, std::vector<std::pair<std::string, ItemText>>> by_job;
+  for (const auto& [id, text] : texts) by_job[id.first].emplace_back(id.second, text);
+  for (const auto& [job, job_texts] : by_job) {
+    if (!this->context.store.SaveTexts(task, job, job_texts, SteadyNow() + kCallTimeout)) return;
+  }
+}
+
 void BatchOwner::ApplyHead(const BatchHead& head) {
   if (head.ended) {
     this->EndJob(head.id);
     return;
   }
+  if (!this->context.scope.MayOwnItems(head)) return;
   if (this->context.jobs.count(head.id) != 0 || !this->loading_jobs.insert(head.id).second) return;
   this->context.runtime.Spawn([this, head](Task& task) { this->LoadJob(task, head); });
 }
@@ -106,15 +118,20 @@
 void BatchOwner::LoadJob(Task& task, const BatchHead& head) {
   auto job = std::make_shared<OwnedJob>();
   job->head = head;
+  const SliceScope& scope = this->context.scope;
   while (true) {
-    if (this->context.lease.Held().fencing == 0 || this->ended_while_loading.erase(head.id) != 0) {
+    job->generation = this->generation;
+    job->items.clear();
+    if (this->context.lease.Held().fencing == 0 || !scope.MayOwnItems(head) ||
+        this->ended_while_loading.erase(head.id) != 0) {
       this->loading_jobs.erase(head.id);
       return;
     }
     const TimePoint deadline = SteadyNow() + kCallTimeout;
     auto items = this->context.store.ReadItems(task, head.id, deadline);
-    const auto listing = items ? this->context.store.ReadListing(task, head.id, deadline)
-                               : Result<ResultListing>(ResultListing());
+    auto listing = items ? this->context.store.ReadListing(task, head.id, deadline)
+                         : Result<ResultListing>(ResultListing());
+    if (items && listing) listing = this->lister.Claim(task, head.id, job->generation, *listing);
     std::set<std::string> listed;
     bool read_all = items && listing;
     while (read_all && static_cast<int64_t>(listed.size()) < listing->count) {
@@ -127,13 +144,19 @@
     }
     const auto texts = read_all ? this->context.store.ReadTexts(task, head.id, deadline)
                                 : Result<std::map<std::string, ItemText>>();
-    read_all = read_all && texts;
+    read_all = read_all && texts && job->generation == this->generation &&
+               job->generation == scope.Generation();
     if (!read_all) {
       SleepUntil(task, SteadyNow() + kRetryPause);
       continue;
     }
     job->listing = *listing;
+    std::set<std::string> all_groups;
+    std::set<std::string> own_groups;
     for (BatchItem& item : *items) {
+      all_groups.insert(item.group);
+      if (!scope.OwnsItem(head, item)) continue;
+      own_groups.insert(item.group);
       OwnedItem owned;
       owned.item = std::move(item);
       if (listed.count(owned.item.id) != 0) owned.phase = ItemPhase::kFinished;
@@ -149,6 +172,13 @@
       }
       job->items.push_back(std::move(owned));
     }
+    // The groups that the trainer can do without are shared among the slices.
+    job->target_groups = head.target_groups;
+    if (head.target_groups > 0 && own_groups.size() < all_groups.size()) {
+      const auto all = static_cast<int64_t>(all_groups.size());
+      const auto own = static_cast<int64_t>(own_groups.size());
+      job->target_groups = own - std::max<int64_t>(0, all - head.target_groups) * own / all;
+    }
     break;
   }
   this->loading_jobs.erase(head.id);
--- a/anvilcroft/batch_store.cc
+++ b/anvilcroft/batch_store.cc
@@ -154,7 +154,24 @@
   const auto read = this->store.Read(task, range, deadline);
   if (!read) return tl::unexpected<Error>(read.error());
   if (read->rows.empty()) return ResultListing();
-  return ResultListing{ResultPosition(read->rows.front().value), read->rows.front().version};
+  const StoredRow& row = read->rows.front();
+  return ResultListing{ResultPosition(row.value), row.version, DecodeClaims(row.value)};
+}
+
+Result<ResultListing> BatchStore::Claim(Task& task, const std::string& job,
+                                        const ResultListing& listing, const ListingClaims& claims,
+                                        TimePoint deadline) {
+  const RowBatch batch =
+      RowBatch::Builder()
+          .Expect(ListingRow(job), listing.version)
+          .Put(ListingRow(job), EncodeListing(ResultRow(job, listing.count).key, claims))
+          .Build();
+  const auto written = this->store.Commit(task, batch, CallDeadline(SteadyNow(), deadline));
+  if (!written) return tl::unexpected<Error>(written.error());
+  if (!written->committed) {
+    return Fail(ErrorCode::kConflict, "another owner has changed the listing of the job", job);
+  }
+  return ResultListing{listing.count, written->version, claims};
 }
 
 Result<ResultListing> BatchStore::AppendResults(Task& task, const std::string& job,
@@ -179,14 +196,19 @@
     }
     ++position;
   }
-  builder.Put(ListingRow(job), ResultRow(job, position).key);
+  ListingClaims claims;  // an owner without a claim drops those of others
+  if (listing.own_slice >= 0) {
+    claims = listing.claims;
+    claims.owners[listing.own_slice].listed += position - listing.count;
+  }
+  builder.Put(ListingRow(job), EncodeListing(ResultRow(job, position).key, claims));
   const auto written =
       this->store.Commit(task, builder.Build(), CallDeadline(SteadyNow(), deadline));
   if (!written) return tl::unexpected<Error>(written.error());
   if (!written->committed) {
     return Fail(ErrorCode::kConflict, "another owner has added results to the job", job);
   }
-  return ResultListing{position, written->version};
+  return ResultListing{position, written->version, std::move(claims), listing.own_slice};
 }
 
 Result<void> BatchStore::SaveTexts(Task& task, const std::string& job,
--- a/anvilcroft/batch_store.h
+++ b/anvilcroft/batch_store.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "anvilcroft/batch_job.h"
+#include "anvilcroft/fleet/listing_claims.h"
 #include "anvilcroft/item_text.h"
 #include "anvilcroft/metadata_store.h"
 
@@ -23,6 +24,8 @@
 struct ResultListing {
   int64_t count = 0;
   int64_t version = 0;  // of the row that holds the count; 0: no such row yet
+  ListingClaims claims;
+  int own_slice = -1;  // the slice that this owner has claimed; -1: none, it lists without claims
 };
 
 class BatchStore {
@@ -51,6 +54,11 @@
                                       const ResultListing& listing,
                                       const std::vector<ItemResult>& results, TimePoint deadline);
 
+  // Replaces the claims on the listing, on the condition that nothing has been added or claimed
+  // since `listing` was read. Fails with kConflict otherwise.
+  Result<ResultListing> Claim(Task& task, const std::string& job, const ResultListing& listing,
+                              const ListingClaims& claims, TimePoint deadline);
+
   // Saves the texts of unfinished items, by item id, for the next owner. Replaces texts saved
   // before. A write that is applied late leaves an older text, from which the next owner can
   // continue as well. Texts that do not fit into one row are skipped.
--- a/anvilcroft/engine_tracker.cc
+++ b/anvilcroft/engine_tracker.cc
@@ -16,9 +16,11 @@
   return std::min(1.0, static_cast<double>(runs) / std::max(1, this->entry.slots));
 }
 
-void EngineTracker::Update(const std::map<std::string, PoolTarget>& targets, TimePoint now) {
+void EngineTracker::Update(const std::map<std::string, PoolTarget>& targets, TimePoint now,
+                           const SliceScope& scope) {
   for (const auto& [id, target] : targets) {
     if (target.entry.versions.empty()) continue;  // not a model engine
+    if (!scope.OwnsEngine(target.entry)) continue;
     EngineState& engine = this->engines[id];
     if (!engine.entry.IsSameStart(target.entry)) {
       engine = EngineState();
@@ -40,7 +42,9 @@
     }
   }
   for (auto it = this->engines.begin(); it != this->engines.end();) {
-    it = targets.count(it->first) == 0 ? this->engines.erase(it) : std::next(it);
+    const bool keep =
+        targets.count(it->first) != 0 && scope.OwnsEngine(targets.at(it->first).entry);
+    it = keep ? std::next(it) : this->engines.erase(it);
   }
 }
 
--- a/anvilcroft/engine_tracker.h
+++ b/anvilcroft/engine_tracker.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "anvilcroft/engine_pace.h"
+#include "anvilcroft/fleet/slice_view.h"
 #include "anvilcroft/target_pool.h"
 #include "anvilcroft/time.h"
 
@@ -46,8 +47,9 @@
   static constexpr Duration kLoadLimit = seconds(6);
 
   // Applies the platform's list: adds and removes engines, resets the state of restarted ones and
-  // records versions that have changed in the list.
-  void Update(const std::map<std::string, PoolTarget>& targets, TimePoint now);
+  // records versions that have changed in the list. Leaves out engines outside `scope`.
+  void Update(const std::map<std::string, PoolTarget>& targets, TimePoint now,
+              const SliceScope& scope = SliceScope());
 
   EngineState* Find(const std::string& id);
   std::map<std::string, EngineState>& All() { return this->engines; }
--- a/anvilcroft/front_directory.cc
+++ b/anvilcroft/front_directory.cc
@@ -312,6 +312,13 @@
   return before;
 }
 
+std::vector<FrontRecord> FrontDirectory::TakeoverOrder() const {
+  std::vector<FrontRecord> ordered = this->live;
+  std::sort(ordered.begin(), ordered.end(),
+            [](const FrontRecord& a, const FrontRecord& b) { return RankOf(a) < RankOf(b); });
+  return ordered;
+}
+
 std::string FrontDirectory::InternalAddress(const std::string& instance) const {
   for (const FrontRecord& front : this->live) {
     if (front.instance == instance) return front.internal_address;
--- a/anvilcroft/front_directory.h
+++ b/anvilcroft/front_directory.h
@@ -85,6 +85,9 @@
   // machines come first.
   int TakeoverRank() const;
 
+  // All live instances in the order of takeover.
+  std::vector<FrontRecord> TakeoverOrder() const;
+
   // Internal addresses of up to `max_count` other live instances, in the order of takeover.
   std::vector<std::string> TakeoverCandidates(std::size_t max_count) const;
 
--- a/anvilcroft/front_instance.cc
+++ b/anvilcroft/front_instance.cc
@@ -7,6 +7,7 @@
 #include "anvilcroft/batch_owner.h"
 #include "anvilcroft/batch_service.h"
 #include "anvilcroft/crash_limiter.h"
+#include "anvilcroft/fleet/slice_owners.h"
 #include "anvilcroft/front_directory.h"
 #include "anvilcroft/hash.h"
 #include "anvilcroft/http_server.h"
@@ -95,25 +96,14 @@
             [this] { this->context.plan_inputs_changed.NotifyAll(); }),
         lease_peers(this->runtime,
                     [this] { return this->directory.TakeoverCandidates(kMaxLeasePeers); }),
-        context{this->runtime,
-                this->store,
-                this->batch_store,
-                this->engines,
-                *this->limiter,
-                this->forwarder,
-                this->pool,
-                this->lease_keeper,
-                this->metrics,
-                [this] { return this->view.Routes(); },
-                [this]() -> const std::map<std::string, int64_t>& {
-                  return this->view.RequestedVersions();
-                },
-                settings.InstanceId(),
-                settings.CancelBound() - kCancelMargin,
-                {},
-                {},
-                BootTime::zero(),
-                {}},
+        context(this->MakeContext(this->lease_keeper)),
+        slices(
+            this->runtime, this->store, this->directory, OwnerLeaseSettings(settings),
+            settings.EnginesPerSlice(),
+            [this](LeaseKeeper& keeper) {
+              return std::unique_ptr<BatchContext>(new BatchContext(this->MakeContext(keeper)));
+            },
+            [this] { return this->paths.CutOff(); }),
         batch_owner(this->context),
         ingress(this->MakeHooks()) {}
 
@@ -154,6 +144,7 @@
     this->lease_keeper.SetEndedQuery([this](Task& task, const std::string& holder) {
       return LeasePeers::HasEnded(task, this->directory.InternalAddress(holder));
     });
+    this->slices.Start(this->context, this->lease_keeper);
     this->limiter->Start();
     this->crashes.Start();
     this->paths.Start();
@@ -184,8 +175,32 @@
 
   bool OwnsBatchJobs() const { return this->lease_keeper.Held().ValidAt(BootNow()); }
   bool HoldsLease() const { return this->lease_keeper.Held().fencing != 0; }
+  std::vector<int> HeldSlices() const { return this->slices.Held(); }
 
  private:
+  BatchContext MakeContext(LeaseKeeper& keeper) {
+    return {this->runtime,
+            this->store,
+            this->batch_store,
+            this->engines,
+            *this->limiter,
+            this->forwarder,
+            this->pool,
+            keeper,
+            this->metrics,
+            [this] { return this->view.Routes(); },
+            [this]() -> const std::map<std::string, int64_t>& {
+              return this->view.RequestedVersions();
+            },
+            this->settings.InstanceId(),
+            this->settings.CancelBound() - kCancelMargin,
+            {},
+            {},
+            BootTime::zero(),
+            {},
+            {}};
+  }
+
   static FrontRecord SelfRecord(const FrontSettings& settings) {
     FrontRecord record;
     record.instance = settings.InstanceId();
@@ -194,6 +209,7 @@
     record.address = settings.FrontAddress().ToString();
     record.cpu_share = settings.CpuShare();
     record.relays = true;
+    record.slices = settings.EnginesPerSlice() > 0;
     return record;
   }
 
@@ -225,6 +241,7 @@
                                      limits.idle_timeout + kIdleMargin);
     }
     this->context.plan_inputs_changed.NotifyAll();
+    this->slices.NotifyOwners();
   }
 
   // The directory also brings the request limits of targets.
@@ -369,6 +386,10 @@
             this->HandleLeaseOffer(task, request, reply);
             return;
           }
+          if (const auto answer = this->slices.HandlePeer(task, request, this->stopping)) {
+            reply.Send(task, *answer);
+            return;
+          }
           if (request.Path() == RequestLimiter::kPath) {
             const auto answer = this->limiter->HandleRequest(request.Body(), SteadyNow());
             reply.Send(task,
@@ -399,6 +420,7 @@
     LogInfo(kPart, "stopping",
             {{"grace_ms", std::to_string(ToMillis(this->settings.GracePeriod()))}});
     this->runtime.Spawn([this, end](Task& other) { this->directory.AnnounceLeaving(other, end); });
+    this->slices.HandOver(std::min(end, started + kHandoverTimeout));
     this->batch_owner.HandOver(task, std::min(end, started + kHandoverTimeout));
     this->lease_keeper.Release(task, std::min(end, started + seconds(2)));
     const TimePoint unused_by = started + kAddressTtlMultiple * this->settings.AddressTtl();
@@ -443,6 +465,7 @@
   LeaseKeeper lease_keeper;
   LeasePeers lease_peers;
   BatchContext context;
+  SliceOwners slices;
   BatchOwner batch_owner;
   platform::Ingress ingress;
   std::unique_ptr<HttpServer> caller_server;
@@ -472,5 +495,6 @@
 const std::string& FrontInstance::MetricsAddress() const { return this->impl->metrics_address; }
 bool FrontInstance::HoldsLease() const { return this->impl->HoldsLease(); }
 bool FrontInstance::OwnsBatchJobs() const { return this->impl->OwnsBatchJobs(); }
+std::vector<int> FrontInstance::HeldSlices() const { return this->impl->HeldSlices(); }
 
 }  // namespace anvilcroft
--- a/anvilcroft/front_instance.h
+++ b/anvilcroft/front_instance.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "anvilcroft/front_settings.h"
 #include "anvilcroft/runtime.h"
@@ -47,6 +48,8 @@
   bool OwnsBatchJobs() const;
   // Whether this instance holds the lease, which may have expired, and no later holder is known.
   bool HoldsLease() const;
+  // The slices beyond the first whose leases this instance holds.
+  std::vector<int> HeldSlices() const;
 
  private:
   class Impl;
--- a/anvilcroft/front_record.cc
+++ b/anvilcroft/front_record.cc
@@ -10,16 +10,18 @@
 }  // namespace
 
 std::string EncodeFront(const FrontRecord& record) {
-  return DumpJson({{"instance", record.instance},
-                   {"zone", record.zone},
-                   {"region", record.region},
-                   {"address", record.address},
-                   {"internal", record.internal_address},
-                   {"cpu_share", record.cpu_share},
-                   {"leaving", record.leaving},
-                   {"cut_off", record.cut_off},
-                   {"relays", record.relays},
-                   {"written_at", record.written_at}});
+  nlohmann::json value = {{"instance", record.instance},
+                          {"zone", record.zone},
+                          {"region", record.region},
+                          {"address", record.address},
+                          {"internal", record.internal_address},
+                          {"cpu_share", record.cpu_share},
+                          {"leaving", record.leaving},
+                          {"cut_off", record.cut_off},
+                          {"relays", record.relays},
+                          {"written_at", record.written_at}};
+  if (record.slices) value["slices"] = true;
+  return DumpJson(value);
 }
 
 Result<FrontRecord> DecodeFront(const std::string& value) {
@@ -36,6 +38,7 @@
   record.leaving = fields.BoolOr("leaving", false);
   record.cut_off = fields.BoolOr("cut_off", false);
   record.relays = fields.BoolOr("relays", false);  // absent in entries of older builds
+  record.slices = fields.BoolOr("slices", false);  // likewise
   record.written_at = fields.Integer("written_at", 0, INT64_MAX / 2);
   if (!fields.Ok()) return tl::unexpected<Error>(fields.Finish().error());
   return record;
--- a/anvilcroft/front_record.h
+++ b/anvilcroft/front_record.h
@@ -25,13 +25,14 @@
   bool leaving = false;          // about to stop
   bool cut_off = false;          // it can reach no target
   bool relays = false;           // it sends requests for others (target_relay.h)
+  bool slices = false;           // it takes part in slices (fleet/slice_view.h)
   StoreMillis written_at = 0;    // on the store's clock
 
   friend bool operator==(const FrontRecord& a, const FrontRecord& b) {
     return std::tie(a.instance, a.zone, a.region, a.address, a.internal_address, a.cpu_share,
-                    a.leaving, a.cut_off, a.relays, a.written_at) ==
+                    a.leaving, a.cut_off, a.relays, a.slices, a.written_at) ==
            std::tie(b.instance, b.zone, b.region, b.address, b.internal_address, b.cpu_share,
-                    b.leaving, b.cut_off, b.relays, b.written_at);
+                    b.leaving, b.cut_off, b.relays, b.slices, b.written_at);
   }
   friend bool operator!=(const FrontRecord& a, const FrontRecord& b) { return !(a == b); }
 };
--- a/anvilcroft/front_settings.cc
+++ b/anvilcroft/front_settings.cc
@@ -89,6 +89,11 @@
   return *this;
 }
 
+FrontSettings::Builder& FrontSettings::Builder::SetEnginesPerSlice(int value) {
+  this->settings.engines_per_slice = value;
+  return *this;
+}
+
 namespace {
 
 std::optional<CloudSettings> ReadCloud(SettingsReader& reader) {
@@ -139,8 +144,10 @@
                          "cloud.duties",
                          "cloud.checks_fencing",
                          "cloud.usage_window_s",
-                         "cloud.usage_due_s"},
-                        {"address", "timing", "cloud"});
+                         "cloud.usage_due_s",
+                         "fleet",
+                         "fleet.engines_per_slice"},
+                        {"address", "timing", "cloud", "fleet"});
   const auto address = [&reader](const char* key) {
     return reader.Address(key, true).value_or(Endpoint());
   };
@@ -160,7 +167,9 @@
       .SetAddressTtl(reader.Seconds("timing.address_ttl_s", defaults.AddressTtl(), 0.1, 3600))
       .SetOwnerLease(reader.Millis("timing.owner_lease_ms", defaults.OwnerLease(), 1000, 600000))
       .SetCancelBound(reader.Millis("timing.cancel_ms", defaults.CancelBound(), 1000, 600000))
-      .SetCloud(ReadCloud(reader));
+      .SetCloud(ReadCloud(reader))
+      .SetEnginesPerSlice(static_cast<int>(
+          reader.Real("fleet.engines_per_slice", defaults.EnginesPerSlice(), 0, 100000)));
   auto problems = reader.TakeProblems();
   if (!problems.empty()) return tl::unexpected<std::vector<SettingsProblem>>(std::move(problems));
   return builder.Build();
--- a/anvilcroft/front_settings.h
+++ b/anvilcroft/front_settings.h
@@ -69,16 +69,18 @@
   Duration CancelBound() const { return this->cancel_bound; }
   // nullopt: the platform has no API for singleton duties.
   const std::optional<CloudSettings>& Cloud() const { return this->cloud; }
+  // Number of engines for which an owner of a slice is wanted; 0: one owner for all engines.
+  int EnginesPerSlice() const { return this->engines_per_slice; }
 
   friend bool operator==(const FrontSettings& a, const FrontSettings& b) {
     return std::tie(a.instance_id, a.zone, a.region, a.front_address, a.directory_address,
                     a.ready_address, a.metrics_address, a.store_address, a.store_writes_per_s,
                     a.cpu_share, a.log_level, a.grace_period, a.address_ttl, a.owner_lease,
-                    a.cancel_bound, a.cloud) ==
+                    a.cancel_bound, a.cloud, a.engines_per_slice) ==
            std::tie(b.instance_id, b.zone, b.region, b.front_address, b.directory_address,
                     b.ready_address, b.metrics_address, b.store_address, b.store_writes_per_s,
                     b.cpu_share, b.log_level, b.grace_period, b.address_ttl, b.owner_lease,
-                    b.cancel_bound, b.cloud);
+                    b.cancel_bound, b.cloud, b.engines_per_slice);
   }
   friend bool operator!=(const FrontSettings& a, const FrontSettings& b) { return !(a == b); }
 
@@ -99,6 +101,7 @@
   Duration owner_lease = seconds(3);
   Duration cancel_bound = seconds(3);
   std::optional<CloudSettings> cloud;
+  int engines_per_slice = 0;
 };
 
 class FrontSettings::Builder {
@@ -119,6 +122,7 @@
   Builder& SetOwnerLease(Duration value);
   Builder& SetCancelBound(Duration value);
   Builder& SetCloud(std::optional<CloudSettings> value);
+  Builder& SetEnginesPerSlice(int value);
   FrontSettings Build() const { return this->settings; }
 
  private:
--- a/anvilcroft/lease_keeper.cc
+++ b/anvilcroft/lease_keeper.cc
@@ -26,7 +26,7 @@
 std::optional<OwnRow> FindOwnRow(const CommitResult& failed, const std::string& self,
                                  int64_t term) {
   if (failed.current.empty()) return std::nullopt;
-  const StoredRow& row = failed.current.front();
+  const StoredRow& row = failed.current.front();  // the lease's row is the first condition
   const auto record = DecodeOwner(row.value);
   if (!record || record->holder != self || record->term != term) return std::nullopt;
   return OwnRow{*record, row.version};
@@ -50,8 +50,15 @@
   while (!this->released) {
     const TimePoint started = SteadyNow();
     Duration pause = this->settings.renewal_interval;
-    if (this->held.fencing != 0) {
+    if (!this->in_use()) {
+      if (this->held.fencing != 0) this->GiveUp(task);
+      this->view.read = false;
+    } else if (this->held.fencing != 0 && this->guard() != this->held_guard) {
+      this->Reacquire(task);
+    } else if (this->held.fencing != 0) {
       this->Renew(task);
+    } else if (!this->settings.standby_watch && this->rank() >= kCloseWatchers) {
+      pause = this->settings.watch_interval;
     } else {
       this->ReadRow(task, kCallTimeout);
       const int preceding = this->rank();
@@ -97,12 +104,12 @@
   this->view = ObserveRow(this->view, record, version, BootNow());
 }
 
-Result<CommitResult> LeaseKeeper::Write(Task& task, const OwnerRecord& record, TimePoint deadline) {
-  const RowBatch batch = RowBatch::Builder()
-                             .Expect(this->Row(), this->view.version)
-                             .Put(this->Row(), EncodeOwner(record))
-                             .Build();
-  return this->store.Commit(task, batch, deadline);
+Result<CommitResult> LeaseKeeper::Write(Task& task, const OwnerRecord& record, TimePoint deadline,
+                                        const std::optional<RowBatch::Condition>& guarded) {
+  RowBatch::Builder builder;
+  builder.Expect(this->Row(), this->view.version).Put(this->Row(), EncodeOwner(record));
+  if (guarded) builder.Expect(guarded->first, guarded->second);
+  return this->store.Commit(task, builder.Build(), deadline);
 }
 
 HandoverAnswer LeaseKeeper::Accept(Task& task, const OwnerRecord& offered) {
@@ -110,7 +117,9 @@
     return this->held.fencing != 0 && this->view.record.term > offered.term;
   };
   if (taken_already()) return HandoverAnswer::kTaken;
-  if (this->released || this->held.fencing != 0 || this->unfit()) return HandoverAnswer::kDeclined;
+  if (this->released || this->held.fencing != 0 || this->unfit() || !this->in_use()) {
+    return HandoverAnswer::kDeclined;
+  }
   this->ReadRow(task, kOfferReadTimeout);
   if (taken_already()) return HandoverAnswer::kTaken;
   const OwnerRecord& current = this->view.record;
@@ -127,8 +136,9 @@
   OwnerRecord record;
   record.holder = this->settings.self;
   record.term = former.term + 1;
+  const auto guarded = this->guard();
   const BootTime sent = BootNow();
-  const auto written = this->Write(task, record, SteadyNow() + kCallTimeout);
+  const auto written = this->Write(task, record, SteadyNow() + kCallTimeout, guarded);
   if (!written || !written->committed) {
     this->view.read = false;
     const bool unknown = !written && written.error().ran != Ran::kNo;
@@ -136,6 +146,7 @@
   }
   this->view = ObserveRow(this->view, record, written->version, BootNow());
   this->held.offered = false;
+  this->held_guard = guarded;
   this->held.fencing = written->version;
   this->held.valid_until = sent + this->settings.lease_duration - kSafetyMargin;
   this->held.orders_from = OrdersFrom(former.holder, former_changed_at, this->settings.self, sent,
@@ -153,7 +164,9 @@
   OwnerRecord record = this->view.record;
   ++record.renewals;
   const BootTime sent = BootNow();
-  const auto written = this->Write(task, record, SteadyNow() + kCallTimeout);
+  const auto written =
+      this->Write(task, record, SteadyNow() + kCallTimeout,
+                  this->guard_renewals ? this->held_guard : std::optional<RowBatch::Condition>());
   if (this->released) return;
   if (written && written->committed) {
     this->view = ObserveRow(this->view, record, written->version, BootNow());
@@ -171,16 +184,62 @@
     return;
   }
   if (written) {
-    if (const auto own = FindOwnRow(*written, this->settings.self, this->view.record.term)) {
-      this->view = ObserveRow(this->view, own->record, own->version, BootNow());
-      this->held.offered = false;
-      return;
-    }
+    this->KeepAfterConflict(*written);
+    return;
+  }
+  this->HandleFailedRenewal(task);
+}
+
+bool LeaseKeeper::KeepAfterConflict(const CommitResult& failed) {
+  // A repeated acquisition of the own lease may have been applied without an answer.
+  auto own = FindOwnRow(failed, this->settings.self, this->view.record.term);
+  if (!own) own = FindOwnRow(failed, this->settings.self, this->view.record.term + 1);
+  if (!own) {
     this->view.read = false;
     this->MarkLost("another instance holds the lease");
+    return false;
+  }
+  // The same version: only the guard failed, and a late acquisition after an offer is possible.
+  if (own->version != this->view.version) this->held.offered = false;
+  this->view = ObserveRow(this->view, own->record, own->version, BootNow());
+  return true;
+}
+
+void LeaseKeeper::Reacquire(Task& task) {
+  OwnerRecord record = this->view.record;
+  ++record.term;
+  record.renewals = 0;
+  const auto guarded = this->guard();
+  const BootTime sent = BootNow();
+  const auto written = this->Write(task, record, SteadyNow() + kCallTimeout, guarded);
+  if (this->released) return;
+  if (!written) {
+    this->HandleFailedRenewal(task);
     return;
   }
-  this->HandleFailedRenewal(task);
+  if (!written->committed) {
+    this->KeepAfterConflict(*written);
+    return;
+  }
+  this->view = ObserveRow(this->view, record, written->version, BootNow());
+  this->held_guard = guarded;
+  this->held.fencing = written->version;
+  this->held.valid_until = sent + this->settings.lease_duration - kSafetyMargin;
+  this->held.offered = false;
+  this->expired = false;
+  LogInfo(kPart, "acquired the own lease anew",
+          {{"key", this->settings.key},
+           {"term", std::to_string(record.term)},
+           {"fencing", std::to_string(this->held.fencing)}});
+  this->on_change();
+}
+
+void LeaseKeeper::GiveUp(Task& task) {
+  this->MarkLost("it is not in use any more");
+  OwnerRecord record = this->view.record;
+  record.holder.clear();
+  // If this fails, the lease expires.
+  this->Write(task, record, SteadyNow() + kCallTimeout);
 }
 
 // While calls to the store fail, the lease expires, but its row may still name this instance: after
--- a/anvilcroft/lease_keeper.h
+++ b/anvilcroft/lease_keeper.h
@@ -34,6 +34,8 @@
   // the others.
   Duration watch_interval = milliseconds(250);
   Duration standby_watch_interval = milliseconds(2500);
+  // Whether the others read the row at all.
+  bool standby_watch = true;
 };
 
 class LeaseKeeper {
@@ -76,6 +78,21 @@
   // ended; then they do not wait for `takeover_after`. Call before Start.
   void SetEndedQuery(EndedQuery query) { this->has_ended = std::move(query); }
 
+  // Sets a condition for each acquisition of the lease and, with `for_renewals`, for each renewal.
+  // A holder whose condition changes acquires its lease anew, so that its fencing token is higher
+  // than any that was given out under the former condition. While only the condition fails, the
+  // lease is not extended, and it is not taken for lost. By default there is none. Call before
+  // Start.
+  using Guard = std::function<std::optional<RowBatch::Condition>()>;
+  void SetGuard(Guard value, bool for_renewals) {
+    this->guard = std::move(value);
+    this->guard_renewals = for_renewals;
+  }
+
+  // Sets whether the lease is in use. One that is not is neither read nor acquired, and its holder
+  // releases it. By default it is always in use. Call before Start.
+  void SetInUse(std::function<bool()> value) { this->in_use = std::move(value); }
+
   void Start();
 
   // Acquires the lease of `offered`, which its holder offers, if the store still names this holder
@@ -92,21 +109,32 @@
   const std::string& Holder() const { return this->view.record.holder; }
   // The record that was last read or written.
   const OwnerRecord& LastRecord() const { return this->view.record; }
+  // Version of the row that was last read or written.
+  int64_t RowVersion() const { return this->view.version; }
+  RowId Row() const { return {"lease", "", this->settings.key}; }
 
  private:
   void Run(Task& task);
   void ReadRow(Task& task, Duration timeout);
-  // Writes the row on the condition that its version is the one last observed.
-  Result<CommitResult> Write(Task& task, const OwnerRecord& record, TimePoint deadline);
+  // Writes the row on the condition that its version is the one last observed, and that `guarded`,
+  // if there is one, holds as well.
+  Result<CommitResult> Write(Task& task, const OwnerRecord& record, TimePoint deadline,
+                             const std::optional<RowBatch::Condition>& guarded = std::nullopt);
   // `settle_time`: time after which no order of the former holder is on its way any more, if it is
   // known to send no further ones.
   HandoverAnswer Acquire(Task& task, std::optional<Duration> settle_time);
   void Renew(Task& task);
+  // Acquires the lease that this instance holds anew after a change of the guard.
+  void Reacquire(Task& task);
+  // Observes the row that made the condition of a write fail. Returns whether this instance still
+  // holds the lease; otherwise marks it as lost.
+  bool KeepAfterConflict(const CommitResult& failed);
+  // Releases a lease that is not in use; it may be acquired again later.
+  void GiveUp(Task& task);
   void HandleFailedRenewal(Task& task);
   // Offers the lease to other instances. Returns whether one has it.
   bool OfferLease(Task& task);
   void MarkLost(const char* reason);
-  RowId Row() const { return {"lease", "", this->settings.key}; }
 
   Runtime& runtime;
   MetadataStore& store;
@@ -117,6 +145,10 @@
   Offer offer = [](Task&, const OwnerRecord&) { return HandoverAnswer::kDeclined; };
   EndedQuery has_ended = [](Task&, const std::string&) { return false; };
   std::function<bool()> unfit = [] { return false; };
+  Guard guard = [] { return std::nullopt; };
+  bool guard_renewals = false;
+  std::optional<RowBatch::Condition> held_guard;  // under which the held lease was acquired
+  std::function<bool()> in_use = [] { return true; };
   LeaseView view;
   HeldLease held;
   TimePoint offered_at;  // when this instance last offered the lease because it was unfit
--- a/anvilcroft/lease_peers.cc
+++ b/anvilcroft/lease_peers.cc
@@ -13,8 +13,9 @@
     if (!endpoint) continue;  // the instance published no usable internal address
     const CallOptions options =
         CallOptions(SteadyNow() + kCallTimeout, kCallTimeout).WithConnectTimeout(kCallTimeout);
-    const auto answer =
-        this->http.Call(task, *endpoint, HttpRequest::Builder().SetTarget(kPath).Build(), options);
+    const auto answer = this->http.Call(
+        task, *endpoint, HttpRequest::Builder().SetTarget(SlicePath(kPath, this->slice)).Build(),
+        options);
     if (!answer || answer->Status() != 200) continue;
     auto record = DecodeOwner(answer->Body());
     if (record && record->term > term) return std::move(*record);
@@ -31,7 +32,11 @@
     if (offers++ == kMaxOffers) break;
     const auto answer = this->http.Call(
         task, *endpoint,
-        HttpRequest::Builder().SetMethod("POST").SetTarget(kOfferPath).SetBody(body).Build(),
+        HttpRequest::Builder()
+            .SetMethod("POST")
+            .SetTarget(SlicePath(kOfferPath, this->slice))
+            .SetBody(body)
+            .Build(),
         CallOptions(SteadyNow() + kOfferTimeout, kOfferTimeout).WithConnectTimeout(kCallTimeout));
     if (!answer && answer.error().ran == Ran::kNo) continue;
     const HandoverAnswer outcome =
--- a/anvilcroft/lease_peers.h
+++ b/anvilcroft/lease_peers.h
@@ -30,12 +30,18 @@
   static constexpr Duration kOfferTimeout = milliseconds(800);
   static constexpr std::size_t kMaxOffers = 2;
 
+  // `path` of calls about the lease of another slice than the first. Builds without slices answer
+  // with another status or with text that is no record.
+  static std::string SlicePath(const char* path, int slice) {
+    return slice == 0 ? path : std::string(path) + "/" + std::to_string(slice);
+  }
+
   using Addresses = std::function<std::vector<std::string>()>;
 
   // `addresses` returns the internal addresses of the instances that would acquire the lease, the
   // likeliest first.
-  LeasePeers(Runtime& runtime, Addresses addresses)
-      : http(runtime), addresses(std::move(addresses)) {}
+  LeasePeers(Runtime& runtime, Addresses addresses, int slice = 0)
+      : http(runtime), addresses(std::move(addresses)), slice(slice) {}
 
   // Returns the first record with a later term than `term` that an instance reports, nullopt if
   // none does. Skips instances that do not answer in time or whose answer cannot be decoded.
@@ -51,6 +57,7 @@
  private:
   HttpClient http;
   Addresses addresses;
+  int slice;
 };
 
 }  // namespace anvilcroft
--- a/anvilcroft/owned_job.h
+++ b/anvilcroft/owned_job.h
@@ -49,18 +49,15 @@
 
 struct OwnedJob {
   BatchHead head;
-  std::vector<OwnedItem> items;
+  std::vector<OwnedItem> items;  // those of the owner's slice
+  int64_t target_groups = 0;     // of these, the complete groups that the trainer waits for; 0: all
   double tokens_per_event = TargetService::kDefaultTokensPerEvent;  // of the engines that run it
+  int64_t generation = 0;  // of the slice plan by which the items belong to the owner
   ResultListing listing;
   std::deque<ItemResult> unlisted_results;  // results that are not listed yet
   Event unlisted_results_changed;
   bool ended = false;
   TimePoint owned_since;  // when this owner loaded the job
-
-  // Number of items whose result is not listed.
-  std::size_t UnlistedCount() const {
-    return this->items.size() - static_cast<std::size_t>(this->listing.count);
-  }
 };
 
 }  // namespace anvilcroft
--- a/anvilcroft/result_lister.cc
+++ b/anvilcroft/result_lister.cc
@@ -14,6 +14,9 @@
 constexpr Duration kRetryPause = milliseconds(50);
 constexpr Duration kIdleCheck = milliseconds(300);
 constexpr std::size_t kMaxResults = 80;  // in one transaction
+// Time between the appends of one owner, for each slice: all owners of a job together stay at a
+// third of the transactions that one partition of the store takes.
+constexpr Duration kSliceInterval = milliseconds(15);
 
 }  // namespace
 
@@ -21,6 +24,26 @@
   this->context.runtime.Spawn([this, job](Task& task) { this->Run(task, job); });
 }
 
+Result<ResultListing> ResultLister::Claim(Task& task, const std::string& job, int64_t generation,
+                                          ResultListing listing) {
+  const SliceScope& scope = this->context.scope;
+  if (!scope.Sliced() && listing.claims.Empty()) return listing;
+  const int64_t fencing = this->context.lease.Held().fencing;
+  if (fencing == 0 || generation != scope.Generation() || listing.claims.generation > generation) {
+    return Fail(ErrorCode::kConflict, "the slice is not owned by this instance", job);
+  }
+  if (listing.claims.generation != generation ||
+      listing.claims.Of(scope.slice).fencing != fencing) {
+    const auto claimed = this->context.store.Claim(
+        task, job, listing, listing.claims.With(generation, scope.slice, fencing),
+        SteadyNow() + kCallTimeout);
+    if (!claimed) return claimed;
+    listing = *claimed;
+  }
+  listing.own_slice = scope.slice;
+  return listing;
+}
+
 void ResultLister::Run(Task& task, const std::shared_ptr<OwnedJob>& job) {
   const auto owned = [&] { return !job->ended && this->context.lease.Held().fencing != 0; };
   while (owned()) {
@@ -45,6 +68,9 @@
       job->listing = *listed;
       job->unlisted_results.erase(job->unlisted_results.begin(),
                                   job->unlisted_results.begin() + count);
+      if (this->context.scope.Sliced()) {
+        SleepUntil(task, SteadyNow() + kSliceInterval * this->context.scope.Count());
+      }
       continue;
     }
     if (listed.error().code == ErrorCode::kConflict) {
@@ -61,8 +87,18 @@
 
 bool ResultLister::Reload(Task& task, OwnedJob& job) {
   const TimePoint deadline = SteadyNow() + kCallTimeout;
-  const auto listing = this->context.store.ReadListing(task, job.head.id, deadline);
+  auto listing = this->context.store.ReadListing(task, job.head.id, deadline);
   if (!listing) return false;
+  const int slice = job.listing.own_slice;
+  if (slice >= 0 && listing->claims.generation == job.listing.claims.generation &&
+      listing->claims.Of(slice) == job.listing.claims.Of(slice)) {
+    // Only owners of other slices have listed results meanwhile.
+    listing->own_slice = slice;
+    job.listing = *listing;
+    return true;
+  }
+  listing = this->Claim(task, job.head.id, job.generation, *listing);
+  if (!listing || job.ended) return false;
   std::set<std::string> listed;
   for (int64_t position = job.listing.count; position < listing->count;) {
     const auto results = this->context.store.ReadResults(task, job.head.id, position,
--- a/anvilcroft/result_lister.h
+++ b/anvilcroft/result_lister.h
@@ -7,6 +7,9 @@
 // A transaction without an answer is repeated under the same conditions. Whichever of the two is
 // applied first makes the conditions of the other fail. After a failed condition the listing is
 // read again.
+//
+// If several slices have an owner, each of them claims the listing first (fleet/listing_claims.h).
+// As long as its claim stands, only the position of the next append is read again.
 
 #include <memory>
 
@@ -22,6 +25,12 @@
   // owns it.
   void Start(const std::shared_ptr<OwnedJob>& job);
 
+  // Claims the own slice under the plan `generation` in `listing`, as it was just read, unless
+  // there is one slice and no claim. Results that were listed before are to be read after this.
+  // Fails with kConflict if the listing has changed or the plan is not the present one.
+  Result<ResultListing> Claim(Task& task, const std::string& job, int64_t generation,
+                              ResultListing listing);
+
  private:
   void Run(Task& task, const std::shared_ptr<OwnedJob>& job);
   // Reads the listing again and removes the listed results from job.unlisted_results. Returns
--- a/anvilcroft/weight_control.cc
+++ b/anvilcroft/weight_control.cc
@@ -141,7 +141,10 @@
 void WeightControl::Plan(const std::map<std::string, int>& waiting, TimePoint now) {
   this->AssignModels();
   const HeldLease& lease = this->context.lease.Held();
-  if (!lease.MayOrderAt(BootNow()) || lease.fencing == this->refused_fencing) return;
+  if (!lease.MayOrderAt(BootNow()) || !this->context.scope.MayOrderAt(BootNow()) ||
+      lease.fencing == this->refused_fencing) {
+    return;
+  }
   std::map<std::string, std::vector<LoadableEngine>> by_service;
   for (const auto& [id, engine] : this->context.engine_tracker.All()) {
     const PoolTarget* target = this->context.pool.Find(id);
@@ -243,9 +246,10 @@
   order.accepted_before = *engine->orders_accepted;
   const int64_t before = engine->versions[load.model];
   const OrderOutcome outcome = this->context.engines.SendOrder(
-      task, std::move(*permit), entry, order, [this, fencing = order.fencing] {
+      task, std::move(*permit), entry, order, [this, &entry, fencing = order.fencing] {
         const HeldLease& lease = this->context.lease.Held();
-        return lease.fencing == fencing && lease.MayOrderAt(BootNow());
+        return lease.fencing == fencing && lease.MayOrderAt(BootNow()) &&
+               this->context.scope.MayOrderAt(BootNow()) && this->context.scope.OwnsEngine(entry);
       });
   const TimePoint now = SteadyNow();
   LogInfo(kPart, "attempted to order the load of a weight version",
--- a/testing/platform_fixture.h
+++ b/testing/platform_fixture.h
@@ -105,6 +105,7 @@
             .SetMetricsAddress(any)
             .SetStoreAddress(*ParseEndpoint(store.empty() ? this->store_address : store))
             .SetAddressTtl(milliseconds(100))
+            .SetEnginesPerSlice(this->engines_per_slice)
             .Build();
     this->instances.push_back(
         std::make_unique<FrontInstance>(this->runtime, settings, [this] { ++this->stopped; }));
@@ -197,7 +198,8 @@
   fakes::PlatformEngine app;
   std::vector<std::unique_ptr<fakes::PlatformEngine>> engines;
   std::vector<std::unique_ptr<FrontInstance>> instances;
-  int stopped = 0;  // number of instances that have stopped
+  int engines_per_slice = 0;  // of the instances that are added
+  int stopped = 0;            // number of instances that have stopped
 };
 
 }  // namespace anvilcroft
