Slices: tests with fakes; the line starts behind the holder of slice 0

An instance took slice 1 although it held slice 0, because the line assumed the first in the order of takeover as the holder. Owners of other slices also wait for one lease duration after an instance without slices was last live.

--- a/anvilcroft/fleet/slice_owners.cc
+++ b/anvilcroft/fleet/slice_owners.cc
@@ -38,6 +38,7 @@
 void SliceOwners::Start(BatchContext& context, LeaseKeeper& keeper) {
   if (!this->view.Enabled()) return;
   this->first = &context;
+  this->first_keeper = &keeper;
   context.scope = SliceScope{&this->view, 0};
   keeper.SetGuard([this] { return this->view.Guard(); }, false);
   this->view.SetPeersReady([this] {
@@ -72,6 +73,7 @@
 
 void SliceOwners::Run(Task& task) {
   while (!this->stopping) {
+    this->view.CheckPeers(BootNow());
     for (int slice = 1; slice < this->view.Plan().count; ++slice) {
       if (this->owners.count(slice) == 0 && this->Rank(slice) < kLineLength) this->Add(slice);
     }
@@ -104,8 +106,9 @@
       slice);
   LeaseKeeper& keeper = *entry.keeper;
   keeper.SetGuard([this] { return this->view.Guard(); }, true);
-  keeper.SetInUse(
-      [this, slice] { return slice < this->view.Plan().count && this->view.PeersReady(); });
+  keeper.SetInUse([this, slice] {
+    return slice < this->view.Plan().count && this->view.CheckPeers(BootNow());
+  });
   keeper.SetUnfit(this->unfit);
   keeper.SetPeerQuery(
       [&entry](Task& task, int64_t term) { return entry.peers->FindLaterRecord(task, term); });
@@ -121,11 +124,14 @@
 }
 
 const std::vector<std::string>& SliceOwners::Line(int slice) {
-  const std::pair<int64_t, int64_t> version = {this->directory.LiveVersion(),
-                                               this->view.Generation()};
+  const std::string& holder = this->first_keeper->Holder();
+  const std::tuple<int64_t, int64_t, std::string> version = {this->directory.LiveVersion(),
+                                                             this->view.Generation(), holder};
   if (version != this->lines_version) {
     this->lines.clear();
-    const std::vector<FrontRecord> order = this->directory.TakeoverOrder();
+    std::vector<FrontRecord> order = this->directory.TakeoverOrder();
+    std::stable_partition(order.begin(), order.end(),
+                          [&holder](const FrontRecord& front) { return front.instance == holder; });
     for (int i = 1; i < this->view.Plan().count; ++i) {
       this->lines[i] = SliceLine(order, i, this->view.Plan().count);
     }
--- a/anvilcroft/fleet/slice_owners.h
+++ b/anvilcroft/fleet/slice_owners.h
@@ -8,7 +8,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -81,11 +83,13 @@
   std::function<bool()> unfit;
   SliceView view;
   BatchContext* first = nullptr;  // of slice 0
+  LeaseKeeper* first_keeper = nullptr;
   std::unique_ptr<SlicePlanner> planner;
   std::map<int, Owner> owners;  // by slice; kept while their slices are not in use
   bool stopping = false;
-  std::map<int, std::vector<std::string>> lines;         // by slice
-  std::pair<int64_t, int64_t> lines_version = {-1, -1};  // of the live instances and the plan
+  std::map<int, std::vector<std::string>> lines;  // by slice
+  // Versions of the live instances and of the plan, and holder of slice 0, that `lines` are for.
+  std::tuple<int64_t, int64_t, std::string> lines_version = {-1, -1, ""};
 };
 
 }  // namespace anvilcroft
--- a/anvilcroft/fleet/slice_plan.h
+++ b/anvilcroft/fleet/slice_plan.h
@@ -24,6 +24,7 @@
 
 namespace anvilcroft {
 
+// Above the 27 slices of 2,100 engines; bounds the row of claims on a listing.
 constexpr int kMaxSlices = 32;
 
 // Services that have models in common, and the slices `first` to `first + width - 1`, modulo the
@@ -86,7 +87,8 @@
                      int per_slice);
 
 // The instances in the order in which they take over the lease of `slice`. `order`: all live
-// instances in the order of takeover of slice 0. Slices have different first instances while there
+// instances, first the holder of slice 0 or the instance that is likely to become it, then in the
+// order of takeover of slice 0. Slices have different first instances while there
 // are enough, and different second ones, so that one loss gives no instance two slices; among
 // machines of the same size, neighbouring slices are in different zones.
 std::vector<std::string> SliceLine(const std::vector<FrontRecord>& order, int slice, int count);
--- a/anvilcroft/fleet/slice_planner.cc
+++ b/anvilcroft/fleet/slice_planner.cc
@@ -24,7 +24,7 @@
       continue;
     }
     const SlicePlan& current = this->view.Plan();
-    if (!this->view.PeersReady()) {
+    if (!this->view.CheckPeers(BootNow())) {
       this->timer.Reset();
       // An instance of a build without slices may become the owner of all engines.
       if (current.Sliced()) this->Change(task, SlicePlan());
--- a/anvilcroft/fleet/slice_view.cc
+++ b/anvilcroft/fleet/slice_view.cc
@@ -29,10 +29,19 @@
   return RowBatch::Condition{Row(), this->version};
 }
 
-bool SliceView::MayOrderAt(int slice, BootTime now) const {
+bool SliceView::CheckPeers(BootTime now) {
+  if (this->peers_ready()) return true;
+  this->peer_without_slices_at = now;
+  return false;
+}
+
+bool SliceView::MayOrderAt(int slice, BootTime now) {
   if (this->changing) return false;
   if (this->version != 0 && now < this->seen_at + this->lease_duration) return false;
-  return slice == 0 || (slice < this->plan.count && this->peers_ready());
+  if (slice == 0) return true;
+  return slice < this->plan.count && this->CheckPeers(now) &&
+         (!this->peer_without_slices_at ||
+          now >= *this->peer_without_slices_at + this->lease_duration);
 }
 
 }  // namespace anvilcroft
--- a/anvilcroft/fleet/slice_view.h
+++ b/anvilcroft/fleet/slice_view.h
@@ -42,7 +42,8 @@
   int64_t Generation() const { return this->version; }
   // When this instance first saw the present row.
   BootTime SeenAt() const { return this->seen_at; }
-  bool PeersReady() const { return this->peers_ready(); }
+  // Whether all live instances know slices at `now`. Call at intervals below the lease duration.
+  bool CheckPeers(BootTime now);
 
   // The condition that the plan has not changed, for transactions on the lease of a slice.
   // nullopt: this instance does not take part in slices.
@@ -55,7 +56,7 @@
   // Whether the owner of `slice` may order engines at `now`, apart from its lease: all leases of
   // earlier plans have expired, and no instance of a build without slices may be the owner of all
   // engines.
-  bool MayOrderAt(int slice, BootTime now) const;
+  bool MayOrderAt(int slice, BootTime now);
 
  private:
   bool enabled;
@@ -65,11 +66,14 @@
   int64_t version = 0;
   BootTime seen_at = BootTime::zero();
   bool changing = false;
+  // When an instance without slices was last live. It may order all engines for as long as its
+  // lease, also after it has vanished from the list.
+  std::optional<BootTime> peer_without_slices_at;
 };
 
 // The part of items and engines that one owner has.
 struct SliceScope {
-  const SliceView* view = nullptr;  // null: all of them
+  SliceView* view = nullptr;  // null: all of them
   int slice = 0;
 
   bool Sliced() const { return this->view != nullptr && this->view->Plan().Sliced(); }
--- a/testing/slice_plan_test.cc
+++ b/testing/slice_plan_test.cc
@@ -41,7 +41,8 @@
   }
   CHECK(SliceCount(2, 64, kPerSlice) == 1);
   CHECK(SliceCount(2, 201, kPerSlice) == 3);
-  CHECK(SliceCount(13, 960, kPerSlice) == 12);
+  CHECK(SliceCount(13, 769, kPerSlice) == 13);
+  CHECK(SliceCount(13, 768, kPerSlice) == 10);
   CHECK(SliceCount(13, 0, kPerSlice) == 1);
   // After a change the same number of engines causes no further one.
   for (int engines = 0; engines <= 3000; ++engines) {
@@ -194,6 +195,7 @@
   view.SetPeersReady([&ready] { return ready; });
   CHECK(view.MayOrderAt(0, start));
   CHECK_FALSE(view.MayOrderAt(1, start));
+  CHECK(view.CheckPeers(start));
   CHECK(view.Guard()->second == 0);
   REQUIRE(view.Apply({SliceView::Row(), EncodePlan(two), 7, false}, start));
   CHECK(view.Guard()->second == 7);
@@ -210,12 +212,15 @@
   view.SetChanging(true);
   CHECK_FALSE(view.MayOrderAt(0, start + seconds(9)));
   view.SetChanging(false);
-  // An instance without slices would order all engines.
+  // An instance without slices would order all engines, until its lease has expired.
   ready = false;
   CHECK_FALSE(view.MayOrderAt(1, start + seconds(9)));
   CHECK(view.MayOrderAt(0, start + seconds(9)));
+  ready = true;
+  CHECK_FALSE(view.MayOrderAt(1, start + milliseconds(11999)));
+  CHECK(view.MayOrderAt(1, start + seconds(12)));
   // A malformed plan means one slice.
-  REQUIRE(view.Apply({SliceView::Row(), "nonsense", 9, false}, start + seconds(10)));
+  REQUIRE(view.Apply({SliceView::Row(), "nonsense", 9, false}, start + seconds(13)));
   CHECK_FALSE(view.Plan().Sliced());
 
   SliceView disabled(false, seconds(3));
