Slices: repeat a change of the plan that fails; documentation

A renewal of the lease at the same time made a change of the plan fail, and the next attempt came 10 s later. It is due until it succeeds.

--- a/anvilcroft/fleet/slice_planner.cc
+++ b/anvilcroft/fleet/slice_planner.cc
@@ -31,7 +31,11 @@
       continue;
     }
     const SlicePlan wanted = PlanSlices(current, this->sizes(), this->per_slice);
-    if (this->timer.ShouldChange(current, wanted, SteadyNow())) this->Change(task, wanted);
+    if (!this->timer.ShouldChange(current, wanted, SteadyNow())) continue;
+    const int64_t before = this->view.Generation();
+    this->Change(task, wanted);
+    // A renewal of the lease at the same time makes the change fail; it is repeated then.
+    if (this->view.Generation() != before) this->timer.RecordChange(SteadyNow());
   }
 }
 
--- a/anvilcroft/fleet/slice_timer.cc
+++ b/anvilcroft/fleet/slice_timer.cc
@@ -31,13 +31,13 @@
     this->grows_since = now;
   }
   if (this->changed_at && now - *this->changed_at < kMinInterval) return false;
-  const bool due = (this->grows_since && now - *this->grows_since >= kGrowAfter) ||
-                   now - *this->differs_since >= kShrinkAfter;
-  if (!due) return false;
+  return (this->grows_since && now - *this->grows_since >= kGrowAfter) ||
+         now - *this->differs_since >= kShrinkAfter;
+}
+
+void SliceTimer::RecordChange(TimePoint now) {
+  this->Reset();
   this->changed_at = now;
-  this->differs_since.reset();
-  this->grows_since.reset();
-  return true;
 }
 
 }  // namespace anvilcroft
--- a/anvilcroft/fleet/slice_timer.h
+++ b/anvilcroft/fleet/slice_timer.h
@@ -22,9 +22,13 @@
   static constexpr Duration kMinInterval = seconds(10);  // between two changes
 
   // Returns whether to change from `current` to `wanted` at `now`. Call at regular intervals; a
-  // wanted change counts from the first call in a row that wants one of its kind.
+  // wanted change counts from the first call in a row that wants one of its kind, and stays due
+  // until RecordChange is called.
   bool ShouldChange(const SlicePlan& current, const SlicePlan& wanted, TimePoint now);
 
+  // Records that the plan was changed at `now`.
+  void RecordChange(TimePoint now);
+
   // Forgets what was wanted, for example when the lease is lost.
   void Reset() { *this = SliceTimer(); }
 
--- a/testing/slice_plan_test.cc
+++ b/testing/slice_plan_test.cc
@@ -133,6 +133,8 @@
   CHECK_FALSE(growing.ShouldChange(one, two, start));
   CHECK_FALSE(growing.ShouldChange(one, two, start + milliseconds(2900)));
   CHECK(growing.ShouldChange(one, two, start + seconds(3)));
+  CHECK(growing.ShouldChange(one, two, start + milliseconds(3250)));  // the first attempt failed
+  growing.RecordChange(start + milliseconds(3250));
   // The next change keeps its distance.
   CHECK_FALSE(growing.ShouldChange(two, one, start + seconds(4)));
   CHECK_FALSE(growing.ShouldChange(two, one, start + seconds(33)));
