Lease: take a later own term for an unanswered acquisition only

A process that was suspended and replaced under the same instance name would have gone on with the lease of its successor. Test of the loss of two owners.

--- a/anvilcroft/lease_keeper.cc
+++ b/anvilcroft/lease_keeper.cc
@@ -191,9 +191,11 @@
 }
 
 bool LeaseKeeper::KeepAfterConflict(const CommitResult& failed) {
-  // A repeated acquisition of the own lease may have been applied without an answer.
   auto own = FindOwnRow(failed, this->settings.self, this->view.record.term);
-  if (!own) own = FindOwnRow(failed, this->settings.self, this->view.record.term + 1);
+  // Any other later term of this instance is that of another process.
+  if (!own && this->unanswered_term == this->view.record.term + 1) {
+    own = FindOwnRow(failed, this->settings.self, this->unanswered_term);
+  }
   if (!own) {
     this->view.read = false;
     this->MarkLost("another instance holds the lease");
@@ -214,6 +216,7 @@
   const auto written = this->Write(task, record, SteadyNow() + kCallTimeout, guarded);
   if (this->released) return;
   if (!written) {
+    this->unanswered_term = record.term;
     this->HandleFailedRenewal(task);
     return;
   }
--- a/anvilcroft/lease_keeper.h
+++ b/anvilcroft/lease_keeper.h
@@ -147,6 +147,7 @@
   std::function<bool()> unfit = [] { return false; };
   Guard guard = [] { return std::nullopt; };
   bool guard_renewals = false;
+  int64_t unanswered_term = 0;  // of the last acquisition of the own lease without an answer
   std::optional<RowBatch::Condition> held_guard;  // under which the held lease was acquired
   std::function<bool()> in_use = [] { return true; };
   LeaseView view;
--- a/testing/platform_slices_test.cc
+++ b/testing/platform_slices_test.cc
@@ -201,6 +201,36 @@
   });
 }
 
+// Guards against a slice without an owner after the owners of two slices were lost at once.
+TEST_CASE("the last instance takes both slices when both owners are cut off", "[slices]") {
+  SliceFixture fixture(2);
+  for (const auto& engine : fixture.engines) engine->event_time = milliseconds(100);
+  for (const char* id : {"one", "two", "three"}) fixture.AddLinkedInstance(id);
+  fixture.Run([&](Task& task) {
+    fixture.AwaitAllReady(task);
+    fixture.AwaitTwoOwners(task);
+    fixture.Submit(task, "job1", "x", 12);
+    SleepUntil(task, SteadyNow() + milliseconds(700));
+    FrontInstance* last = nullptr;
+    const FrontInstance* const first = fixture.FirstOwner();
+    const FrontInstance* const second = fixture.SecondOwner();
+    for (std::size_t i = 0; i < fixture.instances.size(); ++i) {
+      FrontInstance* const instance = fixture.instances[i].get();
+      if (instance == first || instance == second) {
+        fixture.links[i]->SetMode(fakes::FakeLink::Mode::kCut);
+      } else {
+        last = instance;
+      }
+    }
+    REQUIRE(last != nullptr);
+    fixture.Await(task, "one instance holds both slices", [&] {
+      return last->OwnsBatchJobs() && last->HeldSlices() == std::vector<int>{1};
+    });
+    for (const auto& link : fixture.links) link->SetMode(fakes::FakeLink::Mode::kUp);
+    fixture.CheckResults(task, "job1", 24, 6);
+  });
+}
+
 // Guards against items that are lost or listed twice when the number of slices grows and shrinks
 // under a job, while the store answers slowly.
 TEST_CASE("a job begun under one slice ends under two, and the other way round", "[slices]") {
