--- a/anvilcroft/front_settings.h
+++ b/anvilcroft/front_settings.h
@@ -85,16 +85,18 @@
   const ProcessLimits& Limits() const { return this->limits; }
   // nullopt: the platform has no API for singleton duties.
   const std::optional<CloudSettings>& Cloud() const { return this->cloud; }
+  // Number of engines for which an owner of a slice is wanted; 0: one owner for all engines.
+  int EnginesPerSlice() const { return this->engines_per_slice; }
 
   friend bool operator==(const FrontSettings& a, const FrontSettings& b) {
     return std::tie(a.instance_id, a.zone, a.region, a.front_address, a.directory_address,
                     a.ready_address, a.metrics_address, a.store_address, a.store_writes_per_s,
                     a.store_reads_per_s, a.cpu_share, a.log_level, a.grace_period, a.address_ttl,
-                    a.owner_lease, a.cancel_bound, a.limits, a.cloud) ==
+                    a.owner_lease, a.cancel_bound, a.limits, a.cloud, a.engines_per_slice) ==
            std::tie(b.instance_id, b.zone, b.region, b.front_address, b.directory_address,
                     b.ready_address, b.metrics_address, b.store_address, b.store_writes_per_s,
                     b.store_reads_per_s, b.cpu_share, b.log_level, b.grace_period, b.address_ttl,
-                    b.owner_lease, b.cancel_bound, b.limits, b.cloud);
+                    b.owner_lease, b.cancel_bound, b.limits, b.cloud, b.engines_per_slice);
   }
   friend bool operator!=(const FrontSettings& a, const FrontSettings& b) { return !(a == b); }
 
@@ -117,6 +119,7 @@
   Duration cancel_bound = seconds(3);
   ProcessLimits limits;
   std::optional<CloudSettings> cloud;
+  int engines_per_slice = 0;
 };
 
 class FrontSettings::Builder {
@@ -139,6 +142,7 @@
   Builder& SetCancelBound(Duration value);
   Builder& SetLimits(ProcessLimits value);
   Builder& SetCloud(std::optional<CloudSettings> value);
+  Builder& SetEnginesPerSlice(int value);
   FrontSettings Build() const { return this->settings; }
 
  private:
--- a/anvilcroft/result_lister.cc
+++ b/anvilcroft/result_lister.cc
@@ -21,6 +21,26 @@
   this->context.runtime.Spawn([this, job](Task& task) { this->Run(task, job); });
 }
 
+Result<ResultListing> ResultLister::Claim(Task& task, const std::string& job, int64_t generation,
+                                          ResultListing listing) {
+  const SliceScope& scope = this->context.scope;
+  if (!scope.Sliced() && listing.claims.Empty()) return listing;
+  const int64_t fencing = this->context.lease.Held().fencing;
+  if (fencing == 0 || generation != scope.Generation() || listing.claims.generation > generation) {
+    return Fail(ErrorCode::kConflict, "the slice is not owned by this instance", job);
+  }
+  if (listing.claims.generation != generation ||
+      listing.claims.Of(scope.slice).fencing != fencing) {
+    const auto claimed = this->context.store.Claim(
+        task, job, listing, listing.claims.With(generation, scope.slice, fencing),
+        SteadyNow() + kCallTimeout);
+    if (!claimed) return claimed;
+    listing = *claimed;
+  }
+  listing.own_slice = scope.slice;
+  return listing;
+}
+
 void ResultLister::Run(Task& task, const std::shared_ptr<OwnedJob>& job) {
   const auto owned = [&] { return !job->ended && this->context.lease.Held().fencing != 0; };
   while (owned()) {
@@ -28,6 +48,12 @@
       job->unlisted_results_changed.WaitUntil(task, SteadyNow() + kIdleCheck);
       continue;
     }
+    // Owners of other slices have added results since the last append. Reading the row first saves
+    // an append of up to 1 MB that would fail.
+    if (this->context.scope.Sliced() && job->listing.own_slice >= 0) {
+      if (!this->Reload(task, *job)) SleepUntil(task, SteadyNow() + kRetryPause);
+      if (!owned() || job->unlisted_results.empty()) continue;
+    }
     const std::size_t max_results = std::min(job->unlisted_results.size(), kMaxResults);
     const std::vector<ItemResult> results(
         job->unlisted_results.begin(),
@@ -45,6 +71,10 @@
       job->listing = *listed;
       job->unlisted_results.erase(job->unlisted_results.begin(),
                                   job->unlisted_results.begin() + count);
+      if (this->context.scope.Sliced()) {
+        SleepUntil(task, SteadyNow() + AppendInterval(this->context.scope.Count(),
+                                                      this->context.jobs.size()));
+      }
       continue;
     }
     if (listed.error().code == ErrorCode::kConflict) {
@@ -61,8 +91,18 @@
 
 bool ResultLister::Reload(Task& task, OwnedJob& job) {
   const TimePoint deadline = SteadyNow() + kCallTimeout;
-  const auto listing = this->context.store.ReadListing(task, job.head.id, deadline);
+  auto listing = this->context.store.ReadListing(task, job.head.id, deadline);
   if (!listing) return false;
+  const int slice = job.listing.own_slice;
+  if (slice >= 0 && listing->claims.generation == job.listing.claims.generation &&
+      listing->claims.Of(slice) == job.listing.claims.Of(slice)) {
+    // Only owners of other slices have listed results meanwhile.
+    listing->own_slice = slice;
+    job.listing = *listing;
+    return true;
+  }
+  listing = this->Claim(task, job.head.id, job.generation, *listing);
+  if (!listing || job.ended) return false;
   std::set<std::string> listed;
   for (int64_t position = job.listing.count; position < listing->count;) {
     const auto results = this->context.store.ReadResults(task, job.head.id, position,
