--- a/anvilcroft/front_instance.cc
+++ b/anvilcroft/front_instance.cc
@@ -13,15 +13,16 @@
 #include "anvilcroft/front_directory.h"
 #include "anvilcroft/hash.h"
 #include "anvilcroft/http_server.h"
+#include "anvilcroft/internal_api.h"
 #include "anvilcroft/lease_peers.h"
 #include "anvilcroft/limits/front_limits.h"
 #include "anvilcroft/live_service.h"
 #include "anvilcroft/live_streamer.h"
 #include "anvilcroft/log.h"
 #include "anvilcroft/platform_view.h"
-#include "anvilcroft/process_stats.h"
 #include "anvilcroft/request_limiter.h"
 #include "anvilcroft/scaling/engine_scaler.h"
+#include "anvilcroft/store_calls.h"
 #include "anvilcroft/target_paths.h"
 #include "anvilcroft/usage/usage_duty.h"
 #include "platform/ingress.h"
@@ -64,7 +65,8 @@
         limits(settings.Limits(), this->metrics),
         store(this->runtime, settings.StoreAddress(),
               [this](const char* call, const char* outcome, Duration took) {
-                this->CountStoreCall(call, outcome, took);
+                this->store_calls.Record(call, outcome, took,
+                                         this->store.LastFailure() < this->store.LastAnswer());
               }),
         engines(this->runtime, this->MakeAnswerHooks(), this->MakePathHooks()),
         paths(this->runtime, this->directory, this->pool, this->metrics,
@@ -123,6 +125,9 @@
             StableHash(settings.InstanceId()) + 3),
         usage(UsageDuty::Create(this->runtime, this->store, this->directory, this->metrics,
                                 settings, [this] { return this->lease_keeper.Held(); })),
+        internal_api({this->relay, *this->limiter, this->lease_keeper, this->slices,
+                      this->batch_owner, this->config_peers, this->metrics,
+                      [this] { return this->stopping; }}),
         ingress(this->MakeHooks()) {
     if (settings.Cloud() && settings.Cloud()->order_engines) {
       this->scaler =
@@ -254,18 +259,6 @@
     return lease_settings;
   }
 
-  void CountStoreCall(const char* call, const char* outcome, Duration took) {
-    this->metrics.Increment("anvilcroft_store_calls_total", {{"call", call}, {"outcome", outcome}});
-    this->metrics.Observe("anvilcroft_store_call_seconds", {{"call", call}},
-                          std::chrono::duration<double>(took).count());
-    const bool reachable = this->store.LastFailure() < this->store.LastAnswer();
-    if (reachable == this->store_reachable) return;
-    this->store_reachable = reachable;
-    LogInfo("store",
-            reachable ? "the metadata store answers again" : "a call to the metadata store failed",
-            {{"call", call}, {"outcome", outcome}, {"ms", std::to_string(ToMillis(took))}});
-  }
-
   void OnPlatformChange() {
     if (const auto routes = this->view.Routes()) {
       const CallerLimits& limits = routes->Limits();
@@ -371,20 +364,6 @@
     return *route;
   }
 
-  // Handles another instance's offer of the lease on the batch jobs.
-  void HandleLeaseOffer(Task& task, const HttpRequest& request, HttpReply& reply) {
-    auto handover = DecodeHandover(request.Body());
-    if (!handover) {
-      reply.Send(task, ErrorResponse(handover.error()));
-      return;
-    }
-    this->batch_owner.AddHandedTexts(std::move(handover->texts), SteadyNow());
-    const HandoverAnswer answer = this->stopping
-                                      ? HandoverAnswer::kDeclined
-                                      : this->lease_keeper.Accept(task, handover->record);
-    reply.Send(task, JsonResponse(HandoverStatus(answer), "{}"));
-  }
-
   bool StartServers() {
     this->engines.SetBudget(this->limits.Budget());
     const auto start = [this](Listener listener, const Endpoint& address, std::string& bound,
@@ -420,41 +399,11 @@
                                [this](Task& task, const HttpRequest& request, HttpReply& reply) {
                                  this->ingress.HandleReady(task, request, reply);
                                });
-    this->metrics_server = start(
-        Listener::kInternal, this->settings.MetricsAddress(), this->metrics_address,
-        [this](Task& task, const HttpRequest& request, HttpReply& reply) {
-          if (TargetRelay::IsRelayed(request)) {
-            this->relay.Handle(task, request, reply);
-            return;
-          }
-          if (request.Path() == LeasePeers::kOfferPath) {
-            this->HandleLeaseOffer(task, request, reply);
-            return;
-          }
-          if (const auto answer = this->slices.HandlePeer(task, request, this->stopping)) {
-            reply.Send(task, *answer);
-            return;
-          }
-          if (request.Path() == RequestLimiter::kPath) {
-            const auto answer = this->limiter->HandleRequest(request.Body(), SteadyNow());
-            reply.Send(task,
-                       answer ? HttpResponse::Builder().SetBody(EncodePermitAnswer(*answer)).Build()
-                              : ErrorResponse(answer.error()));
-            return;
-          }
-          if (request.Path() == ConfigPeers::kPath) {
-            reply.Send(task, this->config_peers.Answer(request));
-            return;
-          }
-          if (request.Path() == LeasePeers::kPath) {
-            reply.Send(task, JsonResponse(200, EncodeOwner(this->lease_keeper.LastRecord())));
-            return;
-          }
-          reply.Send(task, HttpResponse::Builder()
-                               .SetHeader("Content-Type", "text/plain; version=0.0.4")
-                               .SetBody(this->metrics.Render() + ReadProcessStats().Render())
-                               .Build());
-        });
+    this->metrics_server =
+        start(Listener::kInternal, this->settings.MetricsAddress(), this->metrics_address,
+              [this](Task& task, const HttpRequest& request, HttpReply& reply) {
+                this->internal_api.Handle(task, request, reply);
+              });
     return this->caller_server && this->directory_server && this->ready_server &&
            this->metrics_server;
   }
@@ -496,9 +445,9 @@
   FrontSettings settings;
   std::function<void()> on_stopped;
   Metrics metrics;
+  StoreCalls store_calls{this->metrics};
   FrontLimits limits;
   platform::StoreClient store;
-  bool store_reachable = true;
   platform::EngineClient engines;
   TargetPool pool;
   TargetPaths paths;
@@ -521,6 +470,7 @@
   ConfigPeers config_peers;
   std::unique_ptr<UsageDuty> usage;      // null: use is not reported
   std::unique_ptr<EngineScaler> scaler;  // null: this platform takes no orders for engines
+  InternalApi internal_api;
   platform::Ingress ingress;
   std::unique_ptr<HttpServer> caller_server;
   std::unique_ptr<HttpServer> directory_server;
