--- a/anvilcroft/limits/shared_body.h
+++ b/anvilcroft/limits/shared_body.h
@@ -27,8 +27,8 @@
   }
 
   const std::string& Text() const {
-    static const std::string kEmpty;
-    return this->storage ? this->storage->text : kEmpty;
+    static const std::string empty_text;
+    return this->storage ? this->storage->text : empty_text;
   }
   operator const std::string&() const {  // NOLINT(google-explicit-constructor)
     return this->Text();
