--- a/anvilcroft/front_instance.cc
+++ b/anvilcroft/front_instance.cc
@@ -13,6 +13,7 @@
 #include "anvilcroft/front_directory.h"
 #include "anvilcroft/hash.h"
 #include "anvilcroft/http_server.h"
+#include "anvilcroft/instance_records.h"
 #include "anvilcroft/internal_api.h"
 #include "anvilcroft/lease_peers.h"
 #include "anvilcroft/limits/front_limits.h"
@@ -239,26 +240,6 @@
             {}};
   }
 
-  static FrontRecord SelfRecord(const FrontSettings& settings) {
-    FrontRecord record;
-    record.instance = settings.InstanceId();
-    record.zone = settings.Zone();
-    record.region = settings.Region();
-    record.address = settings.FrontAddress().ToString();
-    record.cpu_share = settings.CpuShare();
-    record.relays = true;
-    record.slices = settings.EnginesPerSlice() > 0;
-    return record;
-  }
-
-  static LeaseSettings OwnerLeaseSettings(const FrontSettings& settings) {
-    LeaseSettings lease_settings;
-    lease_settings.key = "batch-owner";
-    lease_settings.self = settings.InstanceId();
-    lease_settings.lease_duration = settings.OwnerLease();
-    return lease_settings;
-  }
-
   void OnPlatformChange() {
     if (const auto routes = this->view.Routes()) {
       const CallerLimits& limits = routes->Limits();
