--- a/anvilcroft/batch_owner.h
+++ b/anvilcroft/batch_owner.h
@@ -15,6 +15,7 @@
 #include "anvilcroft/item_runner.h"
 #include "anvilcroft/owner_handover.h"
 #include "anvilcroft/result_lister.h"
+#include "anvilcroft/sharing/step_tracker.h"
 #include "anvilcroft/weight_control.h"
 
 namespace anvilcroft {
@@ -48,6 +49,8 @@
   // Reads the items, the listing and the saved texts of a job and starts to run it.
   void LoadJob(Task& task, const BatchHead& head);
   void EndJob(const std::string& id);
+  // Drops all jobs after a change of the slice plan and saves their texts for the new owners.
+  void ChangeSlice(Task& task);
   // Drops all jobs and cancels their runs after the lease has been lost.
   void DropAllJobs();
 
@@ -61,6 +64,9 @@
   // Gives up waiting items that are too old or have failed too often.
   void ExpireItems();
   void PlaceWaitingItems(TimePoint now);
+  // The jobs whose steps are deferred because the engines cannot finish all open steps in time.
+  // Only steps of services whose number of engines the platform changes count.
+  std::set<std::string> DeferredJobs(const std::vector<PlacementEngine>& engines, TimePoint now);
   // Drops the text of an item that starts anew on `engine`.
   static void DropText(OwnedJob& job, std::size_t index, const std::string& engine);
   void MoveStragglers(TimePoint now);
@@ -71,11 +77,14 @@
   ItemRunner runner;
   ResultLister lister;
   WeightControl weights;
+  StepTracker steps;
+  std::set<std::string> deferred_jobs;  // by the last plan
   CarriedTexts carried_texts;
   JobTexts handed_texts;
   TimePoint handed_texts_at;
   bool following = false;  // `context.jobs` is complete and follows the changes in the store
   bool handing_over = false;
+  int64_t generation = 0;                     // of the slice plan by which the jobs were loaded
   std::set<std::string> loading_jobs;         // jobs whose items are being read
   std::set<std::string> ended_while_loading;  // jobs that ended while their items were being read
 };
--- a/anvilcroft/front_instance.cc
+++ b/anvilcroft/front_instance.cc
@@ -7,17 +7,25 @@
 #include "anvilcroft/batch_owner.h"
 #include "anvilcroft/batch_service.h"
 #include "anvilcroft/crash_limiter.h"
+#include "anvilcroft/customers/config_peers.h"
+#include "anvilcroft/customers/refused_keys.h"
+#include "anvilcroft/fleet/slice_owners.h"
 #include "anvilcroft/front_directory.h"
 #include "anvilcroft/hash.h"
 #include "anvilcroft/http_server.h"
+#include "anvilcroft/instance_records.h"
+#include "anvilcroft/internal_api.h"
 #include "anvilcroft/lease_peers.h"
+#include "anvilcroft/limits/front_limits.h"
 #include "anvilcroft/live_service.h"
 #include "anvilcroft/live_streamer.h"
 #include "anvilcroft/log.h"
 #include "anvilcroft/platform_view.h"
-#include "anvilcroft/process_stats.h"
 #include "anvilcroft/request_limiter.h"
+#include "anvilcroft/scaling/engine_scaler.h"
+#include "anvilcroft/store_calls.h"
 #include "anvilcroft/target_paths.h"
+#include "anvilcroft/usage/usage_duty.h"
 #include "platform/ingress.h"
 #include "platform/store_client.h"
 
@@ -32,11 +40,14 @@
 constexpr Duration kHandoverTimeout = milliseconds(700);
 // Part of the grace period that is reserved for the last responses and the exit.
 constexpr Duration kExitMargin = milliseconds(700);
+// Part of kExitMargin in which the last counts of usage are written.
+constexpr Duration kLastCountsTime = milliseconds(450);
 // Idle connections of callers are closed this much later than callers stop using them.
 constexpr Duration kIdleMargin = seconds(2);
 // Number of instances that an owner without access to the store asks for a later lease record:
 // those that may acquire the lease, and one more.
 constexpr std::size_t kMaxLeasePeers = 4;
+constexpr std::size_t kAllInstances = SIZE_MAX;
 // Retry-After of refused requests.
 constexpr Duration kRetryAfter = milliseconds(100);       // another target or instance may serve it
 constexpr Duration kStoreRetryAfter = milliseconds(300);  // outages of the store last seconds
@@ -52,9 +63,11 @@
       : runtime(runtime),
         settings(settings),
         on_stopped(std::move(on_stopped)),
+        limits(settings.Limits(), this->metrics),
         store(this->runtime, settings.StoreAddress(),
               [this](const char* call, const char* outcome, Duration took) {
-                this->CountStoreCall(call, outcome, took);
+                this->store_calls.Record(call, outcome, took,
+                                         this->store.LastFailure() < this->store.LastAnswer());
               }),
         engines(this->runtime, this->MakeAnswerHooks(), this->MakePathHooks()),
         paths(this->runtime, this->directory, this->pool, this->metrics,
@@ -65,8 +78,11 @@
                      const CallOptions& options) {
                 return this->engines.OpenForPeer(task, target, message, options);
               }),
-        view(this->runtime, this->store, this->pool, [this] { this->OnPlatformChange(); }),
-        directory(this->runtime, this->store, SelfRecord(settings), settings.StoreWritesPerS()),
+        view(
+            this->runtime, this->store, this->pool, [this] { this->OnPlatformChange(); },
+            [this] { return this->directory.FeedPause(); }),
+        directory(this->runtime, this->store, SelfRecord(settings), settings.StoreWritesPerS(),
+                  settings.StoreReadsPerS()),
         limiter(RequestLimiter::Builder(this->runtime, this->metrics)
                     .SetStore(this->store)
                     .SetDirectory(this->directory)
@@ -95,27 +111,30 @@
             [this] { this->context.plan_inputs_changed.NotifyAll(); }),
         lease_peers(this->runtime,
                     [this] { return this->directory.TakeoverCandidates(kMaxLeasePeers); }),
-        context{this->runtime,
-                this->store,
-                this->batch_store,
-                this->engines,
-                *this->limiter,
-                this->forwarder,
-                this->pool,
-                this->lease_keeper,
-                this->metrics,
-                [this] { return this->view.Routes(); },
-                [this]() -> const std::map<std::string, int64_t>& {
-                  return this->view.RequestedVersions();
-                },
-                settings.InstanceId(),
-                settings.CancelBound() - kCancelMargin,
-                {},
-                {},
-                BootTime::zero(),
-                {}},
+        context(this->MakeContext(this->lease_keeper)),
+        slices(
+            this->runtime, this->store, this->directory, OwnerLeaseSettings(settings),
+            settings.EnginesPerSlice(),
+            [this](LeaseKeeper& keeper) {
+              return std::unique_ptr<BatchContext>(new BatchContext(this->MakeContext(keeper)));
+            },
+            [this] { return this->paths.CutOff(); }),
         batch_owner(this->context),
-        ingress(this->MakeHooks()) {}
+        config_peers(
+            this->runtime, this->view, this->metrics,
+            [this] { return this->directory.TakeoverCandidates(kAllInstances); },
+            StableHash(settings.InstanceId()) + 3),
+        usage(UsageDuty::Create(this->runtime, this->store, this->directory, this->metrics,
+                                settings, [this] { return this->lease_keeper.Held(); })),
+        internal_api({this->relay, *this->limiter, this->lease_keeper, this->slices,
+                      this->batch_owner, this->config_peers, this->metrics,
+                      [this] { return this->stopping; }}),
+        ingress(this->MakeHooks()) {
+    if (settings.Cloud() && settings.Cloud()->order_engines) {
+      this->scaler =
+          std::make_unique<EngineScaler>(this->context, *settings.Cloud(), settings.OwnerLease());
+    }
+  }
 
   bool Start() {
     LogInfo(kPart, "starting",
@@ -125,6 +144,7 @@
              {"store", this->settings.StoreAddress().ToString()},
              {"version", ANVILCROFT_VERSION}});
     if (!this->StartServers()) return false;
+    this->limits.Start(this->runtime);
     this->metrics.RegisterCounter("anvilcroft_log_lines_left_out_total", {},
                                   [] { return static_cast<double>(DroppedLogLines()); });
     this->metrics.RegisterGauge("anvilcroft_config_version", {}, [this] {
@@ -154,14 +174,21 @@
     this->lease_keeper.SetEndedQuery([this](Task& task, const std::string& holder) {
       return LeasePeers::HasEnded(task, this->directory.InternalAddress(holder));
     });
+    this->slices.Start(this->context, this->lease_keeper);
     this->limiter->Start();
     this->crashes.Start();
     this->paths.Start();
     this->origins.Start();
     this->view.Start();
+    this->config_peers.Start();
     this->directory.Start();
     this->lease_keeper.Start();
     this->batch_owner.Start();
+    if (this->usage) {
+      this->live.SetUsageRecorder(this->usage->Recorder());
+      this->usage->Start();
+    }
+    if (this->scaler) this->scaler->Start();
     return true;
   }
 
@@ -170,6 +197,9 @@
     LogInfo(kPart, "applied changed settings",
             {{"cause", cause}, {"store", changed.StoreAddress().ToString()}});
     this->store.SetAddress(changed.StoreAddress());
+    if (this->usage) this->usage->ApplySettings(changed);
+    if (this->scaler && changed.Cloud()) this->scaler->ApplySettings(*changed.Cloud());
+    this->limits.Apply(changed.Limits());
     this->settings = changed;
   }
 
@@ -184,37 +214,30 @@
 
   bool OwnsBatchJobs() const { return this->lease_keeper.Held().ValidAt(BootNow()); }
   bool HoldsLease() const { return this->lease_keeper.Held().fencing != 0; }
+  std::vector<int> HeldSlices() const { return this->slices.Held(); }
 
  private:
-  static FrontRecord SelfRecord(const FrontSettings& settings) {
-    FrontRecord record;
-    record.instance = settings.InstanceId();
-    record.zone = settings.Zone();
-    record.region = settings.Region();
-    record.address = settings.FrontAddress().ToString();
-    record.cpu_share = settings.CpuShare();
-    record.relays = true;
-    return record;
-  }
-
-  static LeaseSettings OwnerLeaseSettings(const FrontSettings& settings) {
-    LeaseSettings lease_settings;
-    lease_settings.key = "batch-owner";
-    lease_settings.self = settings.InstanceId();
-    lease_settings.lease_duration = settings.OwnerLease();
-    return lease_settings;
-  }
-
-  void CountStoreCall(const char* call, const char* outcome, Duration took) {
-    this->metrics.Increment("anvilcroft_store_calls_total", {{"call", call}, {"outcome", outcome}});
-    this->metrics.Observe("anvilcroft_store_call_seconds", {{"call", call}},
-                          std::chrono::duration<double>(took).count());
-    const bool reachable = this->store.LastFailure() < this->store.LastAnswer();
-    if (reachable == this->store_reachable) return;
-    this->store_reachable = reachable;
-    LogInfo("store",
-            reachable ? "the metadata store answers again" : "a call to the metadata store failed",
-            {{"call", call}, {"outcome", outcome}, {"ms", std::to_string(ToMillis(took))}});
+  BatchContext MakeContext(LeaseKeeper& keeper) {
+    return {this->runtime,
+            this->store,
+            this->batch_store,
+            this->engines,
+            *this->limiter,
+            this->forwarder,
+            this->pool,
+            keeper,
+            this->metrics,
+            [this] { return this->view.Routes(); },
+            [this]() -> const std::map<std::string, int64_t>& {
+              return this->view.RequestedVersions();
+            },
+            this->settings.InstanceId(),
+            this->settings.CancelBound() - kCancelMargin,
+            {},
+            {},
+            BootTime::zero(),
+            {},
+            {}};
   }
 
   void OnPlatformChange() {
@@ -225,6 +248,7 @@
                                      limits.idle_timeout + kIdleMargin);
     }
     this->context.plan_inputs_changed.NotifyAll();
+    this->slices.NotifyOwners();
   }
 
   // The directory also brings the request limits of targets.
@@ -282,17 +306,24 @@
     hooks.stream = [this](Task& task, LiveRequest request, HttpReply& reply) {
       return this->live.Stream(task, std::move(request), reply);
     };
+    hooks.reserve = [this](std::size_t bytes) { return this->limits.Reserve(bytes); };
     hooks.submit = [this](Task& task, BatchJob job, TimePoint deadline) {
       return this->batch_service.Submit(task, std::move(job), deadline);
     };
-    hooks.results = [this](Task& task, const std::string& job, int64_t from, Duration wait) {
-      return this->batch_service.Results(task, job, from, wait);
+    hooks.configuration = [this] { return this->view.Routes(); };
+    hooks.on_refused_key = [this](const CallerIdentity& caller, const std::string& request) {
+      RecordRefusedKey(this->metrics, caller, request);
+    };
+    hooks.results = [this](Task& task, const CallerIdentity& caller, const std::string& job,
+                           int64_t from, Duration wait) {
+      return this->batch_service.Results(task, caller, job, from, wait);
     };
-    hooks.item_body = [this](Task& task, const std::string& job, const std::string& item) {
-      return this->batch_service.ItemBody(task, job, item);
+    hooks.item_body = [this](Task& task, const CallerIdentity& caller, const std::string& job,
+                             const std::string& item) {
+      return this->batch_service.ItemBody(task, caller, job, item);
     };
-    hooks.end = [this](Task& task, const std::string& job) {
-      return this->batch_service.End(task, job);
+    hooks.end = [this](Task& task, const CallerIdentity& caller, const std::string& job) {
+      return this->batch_service.End(task, caller, job);
     };
     hooks.ready = [this] { return this->Ready(); };
     hooks.addresses = [this](const std::string& zone) {
@@ -314,27 +345,17 @@
     return *route;
   }
 
-  // Handles another instance's offer of the lease on the batch jobs.
-  void HandleLeaseOffer(Task& task, const HttpRequest& request, HttpReply& reply) {
-    auto handover = DecodeHandover(request.Body());
-    if (!handover) {
-      reply.Send(task, ErrorResponse(handover.error()));
-      return;
-    }
-    this->batch_owner.AddHandedTexts(std::move(handover->texts), SteadyNow());
-    const HandoverAnswer answer = this->stopping
-                                      ? HandoverAnswer::kDeclined
-                                      : this->lease_keeper.Accept(task, handover->record);
-    reply.Send(task, JsonResponse(HandoverStatus(answer), "{}"));
-  }
-
   bool StartServers() {
-    const auto start = [this](const Endpoint& address, std::string& bound, HttpHandler handler) {
+    this->engines.SetBudget(this->limits.Budget());
+    const auto start = [this](Listener listener, const Endpoint& address, std::string& bound,
+                              HttpHandler handler) {
       auto server = HttpServer::Builder(this->runtime)
                         .SetAddress(address.ToString())
                         .SetHandler(std::move(handler))
                         .SetMaxBodyBytes(CallerLimits().max_body_bytes)
+                        .SetBudget(this->limits.Budget(), FrontLimits::PoolOf(listener))
                         .Build();
+      this->limits.Register(listener, *server);
       const auto started = server->Start();
       if (!started) {
         LogError(kPart, "cannot listen on the address",
@@ -345,46 +366,25 @@
       }
       return server;
     };
-    this->caller_server = start(this->settings.FrontAddress(), this->front_address,
-                                [this](Task& task, const HttpRequest& request, HttpReply& reply) {
-                                  this->ingress.HandleCaller(task, request, reply);
-                                });
+    this->caller_server =
+        start(Listener::kCallers, this->settings.FrontAddress(), this->front_address,
+              [this](Task& task, const HttpRequest& request, HttpReply& reply) {
+                this->ingress.HandleCaller(task, request, reply);
+              });
     this->directory_server =
-        start(this->settings.DirectoryAddress(), this->directory_address,
+        start(Listener::kDirectory, this->settings.DirectoryAddress(), this->directory_address,
               [this](Task& task, const HttpRequest& request, HttpReply& reply) {
                 this->ingress.HandleDirectory(task, request, reply);
               });
-    this->ready_server = start(this->settings.ReadyAddress(), this->ready_address,
+    this->ready_server = start(Listener::kReady, this->settings.ReadyAddress(), this->ready_address,
                                [this](Task& task, const HttpRequest& request, HttpReply& reply) {
                                  this->ingress.HandleReady(task, request, reply);
                                });
-    this->metrics_server = start(
-        this->settings.MetricsAddress(), this->metrics_address,
-        [this](Task& task, const HttpRequest& request, HttpReply& reply) {
-          if (TargetRelay::IsRelayed(request)) {
-            this->relay.Handle(task, request, reply);
-            return;
-          }
-          if (request.Path() == LeasePeers::kOfferPath) {
-            this->HandleLeaseOffer(task, request, reply);
-            return;
-          }
-          if (request.Path() == RequestLimiter::kPath) {
-            const auto answer = this->limiter->HandleRequest(request.Body(), SteadyNow());
-            reply.Send(task,
-                       answer ? HttpResponse::Builder().SetBody(EncodePermitAnswer(*answer)).Build()
-                              : ErrorResponse(answer.error()));
-            return;
-          }
-          if (request.Path() == LeasePeers::kPath) {
-            reply.Send(task, JsonResponse(200, EncodeOwner(this->lease_keeper.LastRecord())));
-            return;
-          }
-          reply.Send(task, HttpResponse::Builder()
-                               .SetHeader("Content-Type", "text/plain; version=0.0.4")
-                               .SetBody(this->metrics.Render() + ReadProcessStats().Render())
-                               .Build());
-        });
+    this->metrics_server =
+        start(Listener::kInternal, this->settings.MetricsAddress(), this->metrics_address,
+              [this](Task& task, const HttpRequest& request, HttpReply& reply) {
+                this->internal_api.Handle(task, request, reply);
+              });
     return this->caller_server && this->directory_server && this->ready_server &&
            this->metrics_server;
   }
@@ -399,6 +399,7 @@
     LogInfo(kPart, "stopping",
             {{"grace_ms", std::to_string(ToMillis(this->settings.GracePeriod()))}});
     this->runtime.Spawn([this, end](Task& other) { this->directory.AnnounceLeaving(other, end); });
+    this->slices.HandOver(std::min(end, started + kHandoverTimeout));
     this->batch_owner.HandOver(task, std::min(end, started + kHandoverTimeout));
     this->lease_keeper.Release(task, std::min(end, started + seconds(2)));
     const TimePoint unused_by = started + kAddressTtlMultiple * this->settings.AddressTtl();
@@ -417,6 +418,7 @@
             {{"open_requests", std::to_string(this->caller_server->ActiveRequests())},
              {"open_connections", std::to_string(this->caller_server->Connections())},
              {"ms", std::to_string(ToMillis(SteadyNow() - started))}});
+    if (this->usage) this->usage->Recorder().Finish(task, end + kLastCountsTime);
     this->on_stopped();
   }
 
@@ -424,8 +426,9 @@
   FrontSettings settings;
   std::function<void()> on_stopped;
   Metrics metrics;
+  StoreCalls store_calls{this->metrics};
+  FrontLimits limits;
   platform::StoreClient store;
-  bool store_reachable = true;
   platform::EngineClient engines;
   TargetPool pool;
   TargetPaths paths;
@@ -443,7 +446,12 @@
   LeaseKeeper lease_keeper;
   LeasePeers lease_peers;
   BatchContext context;
+  SliceOwners slices;
   BatchOwner batch_owner;
+  ConfigPeers config_peers;
+  std::unique_ptr<UsageDuty> usage;      // null: use is not reported
+  std::unique_ptr<EngineScaler> scaler;  // null: this platform takes no orders for engines
+  InternalApi internal_api;
   platform::Ingress ingress;
   std::unique_ptr<HttpServer> caller_server;
   std::unique_ptr<HttpServer> directory_server;
@@ -472,5 +480,6 @@
 const std::string& FrontInstance::MetricsAddress() const { return this->impl->metrics_address; }
 bool FrontInstance::HoldsLease() const { return this->impl->HoldsLease(); }
 bool FrontInstance::OwnsBatchJobs() const { return this->impl->OwnsBatchJobs(); }
+std::vector<int> FrontInstance::HeldSlices() const { return this->impl->HeldSlices(); }
 
 }  // namespace anvilcroft
--- a/anvilcroft/front_settings.cc
+++ b/anvilcroft/front_settings.cc
@@ -54,6 +54,11 @@
   return *this;
 }
 
+FrontSettings::Builder& FrontSettings::Builder::SetStoreReadsPerS(double value) {
+  this->settings.store_reads_per_s = value;
+  return *this;
+}
+
 FrontSettings::Builder& FrontSettings::Builder::SetCpuShare(double value) {
   this->settings.cpu_share = value;
   return *this;
@@ -84,11 +89,21 @@
   return *this;
 }
 
+FrontSettings::Builder& FrontSettings::Builder::SetLimits(ProcessLimits value) {
+  this->settings.limits = value;
+  return *this;
+}
+
 FrontSettings::Builder& FrontSettings::Builder::SetCloud(std::optional<CloudSettings> value) {
   this->settings.cloud = std::move(value);
   return *this;
 }
 
+FrontSettings::Builder& FrontSettings::Builder::SetEnginesPerSlice(int value) {
+  this->settings.engines_per_slice = value;
+  return *this;
+}
+
 namespace {
 
 std::optional<CloudSettings> ReadCloud(SettingsReader& reader) {
@@ -106,6 +121,15 @@
   return cloud;
 }
 
+ProcessLimits ReadLimits(SettingsReader& reader) {
+  ProcessLimits limits;
+  const double memory_mb = reader.Real("limits.memory_mb", 0, 32, 1e6);
+  if (memory_mb > 0) limits.memory_bytes = static_cast<std::size_t>(memory_mb * 1e6);
+  const double descriptors = reader.Real("limits.max_descriptors", 0, 64, 1e7);
+  if (descriptors > 0) limits.max_descriptors = static_cast<std::size_t>(descriptors);
+  return limits;
+}
+
 }  // namespace
 
 FrontSettingsResult ParseFrontSettings(std::string_view text, const std::string& name) {
@@ -120,6 +144,7 @@
                          "zone",
                          "region",
                          "cpu_share",
+                         "store_reads_per_s",
                          "store_writes_per_s",
                          "log_level",
                          "address",
@@ -133,14 +158,19 @@
                          "timing.address_ttl_s",
                          "timing.owner_lease_ms",
                          "timing.cancel_ms",
+                         "limits",
+                         "limits.memory_mb",
+                         "limits.max_descriptors",
                          "cloud",
                          "cloud.address",
                          "cloud.calls_per_s",
                          "cloud.duties",
                          "cloud.checks_fencing",
                          "cloud.usage_window_s",
-                         "cloud.usage_due_s"},
-                        {"address", "timing", "cloud"});
+                         "cloud.usage_due_s",
+                         "fleet",
+                         "fleet.engines_per_slice"},
+                        {"address", "timing", "limits", "cloud", "fleet"});
   const auto address = [&reader](const char* key) {
     return reader.Address(key, true).value_or(Endpoint());
   };
@@ -155,12 +185,16 @@
       .SetStoreAddress(address("address.store"))
       .SetCpuShare(reader.Real("cpu_share", defaults.CpuShare(), 0.001, 1024))
       .SetStoreWritesPerS(reader.Real("store_writes_per_s", defaults.StoreWritesPerS(), 1, 1e9))
+      .SetStoreReadsPerS(reader.Real("store_reads_per_s", defaults.StoreReadsPerS(), 0, 1e9))
       .SetLogLevel(reader.Level("log_level", defaults.MinimumLogLevel()))
       .SetGracePeriod(reader.Seconds("timing.grace_s", defaults.GracePeriod(), 1, 86400))
       .SetAddressTtl(reader.Seconds("timing.address_ttl_s", defaults.AddressTtl(), 0.1, 3600))
       .SetOwnerLease(reader.Millis("timing.owner_lease_ms", defaults.OwnerLease(), 1000, 600000))
       .SetCancelBound(reader.Millis("timing.cancel_ms", defaults.CancelBound(), 1000, 600000))
-      .SetCloud(ReadCloud(reader));
+      .SetLimits(ReadLimits(reader))
+      .SetCloud(ReadCloud(reader))
+      .SetEnginesPerSlice(static_cast<int>(
+          reader.Real("fleet.engines_per_slice", defaults.EnginesPerSlice(), 0, 100000)));
   auto problems = reader.TakeProblems();
   if (!problems.empty()) return tl::unexpected<std::vector<SettingsProblem>>(std::move(problems));
   return builder.Build();
--- a/anvilcroft/live_request.h
+++ b/anvilcroft/live_request.h
@@ -4,6 +4,7 @@
 // A request that is served while its caller waits, and its outcome.
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -35,7 +36,8 @@
   std::shared_ptr<Cancellation> caller_disconnected;  // may be null
   // Whether another instance, or this one, may have sent a request with the same id before.
   bool id_repeats = false;
-  // Identifies the customer; empty if the caller has not told.
+  // Identifies the caller: the name of the customer where the configuration names customers, else
+  // what the caller has told; may be empty.
   std::string caller;
   // Name of the customer, from the configuration; empty: the configuration names no customers, or
   // the request belongs to none.
@@ -49,6 +51,9 @@
   std::string resumes;
   // Time within which the caller may take up the stream, in this or another attempt.
   Duration caller_time = Duration::zero();
+  // Called with the wall-clock time at which a target has most likely begun to run the request, and
+  // whether that is certain. A later call replaces a time that was not. May be empty.
+  std::function<void(WallMillis began_at, bool certain)> on_begin;
 };
 
 struct LiveOutcome {
@@ -72,6 +77,10 @@
   int failures = 0;  // responses in which a target reported a failure
   // kNotRun: when the caller may come back, if that is known.
   std::optional<Duration> retry_after;
+  // Wall-clock time at which a target first began to run the request: a stream with its first
+  // event. A short request that was sent and not refused counts as run, also without an answer,
+  // because a request is lost far less often than the answer. nullopt: no target began.
+  std::optional<WallMillis> began_at;
 };
 
 }  // namespace anvilcroft
--- a/anvilcroft/platform_view.cc
+++ b/anvilcroft/platform_view.cc
@@ -17,8 +17,12 @@
 }  // namespace
 
 PlatformView::PlatformView(Runtime& runtime, MetadataStore& store, TargetPool& pool,
-                           std::function<void()> on_change)
-    : runtime(runtime), store(store), pool(pool), on_change(std::move(on_change)) {}
+                           std::function<void()> on_change, std::function<Duration()> feed_pause)
+    : runtime(runtime),
+      store(store),
+      pool(pool),
+      on_change(std::move(on_change)),
+      feed_pause(std::move(feed_pause)) {}
 
 void PlatformView::Start() {
   this->runtime.SpawnService("follow the operator's table",
@@ -75,24 +79,32 @@
       version = std::max(version, feed->version);
     }
     this->routes_confirmed_at = asked;
+    this->routes_answered_at = SteadyNow();
   }
 }
 
+bool PlatformView::ApplyConfiguration(const std::string& row) {
+  auto table = platform::DecodeConfiguration(row);
+  if (!table) {
+    LogError(kPart, "cannot decode the configuration; keeping the current one",
+             {{"part", table.error().part}, {"error", table.error().message}});
+    return false;
+  }
+  if (this->routes && table->Version() <= this->routes->Version()) return false;
+  LogInfo(kPart, "the configuration changed",
+          {{"before", this->routes ? std::to_string(this->routes->Version()) : "none"},
+           {"version", std::to_string(table->Version())},
+           {"routes", std::to_string(table->Routes().size())},
+           {"customers", std::to_string(table->Customers().Size())}});
+  this->routes = std::make_shared<const RouteTable>(std::move(*table));
+  this->routes_row = row;
+  this->on_change();
+  return true;
+}
+
 void PlatformView::ApplyOperatorRow(const StoredRow& row) {
   if (platform::IsConfigurationRow(row)) {
-    auto table = platform::DecodeConfiguration(row.value);
-    if (!table) {
-      LogError(kPart, "cannot decode the configuration; keeping the current one",
-               {{"part", table.error().part}, {"error", table.error().message}});
-      return;
-    }
-    if (this->routes && table->Version() <= this->routes->Version()) return;
-    LogInfo(kPart, "the configuration changed",
-            {{"before", this->routes ? std::to_string(this->routes->Version()) : "none"},
-             {"version", std::to_string(table->Version())},
-             {"routes", std::to_string(table->Routes().size())}});
-    this->routes = std::make_shared<const RouteTable>(std::move(*table));
-    this->on_change();
+    this->ApplyConfiguration(row.value);
     return;
   }
   const auto requested = platform::DecodeRequestedVersion(row);
@@ -164,7 +176,7 @@
       const TimePoint now = SteadyNow();
       if (!read) {
         this->pool.Expire(now);
-        SleepUntil(task, now + kRetryPause);
+        SleepUntil(task, now + std::max(kRetryPause, this->feed_pause()));
         continue;
       }
       if (malformed > 0) {
@@ -177,10 +189,11 @@
       this->on_change();
       continue;
     }
+    const TimePoint called = SteadyNow();
     const auto feed = this->store.Feed(task, platform::kTargetTable, version, kFeedWait);
     const TimePoint now = SteadyNow();
     if (!feed) {
-      SleepUntil(task, now + kRetryPause);
+      SleepUntil(task, now + std::max(kRetryPause, this->feed_pause()));
       continue;
     }
     this->pool.Expire(now);
@@ -193,6 +206,7 @@
     for (const StoredRow& row : feed->rows) this->ApplyTargetRow(row, now);
     version = std::max(version, feed->version);
     if (!feed->rows.empty()) this->on_change();
+    SleepUntil(task, called + this->feed_pause());
   }
 }
 
--- a/anvilcroft/platform_view.h
+++ b/anvilcroft/platform_view.h
@@ -29,9 +29,10 @@
   // because it may reappear.
   static constexpr Duration kReappearGrace = milliseconds(2200);
 
-  // `on_change` is called after each change of what is tracked.
+  // `on_change` is called after each change of what is tracked. `feed_pause` returns the minimum
+  // time between two calls to the feed of targets.
   PlatformView(Runtime& runtime, MetadataStore& store, TargetPool& pool,
-               std::function<void()> on_change);
+               std::function<void()> on_change, std::function<Duration()> feed_pause);
 
   void Start();
 
@@ -41,8 +42,17 @@
   const std::map<std::string, int64_t>& RequestedVersions() const {
     return this->requested_versions;
   }
-  // When the configuration was last confirmed to be the newest; TimePoint(): never.
+  // The row of Routes() as the store returned it; empty until one has been read.
+  const std::string& RoutesRow() const { return this->routes_row; }
+  // When the configuration was last confirmed to be the newest; TimePoint(): never. This is the
+  // start of the call that confirmed it.
   TimePoint RoutesConfirmedAt() const { return this->routes_confirmed_at; }
+  // When the store last answered whether there is a newer configuration.
+  TimePoint RoutesAnsweredAt() const { return this->routes_answered_at; }
+
+  // Puts the configuration in `row` into force if it is valid and newer than the current one.
+  // Returns whether it did.
+  bool ApplyConfiguration(const std::string& row);
 
  private:
   void FollowOperatorTable(Task& task);
@@ -61,9 +71,12 @@
   MetadataStore& store;
   TargetPool& pool;
   std::function<void()> on_change;
+  std::function<Duration()> feed_pause;
   std::shared_ptr<const RouteTable> routes;
   std::map<std::string, int64_t> requested_versions;
+  std::string routes_row;
   TimePoint routes_confirmed_at;
+  TimePoint routes_answered_at;
 };
 
 }  // namespace anvilcroft
--- a/testing/platform_fixture.h
+++ b/testing/platform_fixture.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -105,6 +106,8 @@
             .SetMetricsAddress(any)
             .SetStoreAddress(*ParseEndpoint(store.empty() ? this->store_address : store))
             .SetAddressTtl(milliseconds(100))
+            .SetCloud(this->cloud_settings)
+            .SetEnginesPerSlice(this->engines_per_slice)
             .Build();
     this->instances.push_back(
         std::make_unique<FrontInstance>(this->runtime, settings, [this] { ++this->stopped; }));
@@ -194,10 +197,12 @@
   HttpClient http;
   fakes::PlatformStore store;
   std::string store_address;
+  std::optional<CloudSettings> cloud_settings;  // of the instances that are added
   fakes::PlatformEngine app;
   std::vector<std::unique_ptr<fakes::PlatformEngine>> engines;
   std::vector<std::unique_ptr<FrontInstance>> instances;
-  int stopped = 0;  // number of instances that have stopped
+  int engines_per_slice = 0;  // of the instances that are added
+  int stopped = 0;            // number of instances that have stopped
 };
 
 }  // namespace anvilcroft
