--- a/anvilcroft/crash_limiter.cc
+++ b/anvilcroft/crash_limiter.cc
@@ -290,8 +290,8 @@
 const std::string& RequestCrashes::Fingerprint() {
   if (this->fingerprint.empty()) {
     const auto& message = this->request.message;
-    this->fingerprint =
-        HexDigestOf({this->request.caller, this->request.host, message.target, message.body.Text()});
+    this->fingerprint = HexDigestOf(
+        {this->request.caller, this->request.host, message.target, message.body.Text()});
   }
   return this->fingerprint;
 }
