Describe the engines once a plan, and only where they are needed

The order of steps made each plan describe all engines even if no item waits, also on deployments whose engines are not scaled. Those describe them again only when an item waits, as before the order of steps. No decision changes.

--- a/anvilcroft/batch_owner.cc
+++ b/anvilcroft/batch_owner.cc
@@ -209,8 +209,13 @@
 void BatchOwner::PlaceWaitingItems(TimePoint now) {
   const auto routes = this->context.routes();
   if (!routes || BootNow() - this->context.jobs_confirmed_at > this->context.max_job_age) return;
-  const std::vector<PlacementEngine> engines = this->DescribeEngines(now);
-  this->deferred_jobs = this->DeferredJobs(engines, now);
+  const auto& services = routes->Services();
+  const bool scaled =
+      std::any_of(services.begin(), services.end(),
+                  [](const TargetService& service) { return service.scaling.has_value(); });
+  std::vector<PlacementEngine> engines;
+  if (scaled) engines = this->DescribeEngines(now);
+  this->deferred_jobs = scaled ? this->DeferredJobs(engines, now) : std::set<std::string>();
   std::vector<WaitingItem> waiting;
   std::vector<std::pair<std::shared_ptr<OwnedJob>, std::size_t>> items_by_key;
   for (const auto& [id, job] : this->context.jobs) {
@@ -237,6 +242,7 @@
     }
   }
   if (waiting.empty()) return;
+  if (!scaled) engines = this->DescribeEngines(now);
   for (const Placement& placement : PlaceItems(std::move(waiting), engines)) {
     const auto& [job, index] = items_by_key[placement.key];
     if (placement.anew) this->DropText(*job, index, placement.engine);
