--- /dev/null
+++ b/review/standins-2/cases.cc
@@ -0,0 +1,260 @@
+#include "cases.h"
+
+#include <algorithm>
+#include <csignal>
+#include <set>
+
+#include "anvilcroft/json.h"
+
+namespace anvilcroft::review {
+namespace {
+
+constexpr Duration kContact = milliseconds(3000);  // ContactMs
+
+// Starts `instances` instances, `engines` model engines and two servers for rewards.
+bool StartSite(Task& task, Site& site, int instances, int engines, Engine::Options engine,
+               const nlohmann::json& rollout) {
+  for (int i = 1; i <= engines; ++i) {
+    engine.id = "i-model-" + std::to_string(i);
+    engine.service = "models";
+    engine.model = Site::kModel;
+    site.AddEngine(engine);
+  }
+  for (int i = 1; i <= 2; ++i) {
+    Engine::Options app;
+    app.id = "i-app-" + std::to_string(i);
+    app.service = "app";
+    site.AddEngine(app);
+  }
+  site.Register(task);
+  site.WriteConfiguration(rollout);
+  for (int i = 1; i <= instances; ++i) {
+    Instance& instance = site.AddInstance("front-" + std::to_string(i), 0.5);
+    if (!site.StartProcess(instance)) return false;
+  }
+  return site.AwaitServing(task, seconds(20));
+}
+
+// The newest time at which `item` was at an engine, up to `now`; the minimum if it never was.
+TimePoint LastAtEngine(const Site& site, const std::string& item, TimePoint now) {
+  TimePoint last = TimePoint::min();
+  int runs = 0;
+  for (const EngineEvent& event : site.events) {
+    if (event.id != item) continue;
+    if (event.what == "run") ++runs;
+    if (event.what == "end") --runs;
+    if (event.what == "run" || event.what == "end") last = event.at;
+  }
+  return runs > 0 ? now : last;
+}
+
+int CountEvents(const Site& site, const std::string& what, const std::string& id, int status = 0) {
+  return static_cast<int>(
+      std::count_if(site.events.begin(), site.events.end(), [&](const EngineEvent& event) {
+        return event.what == what && event.id == id && (status == 0 || event.status == status);
+      }));
+}
+
+// Judges a step that is over at `over`, by the rule LOST of RULES.md. Without disruptions or new
+// versions is the time from `steady` on.
+int Judge(Task& task, Site& site, const Job& job, const Read& read, TimePoint over,
+          TimePoint steady) {
+  std::map<std::string, nlohmann::json> listed;
+  for (const nlohmann::json& result : read.results) listed[result.value("Id", "")] = result;
+  bool broken = false;
+  int begun = 0;
+  int waiting = 0;
+  std::size_t busiest = 0;
+  for (const auto& engine : site.engines) busiest = std::max(busiest, engine->Running().size());
+  for (const Item& item : job.items) {
+    const auto result = listed.find(item.id);
+    const TimePoint last = LastAtEngine(site, item.id, over);
+    if (last != TimePoint::min()) ++begun;
+    if (result != listed.end()) {
+      if (result->second.value("State", "") == "completed" &&
+          result->second.value("Text", "") == site.engines.front()->TextOf(item.id)) {
+        continue;
+      }
+      site.Note("MIXED: " + item.id + " is listed as " + result->second.value("State", "") +
+                " with another text than its engines made");
+      broken = true;
+      continue;
+    }
+    // Finished by an engine, or failed: not judged by this rule.
+    if (CountEvents(site, "end", item.id, 200) > 0) continue;
+    const double idle = std::chrono::duration<double>(over - std::max(steady, last)).count();
+    if (idle < 5) continue;
+    ++waiting;
+    site.Note("LOST: " + item.id + " was at no engine for the last " + std::to_string(idle) +
+              " s of the step, in steady state; it was sent to " +
+              std::to_string(CountEvents(site, "run", item.id)) + " engines");
+  }
+  site.Note("the step is over: " + std::to_string(listed.size()) + " of " +
+            std::to_string(job.items.size()) + " items are listed, " + std::to_string(begun) +
+            " had begun, " + std::to_string(waiting) + " were at no engine; at most " +
+            std::to_string(busiest) + " requests run at an engine");
+  // The engines must be under half full.
+  broken = broken || (waiting > 0 && begun > 0 && busiest <= 2);
+  if (waiting > 0) {
+    // What follows is for the record only.
+    site.store.longest_read = Duration(0);
+    site.store.reads = 0;
+    SleepUntil(task, SteadyNow() + seconds(15));
+    site.Note("in 15 s the store answered " + std::to_string(site.store.reads) +
+              " reads of rows, the slowest in " +
+              std::to_string(ToMillis(site.store.longest_read)) + " ms");
+    Read later;
+    int status = 200;
+    while (status == 200 && later.results.size() < job.items.size()) {
+      const std::size_t before = later.results.size();
+      status = site.ReadOn(task, job.id, later, Duration(0));
+      if (later.results.size() == before) break;
+    }
+    site.Note("15 s later " + std::to_string(later.results.size()) + " of " +
+              std::to_string(job.items.size()) + " items are listed");
+  }
+  return broken ? kBroken : kHeld;
+}
+
+// An item of a route with SingleVersion has begun under version 1 when its engine is lost for good;
+// the other engines hold version 2 by then.
+int SingleVersion(Task& task, Site& site, bool disrupted) {
+  constexpr char kLong[] = "a4-3";
+  constexpr Duration kDeadline = milliseconds(12000);
+  Engine::Options engine;
+  engine.events_of = [=](const std::string& item) { return item == kLong ? 130 : 10; };
+  if (!StartSite(task, site, 3, 6, engine, {{"SingleVersion", true}})) return kCouldNotRun;
+  SleepUntil(task, SteadyNow() + milliseconds(2000));
+
+  // Step 2 is asked once version 2 is named, and allows version 1 and newer.
+  Job job;
+  job.id = "5a0e77c1b2d94f02";
+  job.step = 2;
+  job.min_version = 1;
+  job.target_groups = 4;
+  for (int group = 1; group <= 4; ++group) {
+    for (int i = 0; i < 4; ++i) {
+      const std::string name = "a" + std::to_string(group);
+      job.items.push_back({name + "-" + std::to_string(i), name});
+    }
+  }
+  const TimePoint named = SteadyNow();
+  site.NameVersion(2);
+  SleepUntil(task, named + milliseconds(300));
+  const TimePoint submitted = SteadyNow();
+  if (site.Submit(task, job) != 202) return kCouldNotRun;
+
+  Read read;
+  TimePoint lost = TimePoint::max();
+  while (SteadyNow() < submitted + kDeadline && read.results.size() < job.items.size()) {
+    site.ReadOn(task, job.id, read, milliseconds(400));
+    if (lost == TimePoint::max() && SteadyNow() > submitted + milliseconds(2500)) {
+      Engine* holder = nullptr;
+      for (auto& candidate : site.engines) {
+        const auto running = candidate->Running();
+        if (std::count(running.begin(), running.end(), kLong) != 0) holder = candidate.get();
+      }
+      if (holder == nullptr || holder->Version() != 1) return kCouldNotRun;
+      lost = SteadyNow();
+      if (disrupted) holder->EndForGood();
+    }
+    SleepUntil(task, SteadyNow() + milliseconds(100));
+  }
+  // No version is named in the 6 s before the time that counts.
+  return Judge(task, site, job, read, SteadyNow(), std::max(lost + kContact, named + seconds(6)));
+}
+
+// The process that runs the batch jobs is killed while a step of large texts is under way.
+int LargeStep(Task& task, Site& site, bool disrupted) {
+  constexpr Duration kDeadline = milliseconds(12000);
+  Engine::Options engine;
+  engine.slots = 8;
+  engine.event_time = milliseconds(10);
+  engine.event_bytes = 1050;
+  engine.events_of = [](const std::string&) { return 140; };
+  if (!StartSite(task, site, 3, 8, engine, nlohmann::json::object())) return kCouldNotRun;
+  SleepUntil(task, SteadyNow() + milliseconds(2000));
+
+  Job job;
+  job.id = "e81b06d2f3a95c40";
+  job.step = 1;
+  job.min_version = 1;
+  job.target_groups = 20;
+  for (int group = 1; group <= 20; ++group) {
+    for (int i = 0; i < 8; ++i) {
+      const std::string name = "b" + std::to_string(group);
+      job.items.push_back({name + "-" + std::to_string(i), name});
+    }
+  }
+  const TimePoint submitted = SteadyNow();
+  if (site.Submit(task, job) != 202) return kCouldNotRun;
+
+  Read read;
+  TimePoint killed = TimePoint::max();
+  while (SteadyNow() < submitted + kDeadline && read.results.size() < job.items.size()) {
+    site.ReadOn(task, job.id, read, milliseconds(400));
+    const bool due = read.results.size() >= 0.75 * job.items.size() ||
+                     SteadyNow() > submitted + milliseconds(3600);
+    if (killed == TimePoint::max() && due) {
+      Instance* holder = site.LeaseHolder();
+      if (holder == nullptr || read.results.empty()) return kCouldNotRun;
+      killed = SteadyNow();
+      if (disrupted) {
+        site.Note("SIGKILL to " + holder->id + ", which last wrote to the store under a condition; " +
+                  std::to_string(read.results.size()) + " items are listed");
+        holder->process->Signal(SIGKILL);
+        SleepUntil(task, SteadyNow() + milliseconds(500));
+        if (!site.StartProcess(*holder)) return kCouldNotRun;
+      }
+    }
+    SleepUntil(task, SteadyNow() + milliseconds(50));
+  }
+  return Judge(task, site, job, read, SteadyNow(), killed + kContact);
+}
+
+// A route of batch jobs is split between two services. The only engine of the first is lost for
+// good; those of the second are idle.
+int SplitRoute(Task& task, Site& site, bool disrupted) {
+  constexpr Duration kDeadline = milliseconds(12000);
+  Engine::Options old_engine;
+  old_engine.id = "i-old-1";
+  old_engine.service = "models-old";
+  old_engine.model = Site::kModel;
+  site.AddEngine(old_engine);
+  const nlohmann::json split = {
+      {"TrafficSplit",
+       {{{"Service", "models-old"}, {"Weight", 10}}, {{"Service", "models"}, {"Weight", 90}}}}};
+  if (!StartSite(task, site, 3, 6, Engine::Options(), split)) return kCouldNotRun;
+  SleepUntil(task, SteadyNow() + milliseconds(2000));
+
+  Job job;
+  job.id = "c7720f9e16ab3d58";
+  job.step = 1;
+  job.min_version = 1;
+  job.target_groups = 4;
+  for (int group = 1; group <= 4; ++group) {
+    for (int i = 0; i < 4; ++i) {
+      const std::string name = "c" + std::to_string(group);
+      job.items.push_back({name + "-" + std::to_string(i), name});
+    }
+  }
+  const TimePoint submitted = SteadyNow();
+  if (site.Submit(task, job) != 202) return kCouldNotRun;
+  Read read;
+  TimePoint lost = TimePoint::max();
+  while (SteadyNow() < submitted + kDeadline && read.results.size() < job.items.size()) {
+    if (lost == TimePoint::max() && SteadyNow() > submitted + milliseconds(700)) {
+      lost = SteadyNow();
+      if (disrupted) site.engines.front()->EndForGood();
+    }
+    site.ReadOn(task, job.id, read, milliseconds(400));
+    SleepUntil(task, SteadyNow() + milliseconds(100));
+  }
+  return Judge(task, site, job, read, SteadyNow(), lost + kContact);
+}
+
+}  // namespace
+
+std::map<std::string, Case> Cases() { return {{"large-step", LargeStep}, {"single-version", SingleVersion}, {"split-route", SplitRoute}}; }
+
+}  // namespace anvilcroft::review
