--- a/review/standins-2/cases.cc
+++ b/review/standins-2/cases.cc
@@ -90,29 +90,41 @@
               std::to_string(CountEvents(site, "run", item.id)) + " engines");
   }
   site.Note("the step is over: " + std::to_string(listed.size()) + " of " +
-            std::to_string(job.items.size()) + " items are listed, " + std::to_string(begun) +
+            std::to_string(job.items.size()) + " items have been read, " + std::to_string(begun) +
             " had begun, " + std::to_string(waiting) + " were at no engine; at most " +
             std::to_string(busiest) + " requests run at an engine");
   // The engines must be under half full.
   broken = broken || (waiting > 0 && begun > 0 && busiest <= 2);
+  // What follows is for the record only, but for wrong texts.
   if (waiting > 0) {
-    // What follows is for the record only.
+    site.Note("the store holds " + std::to_string(site.store.BytesOf("batch-items", job.id)) +
+              " bytes of items, " + std::to_string(site.store.BytesOf("batch-results", job.id)) +
+              " of results and " + std::to_string(site.store.BytesOf("batch-texts", job.id)) +
+              " of texts of the step");
     site.store.longest_read = Duration(0);
     site.store.reads = 0;
     SleepUntil(task, SteadyNow() + seconds(15));
     site.Note("in 15 s the store answered " + std::to_string(site.store.reads) +
               " reads of rows, the slowest in " +
               std::to_string(ToMillis(site.store.longest_read)) + " ms");
-    Read later;
-    int status = 200;
-    while (status == 200 && later.results.size() < job.items.size()) {
-      const std::size_t before = later.results.size();
-      status = site.ReadOn(task, job.id, later, Duration(0));
-      if (later.results.size() == before) break;
-    }
-    site.Note("15 s later " + std::to_string(later.results.size()) + " of " +
-              std::to_string(job.items.size()) + " items are listed");
   }
+  Read all;
+  for (int failures = 0; failures < 3 && all.results.size() < job.items.size();) {
+    const std::size_t before = all.results.size();
+    site.ReadOn(task, job.id, all, Duration(0));
+    if (all.results.size() == before) ++failures;
+  }
+  int completed = 0;
+  for (const nlohmann::json& result : all.results) {
+    const bool whole = result.value("State", "") == "completed" &&
+                       result.value("Text", "") ==
+                           site.engines.front()->TextOf(result.value("Id", ""));
+    completed += whole ? 1 : 0;
+  }
+  site.Note("read again from the start: " + std::to_string(all.results.size()) + " of " +
+            std::to_string(job.items.size()) + " items are listed, " + std::to_string(completed) +
+            " of them with their whole text");
+  broken = broken || completed < static_cast<int>(all.results.size());
   return broken ? kBroken : kHeld;
 }
 
@@ -164,15 +176,15 @@
   return Judge(task, site, job, read, SteadyNow(), std::max(lost + kContact, named + seconds(6)));
 }
 
-// The process that runs the batch jobs is killed while a step of large texts is under way.
+// The process that runs the batch jobs is killed while a step with many long texts is under way.
 int LargeStep(Task& task, Site& site, bool disrupted) {
   constexpr Duration kDeadline = milliseconds(12000);
   Engine::Options engine;
   engine.slots = 8;
-  engine.event_time = milliseconds(10);
-  engine.event_bytes = 1050;
-  engine.events_of = [](const std::string&) { return 140; };
-  if (!StartSite(task, site, 3, 8, engine, nlohmann::json::object())) return kCouldNotRun;
+  engine.event_time = milliseconds(9);
+  engine.event_bytes = 1100;
+  engine.events_of = [](const std::string&) { return 149; };
+  if (!StartSite(task, site, 3, 16, engine, nlohmann::json::object())) return kCouldNotRun;
   SleepUntil(task, SteadyNow() + milliseconds(2000));
 
   Job job;
@@ -181,33 +193,30 @@
   job.min_version = 1;
   job.target_groups = 20;
   for (int group = 1; group <= 20; ++group) {
-    for (int i = 0; i < 8; ++i) {
+    for (int i = 0; i < 16; ++i) {
       const std::string name = "b" + std::to_string(group);
-      job.items.push_back({name + "-" + std::to_string(i), name});
+      job.items.push_back({name + "-" + std::to_string(i), name, std::string(600, 'p')});
     }
   }
   const TimePoint submitted = SteadyNow();
   if (site.Submit(task, job) != 202) return kCouldNotRun;
-
   Read read;
   TimePoint killed = TimePoint::max();
   while (SteadyNow() < submitted + kDeadline && read.results.size() < job.items.size()) {
-    site.ReadOn(task, job.id, read, milliseconds(400));
-    const bool due = read.results.size() >= 0.75 * job.items.size() ||
-                     SteadyNow() > submitted + milliseconds(3600);
-    if (killed == TimePoint::max() && due) {
+    if (killed == TimePoint::max() && SteadyNow() > submitted + milliseconds(3500)) {
       Instance* holder = site.LeaseHolder();
       if (holder == nullptr || read.results.empty()) return kCouldNotRun;
       killed = SteadyNow();
       if (disrupted) {
-        site.Note("SIGKILL to " + holder->id + ", which last wrote to the store under a condition; " +
-                  std::to_string(read.results.size()) + " items are listed");
+        site.Note("SIGKILL to " + holder->id + ", which last wrote to the store under a condition");
         holder->process->Signal(SIGKILL);
         SleepUntil(task, SteadyNow() + milliseconds(500));
         if (!site.StartProcess(*holder)) return kCouldNotRun;
       }
     }
-    SleepUntil(task, SteadyNow() + milliseconds(50));
+    // Clients read about twice a second.
+    site.ReadOn(task, job.id, read, Duration(0));
+    SleepUntil(task, SteadyNow() + milliseconds(450));
   }
   return Judge(task, site, job, read, SteadyNow(), killed + kContact);
 }
--- a/review/standins-2/store.cc
+++ b/review/standins-2/store.cc
@@ -63,6 +63,15 @@
   return found == this->rows.end() ? "" : Base64Decode(found->second.value).value_or("");
 }
 
+std::size_t Store::BytesOf(const std::string& table, const std::string& partition) const {
+  std::size_t bytes = 0;
+  for (auto it = this->rows.lower_bound({table, partition, ""}); it != this->rows.end(); ++it) {
+    if (it->first.table != table || it->first.partition != partition) break;
+    bytes += it->second.value.size() / 4 * 3;
+  }
+  return bytes;
+}
+
 void Store::Handle(Task& task, Access& access, const HttpRequest& request, HttpReply& reply) {
   const TimePoint begun = SteadyNow();
   if (access.busy) {
--- a/review/standins-2/store.h
+++ b/review/standins-2/store.h
@@ -40,6 +40,9 @@
   void DropHistory();
   std::string Value(const std::string& table, const std::string& key) const;
 
+  // Bytes of the values in one partition of a table.
+  std::size_t BytesOf(const std::string& table, const std::string& partition) const;
+
   // Longest time that a read of rows took here, from its first byte to the last one of the answer,
   // and how many there were. For the record.
   Duration longest_read{0};
