--- a/review/standins-2/cases.cc
+++ b/review/standins-2/cases.cc
@@ -262,8 +262,36 @@
   return Judge(task, site, job, read, SteadyNow(), lost + kContact);
 }
 
+// A batch job of no trainer is under way when a trainer names a version of the engines' model.
+int PlainJob(Task& task, Site& site, bool disrupted) {
+  constexpr Duration kDeadline = milliseconds(12000);
+  Engine::Options engine;
+  engine.events_of = [](const std::string&) { return 20; };
+  if (!StartSite(task, site, 3, 2, engine, nlohmann::json::object())) return kCouldNotRun;
+  SleepUntil(task, SteadyNow() + milliseconds(2000));
+
+  Job job;
+  job.id = "d94c12a07be853f6";
+  job.trained = false;
+  for (int i = 0; i < 48; ++i) job.items.push_back({"e" + std::to_string(i), ""});
+  const TimePoint submitted = SteadyNow();
+  if (site.Submit(task, job) != 202) return kCouldNotRun;
+  Read read;
+  TimePoint named = TimePoint::max();
+  while (SteadyNow() < submitted + kDeadline && read.results.size() < job.items.size()) {
+    if (named == TimePoint::max() && SteadyNow() > submitted + milliseconds(400)) {
+      named = SteadyNow();
+      if (disrupted) site.NameVersion(2);
+    }
+    site.ReadOn(task, job.id, read, milliseconds(400));
+    SleepUntil(task, SteadyNow() + milliseconds(100));
+  }
+  // No version is named in the 6 s before the time that counts.
+  return Judge(task, site, job, read, SteadyNow(), named + seconds(6));
+}
+
 }  // namespace
 
-std::map<std::string, Case> Cases() { return {{"large-step", LargeStep}, {"single-version", SingleVersion}, {"split-route", SplitRoute}}; }
+std::map<std::string, Case> Cases() { return {{"large-step", LargeStep}, {"single-version", SingleVersion}, {"split-route", SplitRoute}, {"plain-job", PlainJob}}; }
 
 }  // namespace anvilcroft::review
--- a/review/standins-2/site.cc
+++ b/review/standins-2/site.cc
@@ -200,12 +200,19 @@
            {"Path", "/reward/" + item.id},
            {"Body", Base64Encode("score " + item.id)}}}});
   }
-  const std::string body = json{{"Step", job.step},
-                                {"Model", kModel},
-                                {"MinVersion", job.min_version},
-                                {"TargetGroups", job.target_groups},
-                                {"Items", items}}
-                               .dump();
+  json submission = {{"Items", items}};
+  if (job.trained) {
+    submission.update({{"Step", job.step},
+                       {"Model", kModel},
+                       {"MinVersion", job.min_version},
+                       {"TargetGroups", job.target_groups}});
+  } else {
+    for (json& item : submission["Items"]) {
+      item.erase("Group");
+      item.erase("Scorer");
+    }
+  }
+  const std::string body = submission.dump();
   int status = 0;
   for (int attempt = 0; attempt < 6; ++attempt) {
     const Instance& front = this->NextFront();
--- a/review/standins-2/site.h
+++ b/review/standins-2/site.h
@@ -42,6 +42,7 @@
   int64_t min_version = 1;
   int64_t target_groups = 0;
   std::vector<Item> items;
+  bool trained = true;  // false: a batch job of no trainer, which has no model, step or groups
 };
 
 // What a client has read of a batch job.
