--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -8,9 +8,9 @@
 flags="-std=c++17 -O1 -Wall -Wextra -Ireview/standins-2 -I. -DBOOST_COROUTINES_NO_DEPRECATION_WARNING
   -DBOOST_ALLOW_DEPRECATED_HEADERS -DBOOST_BIND_GLOBAL_PLACEHOLDERS"
 pids=""
-for source in review/standins-2/*.cc; do
+for source in review/standins-2/*.cpp; do
   # shellcheck disable=SC2086
-  g++ $flags -c "$source" -o "review/out/2/$(basename "$source" .cc).o" &
+  g++ $flags -c "$source" -o "review/out/2/$(basename "$source" .cpp).o" &
   pids="$pids $!"
 done
 for pid in $pids; do wait "$pid"; done
--- a/review/standins-2/cases.h
+++ b/review/standins-2/cases.hpp
@@ -1,11 +1,11 @@
-#ifndef REVIEW_STANDINS_2_CASES_H_
-#define REVIEW_STANDINS_2_CASES_H_
+#ifndef REVIEW_STANDINS_2_CASES_HPP_
+#define REVIEW_STANDINS_2_CASES_HPP_
 
 #include <functional>
 #include <map>
 #include <string>
 
-#include "site.h"
+#include "site.hpp"
 
 namespace anvilcroft::review {
 
@@ -20,4 +20,4 @@
 
 }  // namespace anvilcroft::review
 
-#endif  // REVIEW_STANDINS_2_CASES_H_
+#endif  // REVIEW_STANDINS_2_CASES_HPP_
--- a/review/standins-2/engine.h
+++ b/review/standins-2/engine.hpp
@@ -1,8 +1,8 @@
-#ifndef REVIEW_STANDINS_2_ENGINE_H_
-#define REVIEW_STANDINS_2_ENGINE_H_
+#ifndef REVIEW_STANDINS_2_ENGINE_HPP_
+#define REVIEW_STANDINS_2_ENGINE_HPP_
 
-// A stand-in of an engine as PROTOCOL.md describes it: a model engine with runs, weight versions and
-// orders, or a plain server.
+// A stand-in of an engine as PROTOCOL.md describes it: a model engine with runs, weight versions
+// and orders, or a plain server.
 
 #include <functional>
 #include <map>
@@ -18,8 +18,8 @@
 struct EngineEvent {
   TimePoint at;
   std::string engine;
-  std::string what;  // run, end, order, load, lost
-  std::string id;    // of the request or the order's holder
+  std::string what;     // run, end, order, load, lost
+  std::string id;       // of the request or the order's holder
   int64_t number = 0;   // events made when a run ended, or the fencing token
   int64_t version = 0;  // of the weights
   int status = 0;
@@ -81,4 +81,4 @@
 
 }  // namespace anvilcroft::review
 
-#endif  // REVIEW_STANDINS_2_ENGINE_H_
+#endif  // REVIEW_STANDINS_2_ENGINE_HPP_
--- a/review/standins-2/main.cc
+++ b/review/standins-2/main.cpp
@@ -1,5 +1,6 @@
-// The cases of the second review that are scripts. cases NAME BINARY FOLDER RECORD; TROUBLE=0 leaves
-// out the disruption. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+// The cases of the second review that are scripts. cases NAME BINARY FOLDER RECORD; TROUBLE=0
+// leaves out the disruption. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could
+// not run.
 
 #include <cstdlib>
 #include <iostream>
@@ -7,7 +8,7 @@
 #include <string>
 
 #include "anvilcroft/log.h"
-#include "cases.h"
+#include "cases.hpp"
 
 int main(int argc, char** argv) {
   using namespace anvilcroft;
--- a/review/standins-2/site.h
+++ b/review/standins-2/site.hpp
@@ -1,5 +1,5 @@
-#ifndef REVIEW_STANDINS_2_SITE_H_
-#define REVIEW_STANDINS_2_SITE_H_
+#ifndef REVIEW_STANDINS_2_SITE_HPP_
+#define REVIEW_STANDINS_2_SITE_HPP_
 
 // A small deployment on loopback addresses: instances as processes, started with the command of the
 // deploy file, and stand-ins of the platform's store, the engines and the clients in this process.
@@ -13,9 +13,9 @@
 #include <vector>
 
 #include "anvilcroft/http_client.h"
-#include "engine.h"
+#include "engine.hpp"
 #include "fakes/child_process.h"
-#include "store.h"
+#include "store.hpp"
 
 namespace anvilcroft::review {
 
@@ -58,7 +58,7 @@
 
   struct Options {
     std::string binary;
-    std::string folder;       // for settings and logs
+    std::string folder;  // for settings and logs
     std::string record_file;
     int memory_mb = 270;
   };
@@ -85,6 +85,8 @@
   bool AwaitServing(Task& task, Duration limit);
   Result<HttpResponse> Call(Task& task, const Instance& instance, const HttpRequest& request,
                             Duration limit);
+  // The next call of a client goes to `instance`.
+  void PreferFront(const Instance& instance);
   // Submits a job, also again as clients do. Returns the last status; 0: no answer.
   int Submit(Task& task, const Job& job);
   // Reads the results of a job from `read.results.size()` on. Returns the status; 0: no answer.
@@ -110,4 +112,4 @@
 
 }  // namespace anvilcroft::review
 
-#endif  // REVIEW_STANDINS_2_SITE_H_
+#endif  // REVIEW_STANDINS_2_SITE_HPP_
--- a/review/standins-2/store.cc
+++ b/review/standins-2/store.cpp
@@ -1,4 +1,4 @@
-#include "store.h"
+#include "store.hpp"
 
 #include <cstdlib>
 #include <set>
@@ -26,14 +26,14 @@
 std::string Store::Listen(Access*& access) {
   Listener& listener = this->listeners.emplace_back();
   access = &listener.access;
-  listener.server = HttpServer::Builder(this->runtime)
-                        .SetAddress("127.0.0.1:0")
-                        .SetMaxBodyBytes(8 << 20)
-                        .SetHandler([this, &listener](Task& task, const HttpRequest& request,
-                                                      HttpReply& reply) {
-                          this->Handle(task, listener.access, request, reply);
-                        })
-                        .Build();
+  listener.server =
+      HttpServer::Builder(this->runtime)
+          .SetAddress("127.0.0.1:0")
+          .SetMaxBodyBytes(8 << 20)
+          .SetHandler([this, &listener](Task& task, const HttpRequest& request, HttpReply& reply) {
+            this->Handle(task, listener.access, request, reply);
+          })
+          .Build();
   return listener.server->Start().value_or("");
 }
 
--- a/review/standins-2/store.h
+++ b/review/standins-2/store.hpp
@@ -1,5 +1,5 @@
-#ifndef REVIEW_STANDINS_2_STORE_H_
-#define REVIEW_STANDINS_2_STORE_H_
+#ifndef REVIEW_STANDINS_2_STORE_HPP_
+#define REVIEW_STANDINS_2_STORE_HPP_
 
 // A stand-in of the platform's metadata store as PROTOCOL.md describes it: rows, transactions,
 // range reads and change feeds. Each instance has a listener of its own, so that the store can turn
@@ -23,10 +23,10 @@
  public:
   // How one listener treats calls.
   struct Access {
-    bool busy = false;         // 503: nothing was done
-    Duration delay{0};         // before a call is looked at
-    int lose_answers = 0;      // the next transactions are done and not answered: reset
-    std::string lose_key;      // only those that write a row with this key; empty: any
+    bool busy = false;     // 503: nothing was done
+    Duration delay{0};     // before a call is looked at
+    int lose_answers = 0;  // the next transactions are done and not answered: reset
+    std::string lose_key;  // only those that write a row with this key; empty: any
   };
 
   explicit Store(Runtime& runtime) : runtime(runtime) {}
@@ -90,4 +90,4 @@
 
 }  // namespace anvilcroft::review
 
-#endif  // REVIEW_STANDINS_2_STORE_H_
+#endif  // REVIEW_STANDINS_2_STORE_HPP_
