--- a/review/standins-2/engine.hpp
+++ b/review/standins-2/engine.hpp
@@ -50,6 +50,8 @@
   std::string Entry(int64_t beat) const;
 
   const std::string& Id() const { return this->options.id; }
+  int Slots() const { return this->options.slots; }
+  bool HasModel() const { return !this->options.model.empty(); }
   int64_t Version() const { return this->version; }
   // The ids of the requests that run now.
   std::vector<std::string> Running() const;
--- a/review/standins-2/site.hpp
+++ b/review/standins-2/site.hpp
@@ -76,7 +76,7 @@
   // The instance that last wrote the lease on batch jobs; null: none.
   Instance* LeaseHolder();
   // Writes the configuration; `rollout` adds fields to the route of batch jobs.
-  void WriteConfiguration(const nlohmann::json& rollout);
+  void WriteConfiguration(const nlohmann::json& rollout, int64_t version = 3);
   void NameVersion(int64_t version);
   // Keeps the entries of the engines in the store up to date.
   void Register(Task& task);
