Run batch items at all services of a split route

Cause: live requests read the list of services of a route, but everything that serves batch jobs took its first entry: placement, moves, the estimate of a step, deferred steps, orders for engines and the slice plan.

Change: TrafficSplit replaces the list. It has no first element; callers get the services with a positive weight, a share, or a mean over them. Placement takes the engines of all these services; for an item without a text the service that is furthest below its weight comes first, and none holds an item back.

The codec test compares the decoded split with its services and weights instead of its size, which is stricter. Tests of the placement name the route of their items; their checks are unchanged.

--- a/anvilcroft/batch_owner.cc
+++ b/anvilcroft/batch_owner.cc
@@ -6,6 +6,7 @@
 
 #include "anvilcroft/dispensable_groups.h"
 #include "anvilcroft/log.h"
+#include "anvilcroft/sharing/service_pools.h"
 #include "anvilcroft/straggler_plan.h"
 
 namespace anvilcroft {
@@ -60,12 +61,16 @@
   return list;
 }
 
-// Describes `item` for its placement, without key, priority and rank. Removes the engines from
-// item.avoid whose time has passed.
+// The route of an item, which is that of its own path; null: none.
+const ServiceRoute* RouteOf(const RouteTable& routes, const OwnedJob& job, const OwnedItem& item) {
+  return routes.Match(job.head.host, item.item.path.substr(0, item.item.path.find('?')));
+}
+
+// Describes `item` for its placement, without key, route, priority and rank. Removes the engines
+// from item.avoid whose time has passed.
 WaitingItem DescribeWaiting(const OwnedJob& job, OwnedItem& item, const ServiceRoute& route,
                             TimePoint now) {
   WaitingItem entry;
-  entry.service = route.split.empty() ? "" : route.split.front().first;
   entry.model = job.head.model;
   entry.min_version = job.head.min_version;
   if (route.single_version && !item.text.versions.empty()) {
@@ -217,6 +222,8 @@
   if (scaled) engines = this->DescribeEngines(now);
   this->deferred_jobs = scaled ? this->DeferredJobs(engines, now) : std::set<std::string>();
   std::vector<WaitingItem> waiting;
+  std::vector<PlacementRoute> placement_routes;
+  std::map<const ServiceRoute*, std::size_t> route_indices;
   std::vector<std::pair<std::shared_ptr<OwnedJob>, std::size_t>> items_by_key;
   for (const auto& [id, job] : this->context.jobs) {
     const std::set<std::string> dispensable = DispensableGroups(GroupsOf(*job), job->target_groups);
@@ -227,11 +234,13 @@
         this->runner.StartScoring(job, i);
         continue;
       }
-      const ServiceRoute* route =
-          routes->Match(job->head.host, item.item.path.substr(0, item.item.path.find('?')));
+      const ServiceRoute* route = RouteOf(*routes, *job, item);
       if (route == nullptr) continue;
       WaitingItem entry = DescribeWaiting(*job, item, *route, now);
       entry.key = items_by_key.size();
+      const auto [index, added] = route_indices.emplace(route, placement_routes.size());
+      if (added) placement_routes.push_back({route->split, {}});
+      entry.route = index->second;
       entry.priority = routes->PriorityOf(route, job->head.customer).value_or(route->priority);
       entry.rank = item.carried                              ? ItemRank::kRequired
                    : dispensable.count(item.item.group) != 0 ? ItemRank::kDispensable
@@ -243,34 +252,58 @@
   }
   if (waiting.empty()) return;
   if (!scaled) engines = this->DescribeEngines(now);
-  for (const Placement& placement : PlaceItems(std::move(waiting), engines)) {
+  for (const auto& [route, index] : route_indices) {
+    // The weights matter only between several services.
+    if (route->split.Active().size() < 2) continue;
+    placement_routes[index].running = this->RunningByService(*routes, *route);
+  }
+  for (const Placement& placement : PlaceItems(std::move(waiting), engines, placement_routes)) {
     const auto& [job, index] = items_by_key[placement.key];
     if (placement.anew) this->DropText(*job, index, placement.engine);
     this->runner.Start(job, index, placement.engine, placement.version);
   }
 }
 
+std::map<std::string, int> BatchOwner::RunningByService(const RouteTable& routes,
+                                                        const ServiceRoute& route) const {
+  std::map<std::string, int> running;
+  for (const auto& [id, job] : this->context.jobs) {
+    for (const OwnedItem& item : job->items) {
+      if (item.phase != ItemPhase::kRunning || RouteOf(routes, *job, item) != &route) continue;
+      const EngineState* engine = this->context.engine_tracker.Find(item.engine);
+      if (engine != nullptr) ++running[engine->entry.service];
+    }
+  }
+  return running;
+}
+
 std::set<std::string> BatchOwner::DeferredJobs(const std::vector<PlacementEngine>& engines,
                                                TimePoint now) {
   const auto routes = this->context.routes();
   const double event_ms =
       this->context.engine_tracker.MedianEventMs() * LoadFactor(kUsableShareWithLongItem);
   const StoreMillis store_time = this->context.metadata.StoreTime(BootNow());
-  std::map<std::string, int> slots;  // by service
-  for (const PlacementEngine& engine : engines) slots[engine.service] += engine.slots;
+  ServicePools pools;
+  for (const ServiceRoute& route : routes->Routes()) {
+    if (route.kind == RouteKind::kRollout) pools.Join(route.split);
+  }
+  std::map<std::string, int> slots;  // by pool
+  for (const PlacementEngine& engine : engines) slots[pools.PoolOf(engine.service)] += engine.slots;
   std::vector<OpenStep> steps;
   std::vector<std::string> trainers;
   std::vector<std::string> jobs;
   for (const auto& [id, job] : this->context.jobs) {
     const ServiceRoute* route = routes->Match(job->head.host, job->head.path);
-    if (route == nullptr || route->split.empty() || route->result_target <= Duration::zero()) {
-      continue;
-    }
-    const TargetService* service = routes->FindService(route->split.front().first);
-    if (service == nullptr || !service->scaling || event_ms <= 0) continue;
+    if (route == nullptr || route->result_target <= Duration::zero()) continue;
+    const auto& shares = route->split.Active();
+    const bool scaled = std::any_of(shares.begin(), shares.end(), [&](const ServiceShare& share) {
+      const TargetService* service = routes->FindService(share.service);
+      return service != nullptr && service->scaling;
+    });
+    if (!scaled || event_ms <= 0) continue;
     OpenStep step;
     step.key = jobs.size();
-    step.service = service->name;
+    step.pool = pools.PoolOf(route->split);
     step.priority = routes->PriorityOf(route, job->head.customer).value_or(route->priority);
     step.time_limit = route->result_target;
     step.due_in = route->result_target - milliseconds(store_time - job->head.submitted_at);
@@ -357,17 +390,17 @@
   std::vector<OwnedItem*> items_by_key;
   const auto routes = this->context.routes();
   for (const auto& [id, job] : this->context.jobs) {
-    const ServiceRoute* route = routes ? routes->Match(job->head.host, job->head.path) : nullptr;
-    const bool single_version = route != nullptr && route->single_version;
     for (OwnedItem& item : job->items) {
       if (item.phase != ItemPhase::kRunning || !item.run || item.run->Cancelled()) continue;
       if (item.awaiting_permit) continue;
+      const ServiceRoute* route = routes ? RouteOf(*routes, *job, item) : nullptr;
+      const bool single_version = route != nullptr && route->single_version;
       const EngineState* engine = this->context.engine_tracker.Find(item.engine);
       if (engine == nullptr) continue;
       RunningItem entry;
       entry.key = items_by_key.size();
       entry.engine = item.engine;
-      entry.service = engine->entry.service;
+      if (route != nullptr) entry.services = route->split;
       entry.model = job->head.model;
       entry.min_version = job->head.min_version;
       if (single_version && !item.text.versions.empty()) {
--- a/anvilcroft/batch_owner.h
+++ b/anvilcroft/batch_owner.h
@@ -64,6 +64,9 @@
   // Gives up waiting items that are too old or have failed too often.
   void ExpireItems();
   void PlaceWaitingItems(TimePoint now);
+  // Number of running items of `route`, by the service of their engines.
+  std::map<std::string, int> RunningByService(const RouteTable& routes,
+                                              const ServiceRoute& route) const;
   // The jobs whose steps are deferred because the engines cannot finish all open steps in time.
   // Only steps of services whose number of engines the platform changes count.
   std::set<std::string> DeferredJobs(const std::vector<PlacementEngine>& engines, TimePoint now);
--- a/anvilcroft/batch_owner_jobs.cc
+++ b/anvilcroft/batch_owner_jobs.cc
@@ -186,9 +186,11 @@
     return;
   const auto routes = this->context.routes();
   const ServiceRoute* route = routes ? routes->Match(head.host, head.path) : nullptr;
-  if (route != nullptr && !route->split.empty()) {
-    const TargetService* service = routes->FindService(route->split.front().first);
-    if (service != nullptr) job->tokens_per_event = service->tokens_per_event;
+  if (route != nullptr && !route->split.Active().empty()) {
+    job->tokens_per_event = route->split.Mean([&](const std::string& name) {
+      const TargetService* service = routes->FindService(name);
+      return service != nullptr ? service->tokens_per_event : TargetService::kDefaultTokensPerEvent;
+    });
   }
   for (OwnedItem& item : job->items) {
     const auto carried_text = this->carried_texts.Extract(head.customer, item.item.id);
--- a/anvilcroft/fleet/slice_owners.cc
+++ b/anvilcroft/fleet/slice_owners.cc
@@ -153,9 +153,10 @@
   if (!routes) return {};
   std::map<std::string, ServiceSize> sizes;
   for (const ServiceRoute& route : routes->Routes()) {
-    if (route.kind != RouteKind::kRollout || route.split.empty()) continue;
-    const std::string& service = route.split.front().first;
-    sizes[service].service = service;
+    if (route.kind != RouteKind::kRollout) continue;
+    for (const ServiceShare& share : route.split.Active()) {
+      sizes[share.service].service = share.service;
+    }
   }
   for (const auto& [id, target] : this->first->pool.All()) {
     const auto found = sizes.find(target.entry.service);
--- a/anvilcroft/item_placement.cc
+++ b/anvilcroft/item_placement.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace anvilcroft {
 namespace {
@@ -39,10 +40,82 @@
   return std::max(1, static_cast<int>(engine.slots * kUsableShareWithLongItem));
 }
 
+// The engines of one service that gets requests of a route.
+struct ServiceOption {
+  double weight = 1;
+  int running = 0;  // items of the route
+  std::vector<PlacementEngine*> engines;
+};
+
+// The best engine for an item, among those of one service or of all.
+struct Candidate {
+  PlacementEngine* engine = nullptr;
+  ServiceOption* service = nullptr;
+  double cost_ms = 0;
+  int64_t version = 0;
+
+  // Whether the engine can be expected to serve the item without delay.
+  bool Sound(const WaitingItem& item) const {
+    return item.avoid.count(this->engine->id) == 0 && this->engine->permit_wait <= Duration(0) &&
+           this->engine->failure_share <= kMaxFailureShare;
+  }
+  // Running items per weight once the item has started.
+  double LoadByWeight() const { return (this->service->running + 1) / this->service->weight; }
+};
+
+std::vector<std::vector<ServiceOption>> FindOptions(const std::vector<PlacementRoute>& routes,
+                                                    std::vector<PlacementEngine>& engines) {
+  std::map<std::string, std::vector<PlacementEngine*>> by_service;
+  for (PlacementEngine& engine : engines) by_service[engine.service].push_back(&engine);
+  std::vector<std::vector<ServiceOption>> options;
+  for (const PlacementRoute& route : routes) {
+    std::vector<ServiceOption>& services = options.emplace_back();
+    for (const ServiceShare& share : route.split.Active()) {
+      const auto found = by_service.find(share.service);
+      if (found == by_service.end()) continue;
+      const auto running = route.running.find(share.service);
+      services.push_back(
+          {share.weight, running == route.running.end() ? 0 : running->second, found->second});
+    }
+  }
+  return options;
+}
+
+// The engine of `service` on which `item` is expected to finish first.
+Candidate FindEngine(const WaitingItem& item, ServiceOption& service, int64_t newest) {
+  Candidate best;
+  for (PlacementEngine* engine : service.engines) {
+    if (engine->running >= SlotsFor(item, *engine)) continue;
+    if (engine->loading.count(item.model) != 0) continue;
+    const auto found = engine->versions.find(item.model);
+    const int64_t version = found == engine->versions.end() ? 0 : found->second;
+    if (!item.model.empty() && found == engine->versions.end()) continue;
+    if (version < item.min_version) continue;
+    if (item.only_version != 0 && version != item.only_version && !StartsAnew(item, *engine)) {
+      continue;
+    }
+    const double cost = CostMs(item, *engine, version, newest);
+    if (best.engine == nullptr || cost < best.cost_ms) best = {engine, &service, cost, version};
+  }
+  return best;
+}
+
+// Whether `a` is the better choice for `item`. The weights decide between services for an item
+// without a text; one with a text goes where it is finished first.
+bool Better(const WaitingItem& item, const Candidate& a, const Candidate& b) {
+  if (item.events_done > 0) return a.cost_ms < b.cost_ms;
+  const bool a_sound = a.Sound(item);
+  const bool b_sound = b.Sound(item);
+  if (a_sound != b_sound) return a_sound;
+  if (!a_sound) return a.cost_ms < b.cost_ms;
+  return std::make_pair(a.LoadByWeight(), a.cost_ms) < std::make_pair(b.LoadByWeight(), b.cost_ms);
+}
+
 }  // namespace
 
 std::vector<Placement> PlaceItems(std::vector<WaitingItem> items,
-                                  std::vector<PlacementEngine> engines) {
+                                  std::vector<PlacementEngine> engines,
+                                  const std::vector<PlacementRoute>& routes) {
   std::stable_sort(items.begin(), items.end(), [](const WaitingItem& a, const WaitingItem& b) {
     return std::make_tuple(a.rank == ItemRank::kDispensable, a.deferred, a.priority, a.rank,
                            -a.events_left) < std::make_tuple(b.rank == ItemRank::kDispensable,
@@ -59,34 +132,23 @@
   for (const PlacementEngine& engine : engines) {
     free_slots += std::max(0, engine.slots - engine.running);
   }
+  std::vector<std::vector<ServiceOption>> options = FindOptions(routes, engines);
   std::vector<Placement> placements;
   for (const WaitingItem& item : items) {
     if (free_slots == 0) break;
-    PlacementEngine* best = nullptr;
-    double best_cost = 0;
-    int64_t best_version = 0;
-    for (PlacementEngine& engine : engines) {
-      if (engine.running >= SlotsFor(item, engine) || engine.service != item.service) continue;
-      if (engine.loading.count(item.model) != 0) continue;
-      const auto found = engine.versions.find(item.model);
-      const int64_t version = found == engine.versions.end() ? 0 : found->second;
-      if (!item.model.empty() && found == engine.versions.end()) continue;
-      if (version < item.min_version) continue;
-      if (item.only_version != 0 && version != item.only_version && !StartsAnew(item, engine)) {
-        continue;
-      }
-      const double cost = CostMs(item, engine, version, newest[item.model]);
-      if (best == nullptr || cost < best_cost) {
-        best = &engine;
-        best_cost = cost;
-        best_version = version;
-      }
+    Candidate best;
+    for (ServiceOption& service : options[item.route]) {
+      const Candidate candidate = FindEngine(item, service, newest[item.model]);
+      if (candidate.engine == nullptr) continue;
+      if (best.engine == nullptr || Better(item, candidate, best)) best = candidate;
     }
-    if (best == nullptr) continue;
-    ++best->running;
-    if (item.events_left >= kLongItemEvents) ++best->long_items;
+    if (best.engine == nullptr) continue;
+    ++best.engine->running;
+    ++best.service->running;
+    if (item.events_left >= kLongItemEvents) ++best.engine->long_items;
     --free_slots;
-    placements.push_back(Placement{item.key, best->id, best_version, StartsAnew(item, *best)});
+    placements.push_back(
+        Placement{item.key, best.engine->id, best.version, StartsAnew(item, *best.engine)});
   }
   return placements;
 }
--- a/anvilcroft/item_placement.h
+++ b/anvilcroft/item_placement.h
@@ -11,6 +11,10 @@
 // Each item is placed on the engine on which it is expected to finish first; an engine that can't
 // continue its text has all of it to generate.
 //
+// Where a route divides its requests among several services, an item without a text goes to the
+// service whose share of the route's running items is furthest below its weight, among those with a
+// usable engine. A service without one holds no item back: the others take its share.
+//
 // An engine slows down when its last slots are filled. While it runs a long item, short items may
 // fill at most kUsableShareWithLongItem of its slots, because the step waits for the long item and
 // not for the short ones. A long item may use any free slot.
@@ -23,6 +27,7 @@
 #include <vector>
 
 #include "anvilcroft/engine_pace.h"
+#include "anvilcroft/traffic_split.h"
 
 namespace anvilcroft {
 
@@ -40,9 +45,15 @@
 // slowdown come with the last quarter of the slots.
 constexpr double kUsableShareWithLongItem = 0.75;
 
+// A route whose items wait.
+struct PlacementRoute {
+  TrafficSplit split;
+  std::map<std::string, int> running;  // items of the route that run, by service
+};
+
 struct WaitingItem {
-  std::size_t key = 0;  // chosen by the caller; identifies the item in its Placement
-  std::string service;
+  std::size_t key = 0;    // chosen by the caller; identifies the item in its Placement
+  std::size_t route = 0;  // index of its route
   std::string model;
   int64_t min_version = 0;
   // The only version that may continue the text, which must be of one version; 0: any version.
@@ -81,10 +92,14 @@
   bool anew = false;    // the engine can't continue the text and starts it anew
 };
 
+// An engine that is more likely to fail gets requests only if the others can't take them.
+constexpr double kMaxFailureShare = 0.3;
+
 // Returns at most one placement for each item. The placements never exceed the free slots of an
-// engine. Items without a usable engine are left out.
+// engine. Items without a usable engine are left out. `routes`: the routes of all items.
 std::vector<Placement> PlaceItems(std::vector<WaitingItem> items,
-                                  std::vector<PlacementEngine> engines);
+                                  std::vector<PlacementEngine> engines,
+                                  const std::vector<PlacementRoute>& routes);
 
 }  // namespace anvilcroft
 
--- a/anvilcroft/live_streamer.cc
+++ b/anvilcroft/live_streamer.cc
@@ -88,8 +88,8 @@
   if (request.resume_after == 0) return {};
   const auto table = this->routes();
   const ServiceRoute* route = table ? table->Match(request.host, request.path) : nullptr;
-  if (route == nullptr || !route->resumable || route->split.empty()) return {};
-  auto origin = this->origins.Find(task, request.resumes, route->split.front().first);
+  if (route == nullptr || !route->resumable || route->split.Active().empty()) return {};
+  auto origin = this->origins.Find(task, request.resumes, route->split.Active().front().service);
   if (!origin) return tl::unexpected<Error>(origin.error());
   progress.origin = std::move(*origin);
   return {};
--- a/anvilcroft/route_chooser.cc
+++ b/anvilcroft/route_chooser.cc
@@ -26,10 +26,10 @@
   int unlimited_left = 0;
   std::vector<std::pair<double, std::vector<const PoolTarget*>>> options;
   double total = 0;
-  for (const auto& [service, weight] : route.split) {
+  for (const auto& [service, weight] : route.split.Active()) {
     std::vector<const PoolTarget*> candidates;
     for (const PoolTarget* target : this->pool.AcceptingTargets(service, now)) {
-      if (weight <= 0 || !usable(target->entry)) continue;
+      if (!usable(target->entry)) continue;
       const auto wait = this->permit_wait(target->entry, now);
       if (wait && unlimited) continue;
       if (wait) {
--- a/anvilcroft/scaling/engine_scaler.cc
+++ b/anvilcroft/scaling/engine_scaler.cc
@@ -21,10 +21,10 @@
 // A load report tells for this long whether an engine runs requests.
 constexpr Duration kReportLifetime = seconds(1);
 
-// Name of the service that runs the job's items, or "".
-std::string ServiceOf(const RouteTable& routes, const BatchHead& head) {
+// The services that run the job's items.
+TrafficSplit ServicesOf(const RouteTable& routes, const BatchHead& head) {
   const ServiceRoute* route = routes.Match(head.host, head.path);
-  return route == nullptr || route->split.empty() ? "" : route->split.front().first;
+  return route == nullptr ? TrafficSplit() : route->split;
 }
 
 double ExpectedEvents(const OwnedJob& job, const BatchItem& item) {
@@ -166,22 +166,24 @@
 void EngineScaler::ObserveDemand(const RouteTable& routes, TimePoint now) {
   const StoreMillis store_now = this->context.metadata.StoreTime(BootNow());
   for (const auto& [id, job] : this->context.jobs) {
-    const std::string service = ServiceOf(routes, job->head);
-    if (service.empty()) continue;
-    Service& state = this->services[service];
+    const TrafficSplit split = ServicesOf(routes, job->head);
     const milliseconds age(std::max<StoreMillis>(0, store_now - job->head.submitted_at));
-    if (age > kDemandWindow || state.demand.Contains(id)) continue;
-    StepDemand step;
-    step.job = id;
-    step.model = job->head.model;
-    step.submitted_at = now - age;
-    step.due = routes.Match(job->head.host, job->head.path)->result_target;
-    if (step.due <= Duration::zero()) step.due = kDefaultDue;
-    for (const OwnedItem& item : job->items) {
-      step.events += ExpectedEvents(*job, item.item);
+    if (age > kDemandWindow) continue;
+    for (const ServiceShare& share : split.Active()) {
+      DemandWindow& demand = this->services[share.service].demand;
+      if (demand.Contains(id)) continue;
+      StepDemand step;
+      step.job = id;
+      step.model = job->head.model;
+      step.submitted_at = now - age;
+      step.due = routes.Match(job->head.host, job->head.path)->result_target;
+      if (step.due <= Duration::zero()) step.due = kDefaultDue;
+      for (const OwnedItem& item : job->items) {
+        step.events += ExpectedEvents(*job, item.item) * split.ShareOf(share.service);
+      }
+      step.longest_events = LongestRequired(*job);
+      demand.Record(step);
     }
-    step.longest_events = LongestRequired(*job);
-    state.demand.Record(step);
   }
   for (auto& [name, service] : this->services) service.demand.Expire(now);
 }
@@ -189,12 +191,16 @@
 double EngineScaler::OutstandingEvents(const RouteTable& routes, const std::string& service) const {
   double events = 0;
   for (const auto& [id, job] : this->context.jobs) {
-    if (ServiceOf(routes, job->head) != service) continue;
+    const double share = ServicesOf(routes, job->head).ShareOf(service);
     for (const OwnedItem& item : job->items) {
       if (item.phase != ItemPhase::kWaiting && item.phase != ItemPhase::kRunning) continue;
       if (item.text.complete) continue;
-      events +=
-          std::max(0.0, ExpectedEvents(*job, item.item) - static_cast<double>(item.text.events));
+      const EngineState* engine = item.phase == ItemPhase::kRunning
+                                      ? this->context.engine_tracker.Find(item.engine)
+                                      : nullptr;
+      const double part = engine == nullptr ? share : engine->entry.service == service ? 1 : 0;
+      events += part * std::max(0.0, ExpectedEvents(*job, item.item) -
+                                         static_cast<double>(item.text.events));
     }
   }
   return events;
--- a/anvilcroft/service_route.h
+++ b/anvilcroft/service_route.h
@@ -5,10 +5,9 @@
 
 #include <string>
 #include <tuple>
-#include <utility>
-#include <vector>
 
 #include "anvilcroft/time.h"
+#include "anvilcroft/traffic_split.h"
 
 namespace anvilcroft {
 
@@ -33,20 +32,13 @@
   Duration result_target = Duration::zero();  // batch jobs: all results are due after this time
   Duration item_lifetime = Duration::zero();  // batch jobs: an item may expire after this time
   bool single_version = false;  // batch jobs: each text must come from one weight version
-  // Names of services, each with the weight of its share of the requests.
-  std::vector<std::pair<std::string, double>> split;
+  TrafficSplit split;           // the services that serve the requests
 
   // Whether a request that may have run may be sent again.
   bool Repeatable() const {
     return this->kind == RouteKind::kRepeatable || this->kind == RouteKind::kRollout ||
            this->resumable;
   }
-  bool AllowsService(const std::string& service) const {
-    for (const auto& [name, weight] : this->split) {
-      if (name == service) return true;
-    }
-    return false;
-  }
 
   friend bool operator==(const ServiceRoute& a, const ServiceRoute& b) {
     return std::tie(a.name, a.host, a.prefix, a.kind, a.timeout, a.target_latency, a.priority,
--- a/anvilcroft/sharing/step_order.cc
+++ b/anvilcroft/sharing/step_order.cc
@@ -19,11 +19,11 @@
 
 }  // namespace
 
-std::vector<std::size_t> DeferredSteps(const std::vector<OpenStep>& steps,
-                                       const std::string& service, int slots) {
+std::vector<std::size_t> DeferredSteps(const std::vector<OpenStep>& steps, const std::string& pool,
+                                       int slots) {
   std::vector<const OpenStep*> open;
   for (const OpenStep& step : steps) {
-    if (step.service == service && step.work_ms > 0) open.push_back(&step);
+    if (step.pool == pool && step.work_ms > 0) open.push_back(&step);
   }
   if (open.size() < 2 || slots < 1) return {};
   std::stable_sort(open.begin(), open.end(), [slots](const OpenStep* a, const OpenStep* b) {
--- a/anvilcroft/sharing/step_order.h
+++ b/anvilcroft/sharing/step_order.h
@@ -1,7 +1,7 @@
 #ifndef ANVILCROFT_SHARING_STEP_ORDER_H_
 #define ANVILCROFT_SHARING_STEP_ORDER_H_
 
-// Decides which training steps are worked on first when the engines of a service cannot finish all
+// Decides which training steps are worked on first when the engines cannot finish all
 // of them in time.
 //
 // Load pattern: several trainers submit a step each every few seconds, and the engines of an
@@ -31,7 +31,7 @@
 
 struct OpenStep {
   std::size_t key = 0;    // chosen by the caller; identifies the step in the result
-  std::string service;    // whose engines run it
+  std::string pool;       // of the services whose engines run it (service_pools.h)
   int priority = 0;       // 0 is the most urgent
   Duration due_in{};      // until its due time; negative: it is late
   Duration time_limit{};  // from its submission to its due time
@@ -41,19 +41,18 @@
   Duration deferred_for{};
 
   friend bool operator==(const OpenStep& a, const OpenStep& b) {
-    return std::tie(a.key, a.service, a.priority, a.due_in, a.time_limit, a.work_ms, a.longest_ms,
-                    a.deferred_for) == std::tie(b.key, b.service, b.priority, b.due_in,
-                                                b.time_limit, b.work_ms, b.longest_ms,
-                                                b.deferred_for);
+    return std::tie(a.key, a.pool, a.priority, a.due_in, a.time_limit, a.work_ms, a.longest_ms,
+                    a.deferred_for) == std::tie(b.key, b.pool, b.priority, b.due_in, b.time_limit,
+                                                b.work_ms, b.longest_ms, b.deferred_for);
   }
   friend bool operator!=(const OpenStep& a, const OpenStep& b) { return !(a == b); }
 };
 
 // Returns the keys of the steps that are deferred: their items start behind those of all other
-// steps of the service. `slots`: concurrent runs that the engines of `service` take. Returns none
+// steps of the pool. `slots`: concurrent runs that the engines of `pool` take. Returns none
 // if all steps can be in time, or if only one is open.
-std::vector<std::size_t> DeferredSteps(const std::vector<OpenStep>& steps,
-                                       const std::string& service, int slots);
+std::vector<std::size_t> DeferredSteps(const std::vector<OpenStep>& steps, const std::string& pool,
+                                       int slots);
 
 }  // namespace anvilcroft
 
--- a/anvilcroft/sharing/step_tracker.cc
+++ b/anvilcroft/sharing/step_tracker.cc
@@ -27,8 +27,8 @@
     if (found != this->deferred_for.end()) steps[i].deferred_for = found->second;
   }
   std::set<std::size_t> deferred;
-  for (const auto& [service, count] : slots) {
-    for (const std::size_t key : DeferredSteps(steps, service, count)) deferred.insert(key);
+  for (const auto& [pool, count] : slots) {
+    for (const std::size_t key : DeferredSteps(steps, pool, count)) deferred.insert(key);
   }
   std::set<std::string> behind;  // a trainer may have several open steps
   for (std::size_t i = 0; i < steps.size(); ++i) {
--- a/anvilcroft/sharing/step_tracker.h
+++ b/anvilcroft/sharing/step_tracker.h
@@ -17,7 +17,7 @@
 class StepTracker {
  public:
   // Returns the keys of the steps that are deferred at `now`. `trainers`: the trainer of each of
-  // `steps`, in the same order. `slots`: concurrent runs that the engines take, by service.
+  // `steps`, in the same order. `slots`: concurrent runs that the engines take, by pool.
   std::set<std::size_t> Defer(std::vector<OpenStep> steps, const std::vector<std::string>& trainers,
                               const std::map<std::string, int>& slots, TimePoint now);
 
--- a/anvilcroft/straggler_plan.cc
+++ b/anvilcroft/straggler_plan.cc
@@ -16,7 +16,6 @@
 constexpr double kMinGainSilentMs = 150;
 // Smaller differences between the usual paces of two engines are within the error of the estimates.
 constexpr double kMinPaceRatio = 1.3;
-constexpr double kMaxFailureShare = 0.3;  // failure probability of an engine that receives items
 
 const PlacementEngine* FindEngine(const std::vector<PlacementEngine>& engines,
                                   const std::string& id) {
@@ -42,7 +41,7 @@
 
 // Whether `item` can be moved to `engine`.
 bool CanRun(const RunningItem& item, const PlacementEngine& engine) {
-  if (engine.id == item.engine || engine.service != item.service) return false;
+  if (engine.id == item.engine || !item.services.Includes(engine.service)) return false;
   if (!item.software.empty() && engine.software != item.software) return false;
   if (engine.running >= engine.slots || engine.loading.count(item.model) != 0) return false;
   if (engine.failure_share > kMaxFailureShare) return false;
--- a/anvilcroft/straggler_plan.h
+++ b/anvilcroft/straggler_plan.h
@@ -24,7 +24,7 @@
 struct RunningItem {
   std::size_t key = 0;  // chosen by the caller; returned for an item to move
   std::string engine;
-  std::string service;
+  TrafficSplit services;  // of its route
   std::string model;
   int64_t min_version = 0;
   int64_t only_version = 0;                 // the only usable version; 0: any version
--- a/anvilcroft/stream_origins.cc
+++ b/anvilcroft/stream_origins.cc
@@ -25,7 +25,7 @@
   std::set<std::string> services;
   for (const ServiceRoute& route : routes.Routes()) {
     if (route.kind != RouteKind::kStream || !route.resumable) continue;
-    for (const auto& [service, weight] : route.split) services.insert(service);
+    for (const ServiceShare& share : route.split.All()) services.insert(share.service);
   }
   return services;
 }
--- a/testing/engine_pace_test.cc
+++ b/testing/engine_pace_test.cc
@@ -34,7 +34,7 @@
   idle.pace = PaceForecast{40, 0, 0};
   RunningItem item;
   item.engine = "slow";
-  item.service = "model";
+  item.services = TrafficSplit::Builder().Add("model").Build();
   item.model = "m";
   item.events_left = events_left;
   item.events_here = 10;
--- a/testing/item_placement_test.cc
+++ b/testing/item_placement_test.cc
@@ -14,6 +14,13 @@
 namespace anvilcroft {
 namespace {
 
+TrafficSplit OneService() { return TrafficSplit::Builder().Add("model").Build(); }
+
+// Places items of a route with one service.
+std::vector<Placement> Place(std::vector<WaitingItem> items, std::vector<PlacementEngine> engines) {
+  return PlaceItems(std::move(items), std::move(engines), {{OneService(), {}}});
+}
+
 PlacementEngine Engine(const std::string& id, int64_t version, int running = 0) {
   PlacementEngine engine;
   engine.id = id;
@@ -27,7 +34,6 @@
 WaitingItem Item(std::size_t key, double events, ItemRank rank = ItemRank::kNormal) {
   WaitingItem item;
   item.key = key;
-  item.service = "model";
   item.model = "m";
   item.min_version = 1;
   item.rank = rank;
@@ -39,7 +45,7 @@
 TEST_CASE("required items start first, then the longest, then dispensable ones", "[placement]") {
   std::vector<WaitingItem> items = {Item(0, 10), Item(1, 39, ItemRank::kDispensable), Item(2, 35),
                                     Item(3, 5, ItemRank::kRequired), Item(4, 30)};
-  const auto placed = PlaceItems(items, {Engine("e", 1)});
+  const auto placed = Place(items, {Engine("e", 1)});
   REQUIRE(placed.size() == 4);
   std::vector<std::size_t> order;
   for (const Placement& placement : placed) order.push_back(placement.key);
@@ -53,7 +59,7 @@
   PlacementEngine limited = Engine("limited", 1);
   limited.permit_wait = milliseconds(700);
   PlacementEngine other = Engine("other", 1, 3);
-  const auto placed = PlaceItems({Item(0, 10), Item(1, 10)}, {limited, other});
+  const auto placed = Place({Item(0, 10), Item(1, 10)}, {limited, other});
   REQUIRE(placed.size() == 2);
   CHECK(placed[0].engine == "other");
   CHECK(placed[1].engine == "limited");
@@ -69,19 +75,19 @@
   WaitingItem item = Item(0, 10);
   item.software = "v1";
   item.events_done = 15;
-  auto placed = PlaceItems({item}, {other, same});
+  auto placed = Place({item}, {other, same});
   REQUIRE(placed.size() == 1);
   CHECK(placed[0].engine == "same");
   CHECK_FALSE(placed[0].anew);
   same.running = same.slots;
-  placed = PlaceItems({item}, {other, same});
+  placed = Place({item}, {other, same});
   REQUIRE(placed.size() == 1);
   CHECK(placed[0].engine == "other");
   CHECK(placed[0].anew);
   // A running item is not moved to the other version, which would start anew.
   RunningItem running;
   running.engine = "slow";
-  running.service = "model";
+  running.services = OneService();
   running.model = "m";
   running.software = "v1";
   running.events_left = 60;
@@ -101,12 +107,12 @@
   PlacementEngine good = Engine("good", 2, 3);
   WaitingItem item = Item(0, 10);
   item.min_version = 2;
-  const auto placed = PlaceItems({item, item}, {old, loading, good});
+  const auto placed = Place({item, item}, {old, loading, good});
   REQUIRE(placed.size() == 1);
   CHECK(placed[0].engine == "good");
   CHECK(placed[0].version == 2);
   item.only_version = 3;
-  CHECK(PlaceItems({item}, {old, loading, good}).empty());
+  CHECK(Place({item}, {old, loading, good}).empty());
 }
 
 // Load pattern: a step of which the trainer waits for 90% of the groups.
@@ -128,8 +134,8 @@
   slow.pace.event_ms = 100;
   PlacementEngine failing = Engine("failing", 1);
   failing.failure_share = 0.5;
-  const auto placed = PlaceItems({Item(0, 20), Item(1, 20), Item(2, 20), Item(3, 20)},
-                                 {slow, failing, Engine("good", 1)});
+  const auto placed = Place({Item(0, 20), Item(1, 20), Item(2, 20), Item(3, 20)},
+                            {slow, failing, Engine("good", 1)});
   REQUIRE(placed.size() == 4);
   for (const Placement& placement : placed) CHECK(placement.engine == "good");
 }
@@ -138,13 +144,12 @@
 TEST_CASE("short items leave a quarter of the slots free beside a long item", "[placement]") {
   PlacementEngine with_long = Engine("e", 1, 3);
   with_long.long_items = 1;
-  CHECK(PlaceItems({Item(0, 10)}, {with_long}).empty());
-  CHECK(PlaceItems({Item(0, kLongItemEvents)}, {with_long}).size() == 1);
+  CHECK(Place({Item(0, 10)}, {with_long}).empty());
+  CHECK(Place({Item(0, kLongItemEvents)}, {with_long}).size() == 1);
   with_long.long_items = 0;
-  CHECK(PlaceItems({Item(0, 10)}, {with_long}).size() == 1);
+  CHECK(Place({Item(0, 10)}, {with_long}).size() == 1);
   // A long item that is placed in this call counts for the items placed after it.
-  CHECK(PlaceItems({Item(0, 90), Item(1, 9), Item(2, 8), Item(3, 7)}, {Engine("e", 1)}).size() ==
-        3);
+  CHECK(Place({Item(0, 90), Item(1, 9), Item(2, 8), Item(3, 7)}, {Engine("e", 1)}).size() == 3);
 }
 
 // Oracle: no engine gets more items than slots, and no item waits while a slot that it may use is
@@ -161,7 +166,7 @@
     for (std::size_t i = 0; i < random() % 20; ++i) {
       items.push_back(Item(i, static_cast<double>(random() % 100)));
     }
-    const auto placed = PlaceItems(items, engines);
+    const auto placed = Place(items, engines);
     std::set<std::size_t> started;
     std::map<std::string, int> running;
     std::map<std::string, bool> has_long;
@@ -190,7 +195,7 @@
   RunningItem item;
   item.key = key;
   item.engine = engine;
-  item.service = "model";
+  item.services = OneService();
   item.model = "m";
   item.events_left = left;
   item.events_here = kMinEventsBeforeMove;
@@ -240,7 +245,7 @@
   items[0].priority = 1;
   items.push_back(Item(3, 20, ItemRank::kDispensable));
   items[3].priority = 1;
-  const auto placed = PlaceItems(items, {Engine("e", 1, 2)});
+  const auto placed = Place(items, {Engine("e", 1, 2)});
   REQUIRE(placed.size() == 2);
   CHECK(placed[0].key == 1);  // urgent and needed
   CHECK(placed[1].key == 0);  // needed, before those that the trainers can do without
--- a/testing/platform_codec_test.cc
+++ b/testing/platform_codec_test.cc
@@ -85,7 +85,7 @@
   REQUIRE(lookup != nullptr);
   CHECK(lookup->kind == RouteKind::kRepeatable);
   CHECK(lookup->timeout == milliseconds(1500));
-  CHECK(lookup->split.size() == 2);
+  CHECK(lookup->split == TrafficSplit::Builder().Add("x", 90).Add("y", 10).Build());
   CHECK(table->Match("h.example", "/slip/1")->kind == RouteKind::kOnce);
   const ServiceRoute* rollout = table->Match("h.example", "/rollout/1");
   CHECK(rollout->result_target == milliseconds(7500));
--- a/testing/platform_scaling_test.cc
+++ b/testing/platform_scaling_test.cc
@@ -41,7 +41,8 @@
     };
   }
 
-  void PutConfiguration(int max) {
+  // Returns the configuration.
+  json PutConfiguration(int max) {
     json configuration = Configuration(4);
     configuration["Services"][1]["Scaling"] = {
         {"Min", 1},
@@ -50,6 +51,7 @@
         {"SpotPrice", 0.22},
         {"ZonePrices", {{"a", 0.85}, {"b", 1.2}, {"c", 1.0}}}};
     this->store.Put("op", "config", configuration.dump());
+    return configuration;
   }
 
   // Adds or removes entries until there are `count` of the kind.
@@ -168,6 +170,40 @@
   });
 }
 
+// Guards against a service of a split route that gets no engines because the need of its steps is
+// taken for that of the first service alone.
+TEST_CASE("the services of a split route get engines for their shares of a step", "[scaling]") {
+  ScalingFixture site;
+  json configuration = site.PutConfiguration(30);
+  json other = configuration["Services"][1];
+  other["Name"] = "other";
+  other["Scaling"]["Min"] = 0;
+  configuration["Services"].push_back(other);
+  for (json& route : configuration["Routes"]) {
+    if (route["Kind"] != "rollout") continue;
+    route.erase("Service");
+    route["TrafficSplit"] =
+        json::array({{{"Service", "model"}, {"Weight", 1}}, {{"Service", "other"}, {"Weight", 3}}});
+  }
+  configuration["Version"] = 5;
+  site.store.Put("op", "config", configuration.dump());
+  FrontInstance& instance = site.AddScaler("one");
+  site.Run([&](Task& task) {
+    site.AwaitReady(task, instance);
+    const auto accepted = site.Send(task, instance.FrontAddress(), "POST", "/rollout/s", "job1",
+                                    PlatformFixture::Step("x", 200));
+    REQUIRE(accepted);
+    CHECK(accepted->Status() == 202);
+    site.Await(task, "engines of the second service", [&] {
+      int count = 0;
+      for (const auto& [kind, engines] : site.cloud.engines) {
+        if (std::get<0>(kind) == "other") count += engines;
+      }
+      return count > 0;
+    });
+  });
+}
+
 TEST_CASE("an order that the platform refuses goes to another zone at once", "[scaling]") {
   ScalingFixture site;
   site.cloud.checks_fencing = GENERATE(false, true);
--- a/testing/step_order_test.cc
+++ b/testing/step_order_test.cc
@@ -13,7 +13,7 @@
 OpenStep Step(std::size_t key, int due_ms, double work_ms, int priority = 0) {
   OpenStep step;
   step.key = key;
-  step.service = "model";
+  step.pool = "model";
   step.priority = priority;
   step.due_in = milliseconds(due_ms);
   step.time_limit = milliseconds(7500);
