Start a text of one version anew once its version is gone

Items of a group that comes again in the next step waited in the same way without any fault once all engines had loaded the next version.

Cause: the version of the text was a condition on the engine without a way out. Engines never go back to a version, so the condition could not come true any more.

Change: an engine with another version may start the text anew, as one with other software could before. ShouldRestartText decides when: at once if no engine can have the version again, because none that has it is listed, or all leave or load another one; else after as long as the text takes to be generated again, 3 s at most, during which only engines without the version had room. A text that is given up too early costs its time again, a wait costs a time that nobody knows; this bound costs at most twice the better choice. A log line and a metric say when an item is held and when a text is dropped.

--- a/anvilcroft/batch_owner.cc
+++ b/anvilcroft/batch_owner.cc
@@ -8,6 +8,7 @@
 #include "anvilcroft/log.h"
 #include "anvilcroft/sharing/service_pools.h"
 #include "anvilcroft/straggler_plan.h"
+#include "anvilcroft/text_restart.h"
 
 namespace anvilcroft {
 namespace {
@@ -224,7 +225,7 @@
   std::vector<WaitingItem> waiting;
   std::vector<PlacementRoute> placement_routes;
   std::map<const ServiceRoute*, std::size_t> route_indices;
-  std::vector<std::pair<std::shared_ptr<OwnedJob>, std::size_t>> items_by_key;
+  std::vector<ItemKey> items_by_key;
   for (const auto& [id, job] : this->context.jobs) {
     const std::set<std::string> dispensable = DispensableGroups(GroupsOf(*job), job->target_groups);
     for (std::size_t i = 0; i < job->items.size(); ++i) {
@@ -238,6 +239,9 @@
       if (route == nullptr) continue;
       WaitingItem entry = DescribeWaiting(*job, item, *route, now);
       entry.key = items_by_key.size();
+      if (entry.only_version != 0) {
+        entry.may_restart = this->MayRestart(item, *route, entry.model, now);
+      }
       const auto [index, added] = route_indices.emplace(route, placement_routes.size());
       if (added) placement_routes.push_back({route->split, {}});
       entry.route = index->second;
@@ -257,13 +261,48 @@
     if (route->split.Active().size() < 2) continue;
     placement_routes[index].running = this->RunningByService(*routes, *route);
   }
-  for (const Placement& placement : PlaceItems(std::move(waiting), engines, placement_routes)) {
+  const PlacementPlan plan = PlaceItems(std::move(waiting), engines, placement_routes);
+  RecordHeldItems(plan, items_by_key, now);
+  for (const Placement& placement : plan.placements) {
     const auto& [job, index] = items_by_key[placement.key];
-    if (placement.anew) this->DropText(*job, index, placement.engine);
+    if (placement.anew) this->DropText(*job, index, placement.engine, placement.version);
     this->runner.Start(job, index, placement.engine, placement.version);
   }
 }
 
+void BatchOwner::RecordHeldItems(const PlacementPlan& plan,
+                                 const std::vector<ItemKey>& items_by_key, TimePoint now) {
+  const std::set<std::size_t> held(plan.held.begin(), plan.held.end());
+  // A run that begins ends the wait only with its first event: its engine may not answer.
+  std::set<std::size_t> placed;
+  for (const Placement& placement : plan.placements) placed.insert(placement.key);
+  for (std::size_t key = 0; key < items_by_key.size(); ++key) {
+    if (placed.count(key) != 0) continue;
+    const auto& [job, index] = items_by_key[key];
+    OwnedItem& item = job->items[index];
+    if (held.count(key) == 0) {
+      item.held_since.reset();
+    } else if (!item.held_since) {
+      item.held_since = now;
+      LogInfo(kPart, "no engine with the version of a text can run its item",
+              {{"item", item.item.id},
+               {"batch", job->head.id},
+               {"version", std::to_string(item.text.versions.front())},
+               {"events", std::to_string(item.text.events)}});
+    }
+  }
+}
+
+bool BatchOwner::MayRestart(const OwnedItem& item, const ServiceRoute& route,
+                            const std::string& model, TimePoint now) {
+  const bool version_left = AnyMayHaveVersion(this->context.engine_tracker, this->context.pool,
+                                              route.split, model, item.text.versions.front());
+  const Duration held_for = item.held_since ? now - *item.held_since : Duration::zero();
+  const std::chrono::duration<double, std::milli> text_time(
+      static_cast<double>(item.text.events) * this->context.engine_tracker.MedianEventMs());
+  return ShouldRestartText(version_left, held_for, std::chrono::duration_cast<Duration>(text_time));
+}
+
 std::map<std::string, int> BatchOwner::RunningByService(const RouteTable& routes,
                                                         const ServiceRoute& route) const {
   std::map<std::string, int> running;
@@ -333,16 +372,21 @@
   return deferred;
 }
 
-void BatchOwner::DropText(OwnedJob& job, std::size_t index, const std::string& engine) {
+void BatchOwner::DropText(OwnedJob& job, std::size_t index, const std::string& engine,
+                          int64_t version) {
   OwnedItem& item = job.items[index];
-  LogInfo(kPart, "starting a text anew on another software version",
+  LogInfo(kPart, "starting a text anew on an engine that cannot continue it",
           {{"item", item.item.id},
            {"batch", job.head.id},
            {"engine", engine},
-           {"software", item.text.software},
+           {"version", std::to_string(version)},
+           {"text_version", std::to_string(item.text.last_version)},
+           {"text_software", item.text.software},
            {"events", std::to_string(item.text.events)}});
+  this->context.metrics.Increment("anvilcroft_texts_restarted_total", {});
   item.text = ItemText();
   item.saved_events = 0;
+  item.held_since.reset();
 }
 
 std::vector<PlacementEngine> BatchOwner::DescribeEngines(TimePoint now) {
--- a/anvilcroft/batch_owner.h
+++ b/anvilcroft/batch_owner.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "anvilcroft/batch_context.h"
@@ -40,6 +41,8 @@
   void HandOver(Task& task, TimePoint deadline);
 
  private:
+  using ItemKey = std::pair<std::shared_ptr<OwnedJob>, std::size_t>;  // a job and an item's index
+
   // Applies changes of the jobs in the metadata store while the lease is held.
   void WatchJobs(Task& task);
   // Loads all open jobs and sets `version` to the version of the metadata store from which
@@ -70,8 +73,15 @@
   // The jobs whose steps are deferred because the engines cannot finish all open steps in time.
   // Only steps of services whose number of engines the platform changes count.
   std::set<std::string> DeferredJobs(const std::vector<PlacementEngine>& engines, TimePoint now);
-  // Drops the text of an item that starts anew on `engine`.
-  static void DropText(OwnedJob& job, std::size_t index, const std::string& engine);
+  // Drops the text of an item that starts anew on `engine`, which has `version` of its model.
+  void DropText(OwnedJob& job, std::size_t index, const std::string& engine, int64_t version);
+  // Whether engines without the version of the item's text may start it anew.
+  bool MayRestart(const OwnedItem& item, const ServiceRoute& route, const std::string& model,
+                  TimePoint now);
+  // Records since when the items of a plan are held for the versions of their texts. Keys of the
+  // plan are indices in `items_by_key`.
+  static void RecordHeldItems(const PlacementPlan& plan, const std::vector<ItemKey>& items_by_key,
+                              TimePoint now);
   void MoveStragglers(TimePoint now);
   // The engines that may receive items now.
   std::vector<PlacementEngine> DescribeEngines(TimePoint now);
--- a/anvilcroft/item_placement.cc
+++ b/anvilcroft/item_placement.cc
@@ -15,9 +15,15 @@
 // others are much slower.
 constexpr double kAvoidCostMs = 1000;
 
-// Whether `engine` can't continue the text of `item`.
-bool StartsAnew(const WaitingItem& item, const PlacementEngine& engine) {
-  return item.events_done > 0 && item.software != engine.software;
+// Whether the text of `item` must not go on under `version`.
+bool NeedsOtherVersion(const WaitingItem& item, int64_t version) {
+  return item.only_version != 0 && version != item.only_version;
+}
+
+// Whether `engine`, which has `version` of the item's model, can't continue the text of `item`.
+bool StartsAnew(const WaitingItem& item, const PlacementEngine& engine, int64_t version) {
+  return item.events_done > 0 &&
+         (item.software != engine.software || NeedsOtherVersion(item, version));
 }
 
 // Expected time for `item` on `engine`, in ms, with the penalties above. `newest`: newest version
@@ -25,7 +31,8 @@
 double CostMs(const WaitingItem& item, const PlacementEngine& engine, int64_t version,
               int64_t newest) {
   const double load = static_cast<double>(engine.running) / engine.slots;
-  const double events = item.events_left + (StartsAnew(item, engine) ? item.events_done : 0);
+  const double events =
+      item.events_left + (StartsAnew(item, engine, version) ? item.events_done : 0);
   double cost = TimeForEventsMs(engine.pace, std::max(1.0, events), load);
   if (item.prefer_newest && version < newest) cost *= 1 + kOldVersionPenalty;
   cost += engine.failure_share * kFailureCostMs;
@@ -81,8 +88,9 @@
   return options;
 }
 
-// The engine of `service` on which `item` is expected to finish first.
-Candidate FindEngine(const WaitingItem& item, ServiceOption& service, int64_t newest) {
+// The engine of `service` on which `item` is expected to finish first. Sets `held` if an engine
+// could run it if its text were started anew.
+Candidate FindEngine(const WaitingItem& item, ServiceOption& service, int64_t newest, bool& held) {
   Candidate best;
   for (PlacementEngine* engine : service.engines) {
     if (engine->running >= SlotsFor(item, *engine)) continue;
@@ -91,7 +99,9 @@
     const int64_t version = found == engine->versions.end() ? 0 : found->second;
     if (!item.model.empty() && found == engine->versions.end()) continue;
     if (version < item.min_version) continue;
-    if (item.only_version != 0 && version != item.only_version && !StartsAnew(item, *engine)) {
+    if (NeedsOtherVersion(item, version) && item.software == engine->software &&
+        !item.may_restart) {
+      held = true;
       continue;
     }
     const double cost = CostMs(item, *engine, version, newest);
@@ -113,9 +123,8 @@
 
 }  // namespace
 
-std::vector<Placement> PlaceItems(std::vector<WaitingItem> items,
-                                  std::vector<PlacementEngine> engines,
-                                  const std::vector<PlacementRoute>& routes) {
+PlacementPlan PlaceItems(std::vector<WaitingItem> items, std::vector<PlacementEngine> engines,
+                         const std::vector<PlacementRoute>& routes) {
   std::stable_sort(items.begin(), items.end(), [](const WaitingItem& a, const WaitingItem& b) {
     return std::make_tuple(a.rank == ItemRank::kDispensable, a.deferred, a.priority, a.rank,
                            -a.events_left) < std::make_tuple(b.rank == ItemRank::kDispensable,
@@ -133,24 +142,28 @@
     free_slots += std::max(0, engine.slots - engine.running);
   }
   std::vector<std::vector<ServiceOption>> options = FindOptions(routes, engines);
-  std::vector<Placement> placements;
+  PlacementPlan plan;
   for (const WaitingItem& item : items) {
     if (free_slots == 0) break;
     Candidate best;
+    bool held = false;
     for (ServiceOption& service : options[item.route]) {
-      const Candidate candidate = FindEngine(item, service, newest[item.model]);
+      const Candidate candidate = FindEngine(item, service, newest[item.model], held);
       if (candidate.engine == nullptr) continue;
       if (best.engine == nullptr || Better(item, candidate, best)) best = candidate;
     }
-    if (best.engine == nullptr) continue;
+    if (best.engine == nullptr) {
+      if (held) plan.held.push_back(item.key);
+      continue;
+    }
     ++best.engine->running;
     ++best.service->running;
     if (item.events_left >= kLongItemEvents) ++best.engine->long_items;
     --free_slots;
-    placements.push_back(
-        Placement{item.key, best.engine->id, best.version, StartsAnew(item, *best.engine)});
+    plan.placements.push_back(Placement{item.key, best.engine->id, best.version,
+                                        StartsAnew(item, *best.engine, best.version)});
   }
-  return placements;
+  return plan;
 }
 
 }  // namespace anvilcroft
--- a/anvilcroft/item_placement.h
+++ b/anvilcroft/item_placement.h
@@ -58,6 +58,8 @@
   int64_t min_version = 0;
   // The only version that may continue the text, which must be of one version; 0: any version.
   int64_t only_version = 0;
+  // Engines with another version than `only_version` may start the text anew (text_restart.h).
+  bool may_restart = false;
   // Version of the software that generated the text so far. An engine with another one starts the
   // text anew. Only with `events_done`.
   std::string software;
@@ -92,14 +94,19 @@
   bool anew = false;    // the engine can't continue the text and starts it anew
 };
 
+struct PlacementPlan {
+  std::vector<Placement> placements;
+  // Keys of the items for which only engines without their `only_version` have a free slot.
+  std::vector<std::size_t> held;
+};
+
 // An engine that is more likely to fail gets requests only if the others can't take them.
 constexpr double kMaxFailureShare = 0.3;
 
-// Returns at most one placement for each item. The placements never exceed the free slots of an
+// Makes at most one placement for each item. The placements never exceed the free slots of an
 // engine. Items without a usable engine are left out. `routes`: the routes of all items.
-std::vector<Placement> PlaceItems(std::vector<WaitingItem> items,
-                                  std::vector<PlacementEngine> engines,
-                                  const std::vector<PlacementRoute>& routes);
+PlacementPlan PlaceItems(std::vector<WaitingItem> items, std::vector<PlacementEngine> engines,
+                         const std::vector<PlacementRoute>& routes);
 
 }  // namespace anvilcroft
 
--- a/anvilcroft/item_runner.cc
+++ b/anvilcroft/item_runner.cc
@@ -126,6 +126,7 @@
     item.last_event = now;
     item.text.Add(event.data, event.weight_version);
     item.text.software = engine.software;
+    item.held_since.reset();
     return {};
   };
   platform::GenerationOutcome outcome;
--- a/anvilcroft/owned_job.h
+++ b/anvilcroft/owned_job.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,10 +31,13 @@
   BatchItem item;
   ItemPhase phase = ItemPhase::kWaiting;
   ItemText text;
-  bool carried = false;                    // an item of its group was in an earlier job
-  int failures = 0;                        // engine responses that reported a failure
-  int64_t saved_events = 0;                // text.events at the last save for the next owner
-  TimePoint not_before;                    // earliest start of the next run, after a refusal
+  bool carried = false;      // an item of its group was in an earlier job
+  int failures = 0;          // engine responses that reported a failure
+  int64_t saved_events = 0;  // text.events at the last save for the next owner
+  TimePoint not_before;      // earliest start of the next run, after a refusal
+  // Since when only engines without the version of its text have had room for it, while the text
+  // has not grown; nullopt: it waits for no version.
+  std::optional<TimePoint> held_since;
   std::map<std::string, TimePoint> avoid;  // engines to avoid after a failed run, and until when
   std::string engine;                      // the engine that runs it; empty: none
   bool awaiting_permit = false;            // the run has not been sent, because its engine limits
--- a/testing/item_placement_test.cc
+++ b/testing/item_placement_test.cc
@@ -18,7 +18,7 @@
 
 // Places items of a route with one service.
 std::vector<Placement> Place(std::vector<WaitingItem> items, std::vector<PlacementEngine> engines) {
-  return PlaceItems(std::move(items), std::move(engines), {{OneService(), {}}});
+  return PlaceItems(std::move(items), std::move(engines), {{OneService(), {}}}).placements;
 }
 
 PlacementEngine Engine(const std::string& id, int64_t version, int running = 0) {
--- a/testing/traffic_split_test.cc
+++ b/testing/traffic_split_test.cc
@@ -45,6 +45,12 @@
   return items;
 }
 
+std::vector<Placement> Place(const std::vector<WaitingItem>& items,
+                             const std::vector<PlacementEngine>& engines,
+                             const std::vector<PlacementRoute>& routes) {
+  return PlaceItems(items, engines, routes).placements;
+}
+
 // Number of placements by service.
 std::map<std::string, int> Count(const std::vector<Placement>& placements,
                                  const std::vector<PlacementEngine>& engines) {
@@ -78,25 +84,25 @@
 TEST_CASE("items of a split route use the free engines of all its services", "[split]") {
   std::vector<PlacementEngine> engines = {Engine("a1", "a", 6)};
   for (int i = 0; i < 6; ++i) engines.push_back(Engine("b" + std::to_string(i), "b", 6));
-  auto placed = PlaceItems(Items(100), engines, {{Split(10, 90), {}}});
+  auto placed = Place(Items(100), engines, {{Split(10, 90), {}}});
   CHECK(placed.size() == 42);
   CHECK(Count(placed, engines) == std::map<std::string, int>{{"a", 6}, {"b", 36}});
-  placed = PlaceItems(Items(100), engines, {{Split(90, 10), {}}});
+  placed = Place(Items(100), engines, {{Split(90, 10), {}}});
   CHECK(placed.size() == 42);
-  placed = PlaceItems(Items(100), engines, {{Split(0, 10), {}}});
+  placed = Place(Items(100), engines, {{Split(0, 10), {}}});
   CHECK(Count(placed, engines) == std::map<std::string, int>{{"b", 36}});
-  placed = PlaceItems(Items(100), engines, {{Split(10, 0), {}}});
+  placed = Place(Items(100), engines, {{Split(10, 0), {}}});
   CHECK(Count(placed, engines) == std::map<std::string, int>{{"a", 6}});
-  CHECK(PlaceItems(Items(100), engines, {{Split(0, 0), {}}}).empty());
+  CHECK(Place(Items(100), engines, {{Split(0, 0), {}}}).empty());
 }
 
 // Guards against shares that differ from the weights although every service has room.
 TEST_CASE("items are divided by the weights while all services have free engines", "[split]") {
   const std::vector<PlacementEngine> engines = {Engine("a1", "a", 100), Engine("b1", "b", 100)};
-  auto placed = PlaceItems(Items(20), engines, {{Split(1, 3), {}}});
+  auto placed = Place(Items(20), engines, {{Split(1, 3), {}}});
   CHECK(Count(placed, engines) == std::map<std::string, int>{{"a", 5}, {"b", 15}});
   // The items that run already count.
-  placed = PlaceItems(Items(20), engines, {{Split(1, 3), {{"a", 10}}}});
+  placed = Place(Items(20), engines, {{Split(1, 3), {{"a", 10}}}});
   CHECK(Count(placed, engines) == std::map<std::string, int>{{"b", 20}});
 }
 
@@ -106,7 +112,7 @@
   std::vector<WaitingItem> items = Items(1);
   items[0].avoid = {"a1"};
   const std::vector<PlacementEngine> engines = {Engine("a1", "a", 4), Engine("b1", "b", 4)};
-  const auto placed = PlaceItems(items, engines, {{Split(99, 1), {}}});
+  const auto placed = Place(items, engines, {{Split(99, 1), {}}});
   REQUIRE(placed.size() == 1);
   CHECK(placed[0].engine == "b1");
 }
@@ -129,7 +135,7 @@
       }
     }
     const std::size_t count = random() % 20;
-    const auto placed = PlaceItems(Items(count), engines, {{builder.Build(), {}}});
+    const auto placed = Place(Items(count), engines, {{builder.Build(), {}}});
     int free = 0;
     std::map<std::string, int> running;
     for (const PlacementEngine& engine : engines) {
