Drop texts whose versions their route no longer allows

What callers saw: results with two versions in `Versions` on a route with SingleVersion (VERSION), if the route became one by a change of the configuration while items were under way.

Cause: the versions of a text were checked once, when it was taken over into a later step. For waiting items the first version of a text was taken as its only one.

Evidence: a test that changes the route while four items have events of versions 1 and 2; all four were listed with both.

Change: each plan drops texts with several versions on such routes and cancels their runs, and ItemRunner asks TextAllowed before a scoring call and before it makes the result, so every result passes one check. One function drops texts for all reasons and counts them.

--- a/anvilcroft/batch_owner.cc
+++ b/anvilcroft/batch_owner.cc
@@ -62,11 +62,6 @@
   return list;
 }
 
-// The route of an item, which is that of its own path; null: none.
-const ServiceRoute* RouteOf(const RouteTable& routes, const OwnedJob& job, const OwnedItem& item) {
-  return routes.Match(job.head.host, item.item.path.substr(0, item.item.path.find('?')));
-}
-
 // Describes `item` for its placement, without key, route, priority and rank. Removes the engines
 // from item.avoid whose time has passed.
 WaitingItem DescribeWaiting(const OwnedJob& job, OwnedItem& item, const ServiceRoute& route,
@@ -181,6 +176,7 @@
   this->carried_texts.Expire(now);
   this->context.engine_tracker.Update(this->context.pool.All(), now, this->context.scope);
   this->ExpireItems();
+  this->DropForbiddenTexts();
   this->MoveStragglers(now);
   this->PlaceWaitingItems(now);
   std::map<std::string, int> waiting;
@@ -212,6 +208,23 @@
   }
 }
 
+void BatchOwner::DropForbiddenTexts() {
+  const auto routes = this->context.routes();
+  if (!routes) return;
+  for (const auto& [id, job] : this->context.jobs) {
+    for (OwnedItem& item : job->items) {
+      // A text with one version was allowed when it was loaded or generated.
+      if (item.text.versions.size() < 2 || item.phase == ItemPhase::kFinished) continue;
+      const ServiceRoute* route = RouteOf(*routes, job->head, item.item);
+      if (route == nullptr || TextAllowed(item, job->head, *route)) continue;
+      if (item.run) item.run->Cancel();
+      if (item.phase == ItemPhase::kWaiting) {
+        this->runner.DropText(item, "its route allows one weight version only");
+      }
+    }
+  }
+}
+
 void BatchOwner::PlaceWaitingItems(TimePoint now) {
   const auto routes = this->context.routes();
   if (!routes || BootNow() - this->context.jobs_confirmed_at > this->context.max_job_age) return;
@@ -235,7 +248,7 @@
         this->runner.StartScoring(job, i);
         continue;
       }
-      const ServiceRoute* route = RouteOf(*routes, *job, item);
+      const ServiceRoute* route = RouteOf(*routes, job->head, item.item);
       if (route == nullptr) continue;
       WaitingItem entry = DescribeWaiting(*job, item, *route, now);
       entry.key = items_by_key.size();
@@ -265,7 +278,10 @@
   RecordHeldItems(plan, items_by_key, now);
   for (const Placement& placement : plan.placements) {
     const auto& [job, index] = items_by_key[placement.key];
-    if (placement.anew) this->DropText(*job, index, placement.engine, placement.version);
+    if (placement.anew) {
+      this->runner.DropText(job->items[index],
+                            "its engine has another version of the weights or the software");
+    }
     this->runner.Start(job, index, placement.engine, placement.version);
   }
 }
@@ -308,7 +324,8 @@
   std::map<std::string, int> running;
   for (const auto& [id, job] : this->context.jobs) {
     for (const OwnedItem& item : job->items) {
-      if (item.phase != ItemPhase::kRunning || RouteOf(routes, *job, item) != &route) continue;
+      if (item.phase != ItemPhase::kRunning || RouteOf(routes, job->head, item.item) != &route)
+        continue;
       const EngineState* engine = this->context.engine_tracker.Find(item.engine);
       if (engine != nullptr) ++running[engine->entry.service];
     }
@@ -372,23 +389,6 @@
   return deferred;
 }
 
-void BatchOwner::DropText(OwnedJob& job, std::size_t index, const std::string& engine,
-                          int64_t version) {
-  OwnedItem& item = job.items[index];
-  LogInfo(kPart, "starting a text anew on an engine that cannot continue it",
-          {{"item", item.item.id},
-           {"batch", job.head.id},
-           {"engine", engine},
-           {"version", std::to_string(version)},
-           {"text_version", std::to_string(item.text.last_version)},
-           {"text_software", item.text.software},
-           {"events", std::to_string(item.text.events)}});
-  this->context.metrics.Increment("anvilcroft_texts_restarted_total", {});
-  item.text = ItemText();
-  item.saved_events = 0;
-  item.held_since.reset();
-}
-
 std::vector<PlacementEngine> BatchOwner::DescribeEngines(TimePoint now) {
   std::map<std::string, int> long_items;  // by engine
   for (const auto& [id, job] : this->context.jobs) {
@@ -437,7 +437,7 @@
     for (OwnedItem& item : job->items) {
       if (item.phase != ItemPhase::kRunning || !item.run || item.run->Cancelled()) continue;
       if (item.awaiting_permit) continue;
-      const ServiceRoute* route = routes ? RouteOf(*routes, *job, item) : nullptr;
+      const ServiceRoute* route = routes ? RouteOf(*routes, job->head, item.item) : nullptr;
       const bool single_version = route != nullptr && route->single_version;
       const EngineState* engine = this->context.engine_tracker.Find(item.engine);
       if (engine == nullptr) continue;
--- a/anvilcroft/batch_owner.h
+++ b/anvilcroft/batch_owner.h
@@ -66,6 +66,9 @@
   void Plan(TimePoint now);
   // Gives up waiting items that are too old or have failed too often.
   void ExpireItems();
+  // Drops the texts whose versions their routes do not allow any more, after a change of the
+  // configuration, and cancels the runs that would go on with them.
+  void DropForbiddenTexts();
   void PlaceWaitingItems(TimePoint now);
   // Number of running items of `route`, by the service of their engines.
   std::map<std::string, int> RunningByService(const RouteTable& routes,
@@ -73,8 +76,6 @@
   // The jobs whose steps are deferred because the engines cannot finish all open steps in time.
   // Only steps of services whose number of engines the platform changes count.
   std::set<std::string> DeferredJobs(const std::vector<PlacementEngine>& engines, TimePoint now);
-  // Drops the text of an item that starts anew on `engine`, which has `version` of its model.
-  void DropText(OwnedJob& job, std::size_t index, const std::string& engine, int64_t version);
   // Whether engines without the version of the item's text may start it anew.
   bool MayRestart(const OwnedItem& item, const ServiceRoute& route, const std::string& model,
                   TimePoint now);
--- a/anvilcroft/item_runner.cc
+++ b/anvilcroft/item_runner.cc
@@ -169,9 +169,7 @@
             {"ms", std::to_string(ToMillis(now - started))}});
   if (outcome.kind == Kind::kWrongTarget) this->context.engine_tracker.MarkUnconfirmed(engine.id);
   if (too_long) {
-    // It is not known which of the events are wrong.
-    item.text = {};
-    item.saved_events = 0;  // the next save replaces the wrong text
+    this->DropText(item, "it is longer than any run of the item, so some of its events are wrong");
   }
   item.engine.clear();
   item.run = nullptr;
@@ -230,6 +228,7 @@
     const ScoreRequest& score = *item.item.score;
     int failures = 0;
     while (true) {
+      if (this->DropForbiddenText(*job, item)) return;
       if (!this->MaySend(*job)) {
         if (job->ended || !this->context.lease.Held().ValidAt(BootNow())) {
           item.phase = ItemPhase::kWaiting;
@@ -287,12 +286,36 @@
                                                                            Duration::zero()))));
     }
   }
+  if (this->DropForbiddenText(*job, item)) return;
   result.text = item.text.data;
   result.versions = item.text.versions;
   std::sort(result.versions.begin(), result.versions.end());
   this->Finish(job, index, std::move(result));
 }
 
+bool ItemRunner::DropForbiddenText(const OwnedJob& job, OwnedItem& item) {
+  const auto routes = this->context.routes();
+  const ServiceRoute* route = routes ? RouteOf(*routes, job.head, item.item) : nullptr;
+  if (route == nullptr || TextAllowed(item, job.head, *route)) return false;
+  this->DropText(item, "its route allows one weight version only");
+  item.phase = ItemPhase::kWaiting;
+  this->context.plan_inputs_changed.NotifyAll();
+  return true;
+}
+
+void ItemRunner::DropText(OwnedItem& item, const char* reason) {
+  LogInfo(kPart, "dropped the text of an item, which starts anew",
+          {{"item", item.item.id},
+           {"reason", reason},
+           {"text_version", std::to_string(item.text.last_version)},
+           {"text_software", item.text.software},
+           {"events", std::to_string(item.text.events)}});
+  this->context.metrics.Increment("anvilcroft_texts_restarted_total", {});
+  item.text = ItemText();
+  item.saved_events = 0;  // the next save replaces the text
+  item.held_since.reset();
+}
+
 void ItemRunner::Expire(const std::shared_ptr<OwnedJob>& job, std::size_t index,
                         const char* reason) {
   LogInfo(kPart, "gave up on an item; listing it as expired",
--- a/anvilcroft/item_runner.h
+++ b/anvilcroft/item_runner.h
@@ -28,6 +28,9 @@
   // Starts to score an item whose text is complete.
   void StartScoring(const std::shared_ptr<OwnedJob>& job, std::size_t index);
 
+  // Drops the text of an item, which starts anew.
+  void DropText(OwnedItem& item, const char* reason);
+
   // Gives up on an item and lists it as expired.
   void Expire(const std::shared_ptr<OwnedJob>& job, std::size_t index, const char* reason);
 
@@ -39,6 +42,9 @@
   int Urgency(const OwnedJob& job) const;
   // Time without an event after which a run on `engine` fails.
   Duration MaxSilence(const std::string& engine) const;
+  // Drops the complete text of an item if its route does not allow it any more. Returns whether it
+  // did.
+  bool DropForbiddenText(const OwnedJob& job, OwnedItem& item);
   // Waits for the permit to send a run of `item` to `engine`.
   Result<SendPermit> AcquirePermit(Task& task, OwnedItem& item, const TargetEntry& engine);
   void Run(Task& task, const std::shared_ptr<OwnedJob>& job, std::size_t index,
--- a/anvilcroft/owned_job.h
+++ b/anvilcroft/owned_job.h
@@ -16,6 +16,7 @@
 #include "anvilcroft/cancellation.h"
 #include "anvilcroft/event.h"
 #include "anvilcroft/item_text.h"
+#include "anvilcroft/route_table.h"
 #include "anvilcroft/target_service.h"
 
 namespace anvilcroft {
@@ -64,6 +65,12 @@
   TimePoint owned_since;  // when this owner loaded the job
 };
 
+// The route of an item, which is that of its own path; null: none matches.
+const ServiceRoute* RouteOf(const RouteTable& routes, const BatchHead& head, const BatchItem& item);
+
+// Whether a result of `item` may have its text: `route` and the job allow the weight versions.
+bool TextAllowed(const OwnedItem& item, const BatchHead& head, const ServiceRoute& route);
+
 }  // namespace anvilcroft
 
 #endif  // ANVILCROFT_OWNED_JOB_H_
--- a/testing/text_restart_test.cc
+++ b/testing/text_restart_test.cc
@@ -212,5 +212,31 @@
   });
 }
 
+// Guards against results of several versions on a route that has become one for texts of one
+// version while the items were under way.
+TEST_CASE("texts of several versions are started anew when their route allows one version only",
+          "[text_restart]") {
+  SingleVersionFixture fixture;
+  fixture.PutConfiguration(5, false);
+  FrontInstance& instance = fixture.AddInstance("one");
+  fixture.Run([&](Task& task) {
+    fixture.AwaitReady(task, instance);
+    fixture.Submit(task, "job1", 2);
+    fixture.AwaitTexts(task);
+    for (const auto& engine : fixture.engines) {
+      engine->version = 2;
+      fixture.store.Put("servers", engine->Id(), engine->RegistrationEntry("model", "a"));
+      engine->Server().Crash();
+      engine->Server().Reopen();
+    }
+    fixture.Await(task, "the texts go on under the next version", [&] {
+      return fixture.engines[0]->resumed_runs + fixture.engines[1]->resumed_runs >= 4;
+    });
+    SleepUntil(task, SteadyNow() + milliseconds(150));
+    fixture.PutConfiguration(6, true);
+    fixture.CheckResults(task, "job1", 4);
+  });
+}
+
 }  // namespace
 }  // namespace anvilcroft
