State the store's time as a range

Cause: the store's clock in an answer was taken for the present when the answer was read. Answers that arrive during a stop are read when the process wakes, so the submission got a time that was seconds too early.

Evidence: real processes stopped for 2.8 s, with a submission 0.3 s before the end: the head says 1,513 ms where the store's clock was 3,529 when the job was sent, and 5,049 where it was 7,337.

Change: StoreClock keeps a lower and an upper bound. A reading was taken between the sending of its call and the reading of the answer, and the bounds of several answers are combined, so a late one spoils nothing.

The fakes of the store in two tests return or check a range now; the checks are the same or stricter.

--- a/anvilcroft/batch_owner.cc
+++ b/anvilcroft/batch_owner.cc
@@ -189,7 +189,7 @@
 }
 
 void BatchOwner::ExpireItems() {
-  const StoreMillis store_time = this->context.metadata.StoreTime(BootNow());
+  const StoreMillis store_time = this->context.metadata.StoreTime(BootNow()).earliest;
   const auto routes = this->context.routes();
   if (!routes) return;
   for (const auto& [id, job] : this->context.jobs) {
@@ -338,7 +338,7 @@
   const auto routes = this->context.routes();
   const double event_ms =
       this->context.engine_tracker.MedianEventMs() * LoadFactor(kUsableShareWithLongItem);
-  const StoreMillis store_time = this->context.metadata.StoreTime(BootNow());
+  const StoreMillis store_time = this->context.metadata.StoreTime(BootNow()).latest;
   ServicePools pools;
   for (const ServiceRoute& route : routes->Routes()) {
     if (route.kind == RouteKind::kRollout) pools.Join(route.split);
--- a/anvilcroft/batch_service.cc
+++ b/anvilcroft/batch_service.cc
@@ -18,8 +18,10 @@
 
 Result<void> BatchService::Submit(Task& task, BatchJob job, TimePoint deadline) {
   const TimePoint now = SteadyNow();
-  job.head.submitted_at = this->metadata.StoreTime(BootNow());
-  if (job.head.submitted_at == 0) {
+  // Items live for some time after the submission, so it must not seem earlier than it was.
+  const StoreTimeRange store_time = this->metadata.StoreTime(BootNow());
+  job.head.submitted_at = store_time.latest;
+  if (!store_time.Known()) {
     return Fail(ErrorCode::kNotReady, "the metadata store has not answered yet");
   }
   const std::string id = job.head.id;
--- a/anvilcroft/crash_limiter.cc
+++ b/anvilcroft/crash_limiter.cc
@@ -91,13 +91,9 @@
     case CrashDecision::Verdict::kTrial: {
       const std::string name = TrialName(fingerprint, decision.trial);
       const RowId id = FrontDirectory::SharedRowId(kRowPrefix, name);
-      const auto claimed =
-          this->store.Commit(task,
-                             RowBatch::Builder()
-                                 .Expect(id, 0)
-                                 .Put(id, EncodeTime(this->store.StoreTime(BootNow())))
-                                 .Build(),
-                             SteadyNow() + kStoreTimeout);
+      const auto claimed = this->store.Commit(
+          task, RowBatch::Builder().Expect(id, 0).Put(id, EncodeTime(this->StoredNow())).Build(),
+          SteadyNow() + kStoreTimeout);
       admission.allowed = claimed && claimed->committed;
       if (admission.allowed) admission.trial = decision.trial;
       admission.retry_after = CrashHistory::kTrialPause;
@@ -139,9 +135,11 @@
            {"target", start},
            {"crashes", std::to_string(crashes)}});
   if (crashes > 1) this->urgent = true;
-  this->QueueWrite(CrashName(fingerprint, start), EncodeTime(this->store.StoreTime(BootNow())));
+  this->QueueWrite(CrashName(fingerprint, start), EncodeTime(this->StoredNow()));
 }
 
+StoreMillis CrashLimiter::StoredNow() const { return this->store.StoreTime(BootNow()).latest; }
+
 void CrashLimiter::OnCompleted(const std::string& fingerprint) {
   for (const std::string& start : this->history.Starts(fingerprint)) {
     this->QueueWrite(CrashName(fingerprint, start), std::nullopt);
@@ -179,7 +177,8 @@
     return;
   }
   this->rows[name] = *written_at;
-  const int64_t age_ms = std::max<int64_t>(0, this->store.StoreTime(BootNow()) - *written_at);
+  const int64_t age_ms =
+      std::max<int64_t>(0, this->store.StoreTime(BootNow()).earliest - *written_at);
   const TimePoint at = SteadyNow() - milliseconds(age_ms);
   if (trial > 0) {
     this->history.AddTrial(fingerprint, trial, at);
@@ -227,7 +226,7 @@
     if (value) {
       batch.Put(id, *value);
       // From now on a removal has to be written.
-      this->rows.emplace(name, this->store.StoreTime(BootNow()));
+      this->rows.emplace(name, this->StoredNow());
     } else {
       batch.Remove(id);
     }
@@ -246,7 +245,7 @@
   this->history.Expire(SteadyNow());
   if (this->directory.TakeoverRank() != 0) return;
   const StoreMillis oldest =
-      this->store.StoreTime(BootNow()) - ToMillis(Duration(CrashHistory::kLifetime));
+      this->store.StoreTime(BootNow()).earliest - ToMillis(Duration(CrashHistory::kLifetime));
   std::vector<std::string> expired;
   for (const auto& [name, written_at] : this->rows) {
     if (written_at < oldest) expired.push_back(name);
--- a/anvilcroft/crash_limiter.h
+++ b/anvilcroft/crash_limiter.h
@@ -82,6 +82,8 @@
  private:
   // Applies a row that has been read or has changed. `name` is its key without the prefix.
   void ApplyRow(const std::string& name, const StoredRow& row);
+  // The present time for rows: a crash must not seem older than it is, as pauses count from it.
+  StoreMillis StoredNow() const;
   // Queues that the row `name` gets `value`; nullopt: it is removed.
   void QueueWrite(const std::string& name, std::optional<std::string> value);
   // Writes the queued rows.
--- a/anvilcroft/front_directory.cc
+++ b/anvilcroft/front_directory.cc
@@ -82,7 +82,8 @@
 }
 
 bool FrontDirectory::WriteEntry(Task& task, TimePoint deadline) {
-  this->self.written_at = this->store.StoreTime(BootNow());
+  // An instance must not count as live for longer than its lifetime after this write.
+  this->self.written_at = this->store.StoreTime(BootNow()).earliest;
   const RowBatch batch = RowBatch::Builder()
                              .Put({kEntryTable, "", this->self.instance}, EncodeFront(this->self))
                              .Build();
@@ -113,7 +114,7 @@
       const std::string partition = HeartbeatPartition(this->self.instance, this->entries.size());
       const RowBatch beat = RowBatch::Builder()
                                 .Put({kHeartbeatTable, partition, this->self.instance},
-                                     EncodeHeartbeat(this->store.StoreTime(BootNow())))
+                                     EncodeHeartbeat(this->store.StoreTime(BootNow()).earliest))
                                 .Build();
       if (this->store.Commit(task, beat, deadline)) this->RecordAnswer(SteadyNow());
     }
--- a/anvilcroft/metadata_store.h
+++ b/anvilcroft/metadata_store.h
@@ -18,17 +18,16 @@
 #include "anvilcroft/error.h"
 #include "anvilcroft/row_batch.h"
 #include "anvilcroft/runtime.h"
+#include "anvilcroft/store_clock.h"
 #include "anvilcroft/stored_row.h"
 #include "anvilcroft/time.h"
 
 namespace anvilcroft {
 
-// Milliseconds on the store's monotonic clock.
-using StoreMillis = int64_t;
-
 struct CommitResult {
   bool committed = false;  // false: a condition did not hold, and nothing was written
   int64_t version = 0;     // the store's newest version
+  // Reading of the store's clock when it answered, which may be long before the answer is read.
   StoreMillis store_time = 0;
   std::vector<StoredRow> current;  // if a condition did not hold: the rows that have conditions
 };
@@ -45,7 +44,7 @@
   std::vector<StoredRow> rows;  // in ascending order of keys
   bool more = false;            // the range holds more rows than were returned
   int64_t version = 0;
-  StoreMillis store_time = 0;
+  StoreMillis store_time = 0;  // as in CommitResult
 };
 
 struct FeedResult {
@@ -53,8 +52,8 @@
   // The changes since the requested version are not available: the store no longer has them, or its
   // response could not be read. The whole table has to be read again.
   bool history_lost = false;
-  int64_t version = 0;  // `after` of the next call
-  StoreMillis store_time = 0;
+  int64_t version = 0;         // `after` of the next call
+  StoreMillis store_time = 0;  // as in CommitResult
 };
 
 class MetadataStore {
@@ -73,10 +72,8 @@
   virtual Result<FeedResult> Feed(Task& task, const std::string& table, int64_t after,
                                   Duration wait) = 0;
 
-  // The store's clock at `now`, extrapolated from its last answer; 0 before the first one. Uses the
-  // clock that includes time in suspension, so that the result never falls behind the store's
-  // clock.
-  virtual StoreMillis StoreTime(BootTime now) const = 0;
+  // The store's clock at `now`, from its answers so far.
+  virtual StoreTimeRange StoreTime(BootTime now) const = 0;
   // Time of the last answer that was not a refusal; TimePoint() before the first one.
   virtual TimePoint LastAnswer() const = 0;
   // Time of the last failed call; TimePoint() if none has failed.
--- a/anvilcroft/request_limiter.cc
+++ b/anvilcroft/request_limiter.cc
@@ -139,7 +139,9 @@
     return;
   }
   this->rows[target] = limit->per_second;
-  const int64_t age_ms = std::max<int64_t>(0, this->store.StoreTime(BootNow()) - limit->said_at);
+  // The statement must not seem newer than later ones of the target itself.
+  const int64_t age_ms =
+      std::max<int64_t>(0, this->store.StoreTime(BootNow()).latest - limit->said_at);
   this->Apply(target, {limit->started_at, limit->per_second, now - milliseconds(age_ms)}, "store");
 }
 
@@ -263,7 +265,7 @@
   if (statement.per_second) {
     const int64_t age_ms = ToMillis(SteadyNow() - statement.said_at);
     batch.Put(id, EncodeLimitRow({statement.started_at, *statement.per_second,
-                                  this->store.StoreTime(BootNow()) - age_ms}));
+                                  this->store.StoreTime(BootNow()).earliest - age_ms}));
   } else {
     batch.Remove(id);
   }
--- a/anvilcroft/scaling/engine_scaler.cc
+++ b/anvilcroft/scaling/engine_scaler.cc
@@ -164,7 +164,7 @@
 }
 
 void EngineScaler::ObserveDemand(const RouteTable& routes, TimePoint now) {
-  const StoreMillis store_now = this->context.metadata.StoreTime(BootNow());
+  const StoreMillis store_now = this->context.metadata.StoreTime(BootNow()).latest;
   for (const auto& [id, job] : this->context.jobs) {
     const TrafficSplit split = ServicesOf(routes, job->head);
     const milliseconds age(std::max<StoreMillis>(0, store_now - job->head.submitted_at));
--- a/anvilcroft/scaling/engine_scaler_calls.cc
+++ b/anvilcroft/scaling/engine_scaler_calls.cc
@@ -77,7 +77,8 @@
     if (!page->more || page->rows.empty()) break;
     range.from = page->rows.back().id.key + '\0';
   }
-  const StoreMillis store_now = this->context.metadata.StoreTime(BootNow());
+  // An order must not seem older, nor its outcome known sooner, than it is.
+  const StoreMillis store_now = this->context.metadata.StoreTime(BootNow()).earliest;
   const TimePoint now = SteadyNow();
   bool ordered_before = false;  // this instance has ordered in an earlier term
   int64_t last_fencing = 0;
@@ -196,7 +197,7 @@
   if (order.fencing != this->fencing || !this->MayOrder(order.fencing)) return false;
   const EngineGroupId& id = order.group;
   Group& group = this->groups[id];
-  const StoreMillis store_now = this->context.metadata.StoreTime(BootNow());
+  const StoreMillis store_now = this->context.metadata.StoreTime(BootNow()).latest;
   OrderRecord record;
   record.group = id;
   record.count = order.count;
--- a/anvilcroft/stream_origins.cc
+++ b/anvilcroft/stream_origins.cc
@@ -105,7 +105,7 @@
 void StreamOrigins::WriteDefault(Task& task, const std::string& service,
                                  const std::string& software) {
   const RowId id = FrontDirectory::SharedRowId(kDefaultPrefix, service);
-  const DefaultSoftware value{software, this->store.StoreTime(BootNow())};
+  const DefaultSoftware value{software, this->store.StoreTime(BootNow()).latest};
   const std::string encoded = EncodeDefaultSoftware(value);
   const int64_t expected = this->services[service].row_version;
   // If another instance has written it meanwhile, the feed brings its row.
@@ -119,8 +119,9 @@
 
 bool StreamOrigins::Implied(const StreamOrigin& origin, Duration stream_time) const {
   const auto found = this->services.find(origin.service);
-  return found != this->services.end() && IsImplied(origin.software, found->second.known,
-                                                    stream_time, this->store.StoreTime(BootNow()));
+  return found != this->services.end() &&
+         IsImplied(origin.software, found->second.known, stream_time,
+                   this->store.StoreTime(BootNow()).earliest);
 }
 
 bool StreamOrigins::OtherSeenLately(const std::string& service, TimePoint now) const {
@@ -138,7 +139,8 @@
   auto write = std::make_shared<OriginWrite>();
   write->row = RowOf(attempt);
   write->origin = origin;
-  write->value = EncodeOrigin({origin, this->store.StoreTime(BootNow()) + ToMillis(lifetime)});
+  write->value =
+      EncodeOrigin({origin, this->store.StoreTime(BootNow()).latest + ToMillis(lifetime)});
   write->deadline = now + kWriteTimeout;
   if (earlier) {
     write->expected_version = earlier->expected_version;
--- a/testing/platform_codec_test.cc
+++ b/testing/platform_codec_test.cc
@@ -178,7 +178,9 @@
     const auto first = store.Commit(task, create, soon());
     REQUIRE(first);
     CHECK(first->committed);
-    CHECK(store.StoreTime(BootNow()) > 0);
+    const StoreTimeRange store_time = store.StoreTime(BootNow());
+    CHECK(store_time.earliest > 0);
+    CHECK(store_time.latest >= store_time.earliest);
     const auto second = store.Commit(task, create, soon());
     REQUIRE(second);
     CHECK_FALSE(second->committed);
--- a/testing/slice_planner_test.cc
+++ b/testing/slice_planner_test.cc
@@ -42,7 +42,7 @@
   Result<FeedResult> Feed(Task&, const std::string&, int64_t, Duration) override {
     return FeedResult();
   }
-  StoreMillis StoreTime(BootTime) const override { return 0; }
+  StoreTimeRange StoreTime(BootTime) const override { return {}; }
   TimePoint LastAnswer() const override { return SteadyNow(); }
   TimePoint LastFailure() const override { return TimePoint(); }
 
