Continue streams on a split route at their own software version

What callers saw: a stream that its caller took up on a route with two services went on at the service and software version that had not begun it (ORDER: events of two versions in one stream).

Evidence: two services with different default versions and 16 streams; 7 were joined from two versions, all without a record.

Change: a stream needs no record only if all services of its route have the same default version, and a take-up without a record is refused if they differ. While the store does not answer, streams still begin at the default version of their service.

--- a/anvilcroft/live_streamer.cc
+++ b/anvilcroft/live_streamer.cc
@@ -65,8 +65,8 @@
   explicit Progress(const LiveRequest& request) : position{request.resume_after, 0} {}
 
   platform::StreamPosition position;
-  // Of the events that the caller has; nullopt: it has none.
-  std::optional<StreamOrigin> origin;
+  // Those that can continue the events that the caller has; nullopt: it has none.
+  std::optional<std::vector<StreamOrigin>> origins;
   // The record of the origin, if one has been started.
   std::shared_ptr<OriginWrite> record;
   bool record_failed = false;  // nothing may be forwarded
@@ -89,9 +89,9 @@
   const auto table = this->routes();
   const ServiceRoute* route = table ? table->Match(request.host, request.path) : nullptr;
   if (route == nullptr || !route->resumable || route->split.Active().empty()) return {};
-  auto origin = this->origins.Find(task, request.resumes, route->split.Active().front().service);
-  if (!origin) return tl::unexpected<Error>(origin.error());
-  progress.origin = std::move(*origin);
+  auto origins = this->origins.Find(task, request.resumes, route->split);
+  if (!origins) return tl::unexpected<Error>(origins.error());
+  progress.origins = std::move(*origins);
   return {};
 }
 
@@ -100,9 +100,12 @@
   const auto usable = [&](const TargetEntry& target) {
     if (progress.tried.count(target.id) != 0) return false;
     const StreamOrigin origin{target.service, target.software};
-    if (progress.origin) return origin == *progress.origin;
+    if (progress.origins) {
+      return std::find(progress.origins->begin(), progress.origins->end(), origin) !=
+             progress.origins->end();
+    }
     return !route.resumable || !progress.implied_only ||
-           this->origins.Implied(origin, progress.caller_time);
+           this->origins.IsDefault(origin, progress.caller_time);
   };
   RouteChoice choice = this->chooser.Choose(route, usable, false, now);
   if (choice.target == nullptr && route.resumable && !progress.tried.empty() &&
@@ -111,7 +114,7 @@
     // tried again only if it is the only one that can continue the stream.
     progress.tried = {progress.last_target};
     choice = this->chooser.Choose(route, usable, false, now);
-    if (choice.target == nullptr && progress.origin) {
+    if (choice.target == nullptr && progress.origins) {
       progress.tried.clear();
       choice = this->chooser.Choose(route, usable, false, now);
     }
@@ -150,7 +153,7 @@
   };
   TargetEntry entry;
   hooks.on_event = [&](const platform::StreamEvent& event) {
-    if (!progress.origin) progress.origin = StreamOrigin{entry.service, entry.software};
+    if (!progress.origins) progress.origins = {{entry.service, entry.software}};
     if (!result.began_at) {
       result.began_at = WallNow() - ToMillis(this->engines.NetworkDelay(entry));
       if (request.on_begin) request.on_begin(*result.began_at, true);
@@ -202,8 +205,12 @@
     ++result.attempts;
     const StreamOrigin origin{entry.service, entry.software};
     const bool recorded = progress.record && progress.record->origin == origin;
-    if (!progress.origin && route.resumable && !recorded &&
-        (progress.record || !this->origins.Implied(origin, request.caller_time))) {
+    // While records can't be written, a stream without one may begin, but on a route whose services
+    // have different versions it can't be taken up.
+    const bool implied = progress.implied_only
+                             ? this->origins.IsDefault(origin, request.caller_time)
+                             : this->origins.Implied(origin, route.split, request.caller_time);
+    if (!progress.origins && route.resumable && !recorded && (progress.record || !implied)) {
       progress.record = this->origins.StartRecord(request.message.id, origin, request.caller_time,
                                                   progress.record, SteadyNow());
     }
@@ -268,7 +275,7 @@
     return finish(LiveOutcome::Kind::kNotRun, kCrashReason);
   }
   result.retry_after = this->chooser.NextPermit(progress.denied, SteadyNow());
-  if (progress.origin && progress.tried.empty()) {
+  if (progress.origins && progress.tried.empty()) {
     result.retry_after = kUnknownOriginRetryAfter;
     return finish(LiveOutcome::Kind::kNotRun,
                   "no target has the software version that began the stream");
--- a/anvilcroft/stream_origins.cc
+++ b/anvilcroft/stream_origins.cc
@@ -117,13 +117,25 @@
   }
 }
 
-bool StreamOrigins::Implied(const StreamOrigin& origin, Duration stream_time) const {
+bool StreamOrigins::IsDefault(const StreamOrigin& origin, Duration stream_time) const {
   const auto found = this->services.find(origin.service);
   return found != this->services.end() &&
          IsImplied(origin.software, found->second.known, stream_time,
                    this->store.StoreTime(BootNow()).earliest);
 }
 
+bool StreamOrigins::Implied(const StreamOrigin& origin, const TrafficSplit& split,
+                            Duration stream_time) const {
+  if (!this->IsDefault(origin, stream_time)) return false;
+  const auto& shares = split.Active();
+  return std::all_of(shares.begin(), shares.end(), [&](const ServiceShare& share) {
+    const auto found = this->services.find(share.service);
+    // A service without a default version has begun no stream without a record.
+    return found == this->services.end() || !found->second.known ||
+           found->second.known->software == origin.software;
+  });
+}
+
 bool StreamOrigins::OtherSeenLately(const std::string& service, TimePoint now) const {
   const auto found = this->services.find(service);
   return found != this->services.end() && found->second.other_seen_at != TimePoint() &&
@@ -290,36 +302,56 @@
   return search->versions[service];
 }
 
-Result<StreamOrigin> StreamOrigins::Find(Task& task, const std::string& attempt,
-                                         const std::string& service) {
+Result<std::optional<std::string>> StreamOrigins::ReadDefault(Task& task,
+                                                              const std::string& service) {
+  const auto row = this->ReadRow(task, FrontDirectory::SharedRowId(kDefaultPrefix, service));
+  if (!row) return tl::unexpected<Error>(row.error());
+  if (!*row) return std::optional<std::string>();
+  const auto known = DecodeDefaultSoftware((*row)->value);
+  if (!known) return tl::unexpected<Error>(known.error());
+  return std::optional<std::string>(known->software);
+}
+
+Result<std::vector<StreamOrigin>> StreamOrigins::Find(Task& task, const std::string& attempt,
+                                                      const TrafficSplit& split) {
   const auto unknown = [&](const std::string& reason) {
     LogInfo(kPart, "cannot say which software version began a stream",
-            {{"attempt", attempt}, {"service", service}, {"reason", reason}});
+            {{"attempt", attempt}, {"reason", reason}});
     return Fail(ErrorCode::kStoreUnavailable, "it is not known which software began the stream");
   };
   std::set<std::string> recorded;
   if (attempt.empty()) {
-    if (this->OtherSeenLately(service, SteadyNow())) return unknown("another version serves");
-    auto versions = this->RecordedVersions(task, service);
-    if (!versions) return unknown(versions.error().message);
-    recorded = std::move(*versions);
+    for (const ServiceShare& share : split.Active()) {
+      if (this->OtherSeenLately(share.service, SteadyNow())) {
+        return unknown("another version serves");
+      }
+      const auto versions = this->RecordedVersions(task, share.service);
+      if (!versions) return unknown(versions.error().message);
+      recorded.insert(versions->begin(), versions->end());
+    }
   } else {
     const auto row = this->ReadRow(task, RowOf(attempt));
     if (!row) return unknown(row.error().message);
     if (*row) {
       const auto record = DecodeOrigin((*row)->value);
       if (!record) return tl::unexpected<Error>(record.error().WithRan(Ran::kNo));
-      return record->origin;
+      return std::vector<StreamOrigin>{record->origin};
     }
   }
-  const auto row = this->ReadRow(task, FrontDirectory::SharedRowId(kDefaultPrefix, service));
-  if (!row) return unknown(row.error().message);
-  if (!*row) return unknown("the service has no default version");
-  const auto known = DecodeDefaultSoftware((*row)->value);
-  if (!known) return unknown(known.error().message);
-  recorded.erase(known->software);
+  std::vector<StreamOrigin> origins;
+  for (const ServiceShare& share : split.Active()) {
+    const auto software = this->ReadDefault(task, share.service);
+    if (!software) return unknown(software.error().message);
+    if (!*software) continue;
+    if (!origins.empty() && origins.front().software != **software) {
+      return unknown("the services of the route have different default versions");
+    }
+    origins.push_back({share.service, **software});
+  }
+  if (origins.empty()) return unknown("no service of the route has a default version");
+  recorded.erase(origins.front().software);
   if (!recorded.empty()) return unknown("another version has begun streams");
-  return StreamOrigin{service, known->software};
+  return origins;
 }
 
 void StreamOrigins::RemoveExpired(Task& task) {
--- a/anvilcroft/stream_origins.h
+++ b/anvilcroft/stream_origins.h
@@ -8,7 +8,7 @@
 //   ... the request is sent to the target meanwhile ...
 //   if (origins.Confirm(task, *write) != OriginWrite::State::kConfirmed) ... forward no event ...
 //
-//   Result<StreamOrigin> origin = origins.Find(task, attempt, service);
+//   Result<std::vector<StreamOrigin>> origins = origins.Find(task, attempt, route.split);
 //
 // The record is durable before the caller gets the first event. An instance may have missed engines
 // that joined and a new default while it was frozen or cut off, so it says which version began a
@@ -70,8 +70,12 @@
 
   void Start();
 
-  // Whether a stream that `origin` begins needs no record.
-  bool Implied(const StreamOrigin& origin, Duration stream_time) const;
+  // Whether `origin` has the default version of its service, and all instances know that.
+  bool IsDefault(const StreamOrigin& origin, Duration stream_time) const;
+
+  // Whether a stream that `origin` begins on a route to `split` needs no record: all its services
+  // have the same default version.
+  bool Implied(const StreamOrigin& origin, const TrafficSplit& split, Duration stream_time) const;
 
   // Whether records can be written at present: the last call to the store was answered.
   bool CanRecord() const { return this->store.LastFailure() <= this->store.LastAnswer(); }
@@ -87,10 +91,13 @@
   // Blocks the task until the record is durable or has failed.
   OriginWrite::State Confirm(Task& task, OriginWrite& write);
 
-  // Finds the origin of the stream whose first event `attempt` brought, on a route to `service`. An
-  // empty `attempt`, which the caller has not named, stands for the default version as long as no
-  // stream of another one is recorded. Fails with ran = no if it can't be known at present.
-  Result<StreamOrigin> Find(Task& task, const std::string& attempt, const std::string& service);
+  // Finds the origins that can continue the stream whose first event `attempt` brought, on a route
+  // to `split`: the one of its record, or the default version of each service. An empty `attempt`,
+  // which the caller has not named, stands for the default version as long as no stream of another
+  // one is recorded. Fails with ran = no if it can't be known at present, or if a stream without a
+  // record may have been begun by different versions.
+  Result<std::vector<StreamOrigin>> Find(Task& task, const std::string& attempt,
+                                         const TrafficSplit& split);
 
  private:
   // A search of all records. All that ask before it begins share it.
@@ -104,6 +111,8 @@
 
   // Reads one row; nullopt: it does not exist.
   Result<std::optional<StoredRow>> ReadRow(Task& task, const RowId& id);
+  // The default version of `service`; nullopt: it has none, so nothing without a record.
+  Result<std::optional<std::string>> ReadDefault(Task& task, const std::string& service);
   // The versions of `service` that have begun a recorded stream, from a search that begins now or
   // later.
   Result<std::set<std::string>> RecordedVersions(Task& task, const std::string& service);
--- a/testing/platform_software_test.cc
+++ b/testing/platform_software_test.cc
@@ -200,6 +200,38 @@
   });
 }
 
+// Guards against a stream of one service of a split route that is taken for one of the other and
+// goes on at its software version.
+TEST_CASE("a stream on a split route is taken up on its own software version", "[software]") {
+  MixedFixture fixture;
+  for (const auto& engine : fixture.engines) {
+    const bool other = engine->software == "v2";
+    fixture.store.Put("servers", engine->Id(),
+                      engine->RegistrationEntry(other ? "other" : "model", "a"));
+  }
+  nlohmann::json config = PlatformFixture::Configuration(4);
+  for (nlohmann::json& route : config["Routes"]) {
+    if (route["Name"] != "draft") continue;
+    route.erase("Service");
+    route["TrafficSplit"] = {{{"Service", "other"}, {"Weight", 50}},
+                             {{"Service", "model"}, {"Weight", 50}}};
+  }
+  fixture.store.Put("op", "config", config.dump());
+  FrontInstance& one = fixture.AddInstance("one");
+  FrontInstance& two = fixture.AddInstance("two");
+  fixture.Run([&](Task& task) {
+    fixture.AwaitReady(task, one);
+    fixture.AwaitReady(task, two);
+    SleepUntil(task, SteadyNow() + seconds(5));  // both default versions are known everywhere
+    for (auto& engine : fixture.engines) engine->event_time = milliseconds(20);
+    auto streams = BeginStreams(task, fixture.runtime, fixture.http, fixture.Addresses(), 16, 2);
+    for (const CallerStream& stream : streams) REQUIRE(stream.last_event == 2);
+    TakeUpStreams(task, fixture.runtime, fixture.http, fixture.Addresses(), streams);
+    CHECK(CountJoined(streams) == 0);
+    CHECK(CountComplete(streams) >= static_cast<int>(kMinTakenUp * 16));
+  });
+}
+
 // Guards against a caller that does not name the attempt which began its stream and is refused
 // while one version serves, or goes on at either version while two do.
 TEST_CASE("a stream is taken up without its first attempt while one version serves", "[software]") {
