Refuse responses without a valid status

What callers saw: an engine in trouble answered with status 000, and its status and body were passed on; the same with 001, 099, 600 and 999 on all kinds of routes. Items at such an engine were not finished within 30 s, and a write to the store that was answered with 000 counted as refused.

Cause: HttpClient took any three digits for a status, and each of its callers had a branch of its own for unknown ones.

Change: the client fails with kBadResponse (ran = unknown) for a final status below 200 or above 599. All calls to targets, instances, the store and the platform go through it, relayed answers too.

--- a/anvilcroft/http_client.cc
+++ b/anvilcroft/http_client.cc
@@ -29,6 +29,9 @@
 constexpr std::size_t kMaxBufferedBytes = 128 << 10;
 // A late duplicate that is larger is not skipped; the connection is closed instead.
 constexpr std::size_t kMaxSkippedBytes = 256 << 10;
+// Statuses of final responses (RFC 9110, section 15).
+constexpr int kMinFinalStatus = 200;
+constexpr int kMaxStatus = 599;
 
 // Bytes sent and received on all connections of one client.
 struct Traffic {
@@ -260,6 +263,10 @@
           this->connection->stream, this->connection->buffer, *this->parser, task.yield[failed]);
       if (failed) return TransferError(failed, this->options);
       if (this->Status() / 100 == 1) continue;
+      if (this->Status() < kMinFinalStatus || this->Status() > kMaxStatus) {
+        return Fail(ErrorCode::kBadResponse, "the status is not one of HTTP",
+                    std::to_string(this->Status()), Ran::kUnknown);
+      }
       // Beast allocates memory for the announced length before it reads the body.
       const auto length = this->parser->content_length();
       if (length && *length > HttpClient::kMaxResponseBytes) {
--- a/anvilcroft/http_client.h
+++ b/anvilcroft/http_client.h
@@ -10,8 +10,8 @@
 //   kConnectFailed      no connection was established, also if it was cancelled meanwhile; ran = no
 //   kConnectionLost     the connection failed after it was established; ran = unknown
 //   kDeadlineExceeded   the deadline or the progress timeout expired; ran = unknown
-//   kBadResponse        the response is malformed, too large or belongs to another request;
-//                       ran = unknown
+//   kBadResponse        the response is malformed, has no valid status, is too large or belongs to
+//                       another request; ran = unknown
 //   kCancelled          the call was cancelled or its send guard refused the request; ran = no
 //                       before the request is sent, unknown afterwards
 // A response with any HTTP status is a success. The connection of a failed call is closed and never
--- a/testing/platform_broken_answer_test.cc
+++ b/testing/platform_broken_answer_test.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include "platform/store_client.h"
 #include "testing/platform_fixture.h"
 #include "testing/raw_listener.h"
 
@@ -155,5 +156,92 @@
   });
 }
 
+// Guards against an answer of a target in trouble whose status is no status of HTTP, and against
+// the body of an interim answer, which reach callers as if they were answers.
+TEST_CASE("an answer without a valid status does not reach its caller", "[broken]") {
+  const std::string status = GENERATE("000", "001", "099", "600", "999", "103");
+  const std::string path = GENERATE("/lookup/1", "/slip/1", "/draft/1", "/dictation/1");
+  CAPTURE(status, path);
+  PlatformFixture fixture;
+  BrokenTarget target(fixture);
+  const std::string fields = "X-Attempt-Id: ID\r\nX-Server-Stamp: s.1\r\nContent-Length: 5\r\n\r\n";
+  target.answers = {"HTTP/1.1 " + status + " Odd\r\n" + fields + "wrong"};
+  FrontInstance& instance = fixture.AddInstance("one");
+  fixture.Run([&](Task& task) {
+    fixture.AwaitReady(task, instance);
+    const Received received = Read(task, fixture, instance.FrontAddress(), path, "r1");
+    CHECK(target.requests > 0);
+    CHECK(received.status >= 500);
+    CHECK(received.status <= 599);
+    // A 503 promises that the request has not run.
+    CHECK(received.status != 503);
+    CHECK(received.body.find("wrong") == std::string::npos);
+    // A sound target serves the next request, also where this one must not be sent again.
+    fixture.store.Put("servers", "i-app", fixture.app.RegistrationEntry("app", "a"));
+    fixture.store.Remove("servers", "i-broken-app");
+    fixture.Await(task, "a sound target serves", [&] {
+      static int number = 0;
+      const std::string id = "n" + std::to_string(++number);
+      return Read(task, fixture, instance.FrontAddress(), "/lookup/1", id).status == 200;
+    });
+  });
+}
+
+// Guards against items and scores that are taken from answers without a valid status.
+TEST_CASE("items and scoring requests are not answered without a valid status", "[broken]") {
+  const std::string status = GENERATE("000", "099", "600");
+  CAPTURE(status);
+  PlatformFixture fixture;
+  BrokenTarget target(fixture);
+  target.answers = {"HTTP/1.1 " + status +
+                    " Odd\r\nX-Attempt-Id: ID\r\nX-Server-Stamp: wrong\r\n"
+                    "Content-Type: text/event-stream\r\nX-Weight-Versions: 1\r\n"
+                    "Content-Length: 19\r\n\r\nid: 1\ndata: wrong\n\n"};
+  fixture.store.Put("servers", "i-app", fixture.app.RegistrationEntry("app", "a"));
+  nlohmann::json entry =
+      nlohmann::json::parse(fixture.store.Value({"servers", "", "i-broken-model"}));
+  entry["Models"] = {{{"Name", "m"}, {"Version", 1}}};
+  fixture.store.Put("servers", "i-broken-model", entry.dump());
+  fixture.AddEngine("i-sound");
+  FrontInstance& instance = fixture.AddInstance("one");
+  fixture.Run([&](Task& task) {
+    fixture.AwaitReady(task, instance);
+    REQUIRE(fixture.Send(task, instance.FrontAddress(), "POST", "/rollout/1", "job",
+                         PlatformFixture::Step("x", 4)));
+    const auto page = fixture.AwaitResults(task, instance.FrontAddress(), "job", 8);
+    CHECK(target.requests > 0);
+    for (const auto& result : page["Results"]) {
+      CHECK(result["State"] == "completed");
+      CHECK(result.value("Text", "") == fakes::PlatformEngine::TextOf(result["Id"], 6));
+      CHECK(result.value("Score", "").find("wrong") == std::string::npos);
+    }
+  });
+}
+
+// Guards against a write that is taken for refused, and sent again without its conditions, because
+// the store's answer has no valid status.
+TEST_CASE("a call to the store that is not answered with a valid status is unknown", "[broken]") {
+  Runtime runtime;
+  testing::RawListener listener(runtime, [](Task& task, Socket& socket) {
+    std::string head;
+    error_code failed;
+    asio::async_read_until(socket, asio::dynamic_buffer(head), "\r\n\r\n", task.yield[failed]);
+    const std::string answer = "HTTP/1.1 000 Odd\r\nContent-Length: 2\r\n\r\n{}";
+    asio::async_write(socket, asio::buffer(answer), task.yield[failed]);
+  });
+  platform::StoreClient store(runtime, listener.Address(), nullptr);
+  testing::RunTask(runtime, [&](Task& task) {
+    const RowId id{"t", "p", "k"};
+    const auto written = store.Commit(task, RowBatch::Builder().Expect(id, 0).Put(id, "v").Build(),
+                                      SteadyNow() + seconds(1));
+    REQUIRE_FALSE(written);
+    CHECK(written.error().code == ErrorCode::kOutcomeUnknown);
+    const auto read = store.Read(task, RowRange(), SteadyNow() + seconds(1));
+    REQUIRE_FALSE(read);
+    CHECK(read.error().code == ErrorCode::kBadResponse);
+  });
+  runtime.EndTasks();
+}
+
 }  // namespace
 }  // namespace anvilcroft
