Test answers without end at every reader of answers

Another operator saw a machine that kept all bytes of an answer without end.

The checks of the existing tests are unchanged.

--- a/testing/platform_endless_answer_test.cc
+++ b/testing/platform_endless_answer_test.cc
@@ -1,116 +1,25 @@
 // Tests answers without end: what a process keeps of them, how long it reads them, and that the
 // work is done elsewhere.
 
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
-#include <fstream>
 
 #include "anvilcroft/sse_parser.h"
 #include "anvilcroft/sse_splitter.h"
+#include "testing/endless_forms.h"
 #include "testing/platform_fixture.h"
 #include "testing/raw_listener.h"
 
 namespace anvilcroft {
 namespace {
 
-namespace asio = boost::asio;
-using boost::system::error_code;
+using testing::EndlessForm;
+using testing::EndlessForms;
+using testing::EndlessHead;
+using testing::Fill;
+using testing::kMiB;
+using testing::PeakMemory;
 using Socket = testing::RawListener::Socket;
 
-constexpr std::size_t kMiB = 1 << 20;
-
-// Returns `unit` as often as it takes to fill about 16 KiB.
-std::string Fill(const std::string& unit) {
-  std::string bytes;
-  while (bytes.size() < (16 << 10)) bytes += unit;
-  return bytes;
-}
-
-std::string Chunk(const std::string& bytes) {
-  char size[16];
-  std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
-  return size + bytes + "\r\n";
-}
-
-// Events with consecutive ids from `first` on, about 16 KiB.
-std::string ValidEvents(int64_t& next) {
-  std::string bytes;
-  while (bytes.size() < (16 << 10)) {
-    bytes += "id: " + std::to_string(next++) + "\ndata: " + std::string(40, 'x') + "\n\n";
-  }
-  return bytes;
-}
-
-// The largest amount of memory that this process has had since Reset(), above that at Reset().
-class PeakMemory {
- public:
-  PeakMemory() {
-    std::ofstream("/proc/self/clear_refs") << "5";  // resets VmHWM
-    this->before = Read("VmRSS:");
-  }
-  std::size_t Growth() const {
-    const std::size_t peak = Read("VmHWM:");
-    return peak > this->before ? peak - this->before : 0;
-  }
-
- private:
-  static std::size_t Read(const std::string& field) {
-    std::ifstream status("/proc/self/status");
-    std::string word;
-    std::size_t kib = 0;
-    while (status >> word) {
-      if (word == field) status >> kib;
-    }
-    return kib << 10;
-  }
-
-  std::size_t before = 0;
-};
-
-// A form of an answer without end.
-struct EndlessForm {
-  std::string name;
-  std::string head;  // "ID" stands for the id of the request
-  // What follows the head until the connection is closed.
-  std::function<std::string(int64_t& next_event)> next;
-};
-
-std::string Head(const std::string& status, const std::string& fields) {
-  return "HTTP/1.1 " + status + "\r\nX-Attempt-Id: ID\r\nX-Server-Stamp: s.1\r\n" + fields + "\r\n";
-}
-
-// Forms of answers to a generation, with bodies of each of `lines`.
-std::vector<EndlessForm> Forms(const std::vector<std::string>& lines) {
-  const std::string stream = "Content-Type: text/event-stream\r\nX-Weight-Versions: 1\r\n";
-  const std::string chunked = "Transfer-Encoding: chunked\r\n";
-  const auto repeat = [](const std::string& bytes) { return [bytes](int64_t&) { return bytes; }; };
-  std::vector<EndlessForm> forms;
-  for (const std::string& line : lines) {
-    std::string name = line;
-    if (name.back() == '\n') name.back() = '/';
-    forms.push_back(
-        {"chunks of " + name, Head("200 OK", stream + chunked), repeat(Chunk(Fill(line)))});
-    forms.push_back(
-        {"a body without length of " + name, Head("200 OK", stream), repeat(Fill(line))});
-  }
-  forms.push_back({"valid events", Head("200 OK", stream + chunked),
-                   [](int64_t& next) { return Chunk(ValidEvents(next)); }});
-  forms.push_back({"the body of an error", Head("500 Internal Server Error", chunked),
-                   repeat(Chunk(Fill("e")))});
-  forms.push_back({"the body of a refusal",
-                   Head("503 Service Unavailable", chunked + "X-Not-Executed: 1\r\n"),
-                   repeat(Chunk(Fill("e")))});
-  forms.push_back({"a field of the head", "HTTP/1.1 200 OK\r\nX-Long: ", repeat(Fill("h"))});
-  forms.push_back({"fields of the head", "HTTP/1.1 200 OK\r\n", repeat(Fill("X-Many: h\r\n"))});
-  forms.push_back({"interim answers", "", repeat(Fill("HTTP/1.1 103 Early Hints\r\n\r\n"))});
-  forms.push_back(
-      {"an extension of a chunk", Head("200 OK", stream + chunked) + "1;", repeat(Fill("x"))});
-  forms.push_back(
-      {"a trailer", Head("200 OK", stream + chunked) + "0\r\n", repeat(Fill("X-Many: t\r\n"))});
-  return forms;
-}
-
 // A target whose answers have no end.
 class EndlessTarget {
  public:
@@ -132,26 +41,10 @@
 
  private:
   void Answer(Task& task, Socket& socket) {
-    std::string head;
-    error_code failed;
-    asio::async_read_until(socket, asio::dynamic_buffer(head), "\r\n\r\n", task.yield[failed]);
-    if (failed) return;
-    const std::string field = "X-Attempt-Id: ";
-    const std::size_t at = head.find(field);
-    if (at == std::string::npos) return;  // a report
-    const std::size_t begin = at + field.size();
-    std::string bytes = this->form.head;
-    const std::size_t id = bytes.find("ID\r\n");
-    if (id != std::string::npos) {
-      bytes.replace(id, 2, head.substr(begin, head.find("\r\n", begin) - begin));
-    }
+    const auto id = testing::ReadRequestId(task, socket);
+    if (!id || id->empty()) return;  // a report
     ++this->requests;
-    int64_t next_event = 1;
-    std::size_t written = 0;
-    while (!failed) {
-      written += asio::async_write(socket, asio::buffer(bytes), task.yield[failed]);
-      bytes = this->form.next(next_event);
-    }
+    const std::size_t written = testing::WriteEndless(task, socket, this->form, *id);
     this->most_written = std::max(this->most_written, written);
     ++this->closed;
   }
@@ -184,8 +77,8 @@
 // Guards against the end of the process that runs the items, and of each successor, and against
 // items that wait for an answer that never ends.
 TEST_CASE("answers without end to items take little memory and are ended", "[endless]") {
-  const auto forms = Forms({"0\n", "x: y\n", ":\n", "id: 1\n", "event: e\n", "data:\n", "data: d\n",
-                            "retry: 1\n", "\n", "0"});
+  const auto forms = EndlessForms({"0\n", "x: y\n", ":\n", "id: 1\n", "event: e\n", "data:\n",
+                                   "data: d\n", "retry: 1\n", "\n", "0"});
   const auto form = GENERATE_COPY(from_range(forms));
   INFO(form.name);
   PlatformFixture fixture;
@@ -220,7 +113,7 @@
 TEST_CASE("answers without end to scoring requests take little memory", "[endless]") {
   PlatformFixture fixture;
   EndlessTarget endless(fixture, "app",
-                        {"a body", Head("200 OK", ""), [](int64_t&) { return Fill("b"); }});
+                        {"a body", EndlessHead("200 OK", ""), [](int64_t&) { return Fill("b"); }});
   fixture.AddEngine("i-sound").events_per_item = 1;
   FrontInstance& instance = fixture.AddInstance("one");
   fixture.Run([&](Task& task) {
@@ -239,7 +132,7 @@
 // Guards against an instance whose callers' streams run without end, keep what the target sends, or
 // get bytes that are no events.
 TEST_CASE("answers without end to streams of callers take little memory", "[endless]") {
-  auto forms = Forms({"0\n", ":\n"});
+  auto forms = EndlessForms({"0\n", ":\n"});
   // Valid events are forwarded as they arrive, for as long as the caller waits.
   forms.erase(std::remove_if(forms.begin(), forms.end(),
                              [](const EndlessForm& form) { return form.name == "valid events"; }),
--- a/testing/platform_memory_budget_test.cc
+++ b/testing/platform_memory_budget_test.cc
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "testing/client_crowd.h"
+#include "testing/endless_forms.h"
 #include "testing/process_site.h"
 
 namespace anvilcroft {
@@ -67,6 +68,10 @@
   }
 
   soak::SoakInstance& Instance() { return this->site.site.Instances().front(); }
+  fakes::PlatformStore& Store() { return this->site.site.Store(); }
+  void Post(Task& task, const std::string& target, const std::string& id, const std::string& body) {
+    this->site.Send(task, this->Instance().front, target, id, body);
+  }
   Endpoint Front() { return *ParseEndpoint(this->Instance().front); }
   Runtime& Loop() { return this->site.runtime; }
   HttpClient& Http() { return this->site.http; }
@@ -227,6 +232,63 @@
       true);
 }
 
+// Guards against a process that is killed because several faulty engines at once answer without
+// end, each in another form, while callers and a batch job use them.
+TEST_CASE("answers without end of several engines stay within the memory",
+          "[memory_budget][serial]") {
+  BudgetSite site(kMemoryMb, kMaxBodyBytes);
+  int requests = 0;
+  std::vector<std::unique_ptr<testing::RawListener>> engines;
+  for (const std::string service : {"app", "model"}) {
+    for (const testing::EndlessForm& form : testing::EndlessForms({"0\n", "data: d\n"})) {
+      engines.push_back(std::make_unique<testing::RawListener>(
+          site.Loop(), [&requests, form](Task& task, testing::RawListener::Socket& socket) {
+            const auto id = testing::ReadRequestId(task, socket);
+            if (!id) return;
+            ++requests;
+            testing::WriteEndless(task, socket, form, *id);
+          }));
+    }
+  }
+  testing::RunTask(site.Loop(), [&](Task& task) {
+    site.Start(task);
+    for (std::size_t i = 0; i < engines.size(); ++i) {
+      nlohmann::json entry = {{"Service", i < engines.size() / 2 ? "app" : "model"},
+                              {"Address", engines[i]->Address().ToString()},
+                              {"Zone", "a"},
+                              {"Version", "v1"},
+                              {"Slots", 4},
+                              {"State", "ready"},
+                              {"Sequence", 1},
+                              {"born", 1000},
+                              {"ColdRemainingMs", 0}};
+      if (i >= engines.size() / 2) entry["Models"] = {{{"Name", "m"}, {"Version", 1}}};
+      site.Store().Put("servers", "i-endless-" + std::to_string(i), entry.dump());
+    }
+    SleepUntil(task, SteadyNow() + milliseconds(500));
+    fakes::StepShape shape;
+    shape.item_prefix = "x";
+    shape.groups = 20;
+    site.Post(task, "/rollout/s", "job", fakes::StepBody(shape));
+    int open = 0;
+    for (int caller = 0; caller < 48; ++caller) {
+      ++open;
+      site.Loop().Spawn([&, caller](Task& task) {
+        for (int i = 0; i < 8; ++i) {
+          const std::string id = "c" + std::to_string(caller) + "." + std::to_string(i);
+          site.Post(task, caller % 4 == 0 ? "/draft/1" : "/lookup/1", id, "body");
+        }
+        --open;
+      });
+    }
+    CHECK(testing::WaitUntil(
+        task, [&] { return open == 0; }, seconds(60)));
+    CHECK(requests > 0);
+    site.CheckServes(task);
+    site.CheckBounds(0);
+  });
+}
+
 // Guards against copies of a body at each stage, which take one legal request over the memory of
 // the smallest machine.
 TEST_CASE("the largest body is served on the smallest machine", "[memory_budget][serial]") {
