--- a/anvilcroft/traffic_split.cc
+++ b/anvilcroft/traffic_split.cc
@@ -5,8 +5,8 @@
 namespace anvilcroft {
 
 TrafficSplit::TrafficSplit() {
-  static const auto kEmpty = std::make_shared<const Shares>();
-  this->shares = kEmpty;
+  static const auto empty = std::make_shared<const Shares>();
+  this->shares = empty;
 }
 
 TrafficSplit::TrafficSplit(Shares shares)
--- a/soak/clients.cc
+++ b/soak/clients.cc
@@ -269,6 +269,9 @@
   const bool whole = text == fakes::PlatformEngine::TextOf(item, events) ||
                      text == fakes::PlatformEngine::TextOf(item, events, kSecondSoftware);
   if (!whole) this->AddViolation(at + item + " has a wrong text");
+  if (this->site.Options().single_version && value["Versions"].size() != 1) {
+    this->AddViolation(at + item + " was generated with several versions");
+  }
   for (const json& version : value["Versions"]) {
     if (version.get<int64_t>() < job.min_version)
       this->AddViolation(at + item + " was generated with too old a version");
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -1,7 +1,8 @@
 // Injects seeded faults into a small site of real processes under load, and checks the answers that
 // clients get against the guarantees of docs/platform.md.
 //
-//   soak [--seed N] [--seeds COUNT] [--seconds S] [--instances N] [--keep-files DIR] ANVILCROFT
+//   soak [--seed N] [--seeds COUNT] [--seconds S] [--instances N] [--split-routes]
+//        [--single-version] [--keep-files DIR] ANVILCROFT
 //
 // Exits with 0 if there was no violation. Each violation is printed with its seed, which generates
 // the same faults again.
@@ -65,6 +66,10 @@
   TCLAP::ValueArg<int> span("", "seconds", "duration in seconds within which faults start", false,
                             15, "S", line);
   TCLAP::ValueArg<int> instances("", "instances", "processes", false, 4, "N", line);
+  TCLAP::SwitchArg split_routes(
+      "", "split-routes", "divide routes between two services, differently in each version", line);
+  TCLAP::SwitchArg single_version("", "single-version", "texts are of one weight version each",
+                                  line);
   TCLAP::ValueArg<std::string> keep(
       "", "keep-files", "directory in which settings and logs are kept", false, "", "DIR", line);
   TCLAP::UnlabeledValueArg<std::string> binary("anvilcroft", "program under test", true, "",
@@ -83,6 +88,8 @@
     options.binary = binary.getValue();
     options.directory = folder.string();
     options.instances = instances.getValue();
+    options.split_routes = split_routes.getValue();
+    options.single_version = single_version.getValue();
     if (!RunSeed(one, seconds(span.getValue()), options)) ++failed;
     if (keep.getValue().empty()) std::filesystem::remove_all(folder);
   }
--- a/soak/site.cc
+++ b/soak/site.cc
@@ -13,6 +13,7 @@
 
 using nlohmann::json;
 
+constexpr char kSecondService[] = "other";
 constexpr Duration kRegistrationInterval = milliseconds(200);  // of a target's entry
 
 json Route(const std::string& name, const std::string& kind, const std::string& service) {
@@ -21,6 +22,14 @@
           {"Service", service}, {"MaxAttempts", 3},    {"Resumable", kind == "stream"}};
 }
 
+// Divides the requests of `route`: all to the first service, or with one of two splits.
+void DivideRoute(json& route, int64_t version) {
+  if (version % 3 == 0) return;
+  route.erase("Service");
+  route["TrafficSplit"] = {{{"Service", kSecondService}, {"Weight", version % 3 == 1 ? 25 : 0}},
+                           {{"Service", "model"}, {"Weight", 75}}};
+}
+
 }  // namespace
 
 Site::Site(Runtime& runtime, SiteOptions options)
@@ -47,7 +56,10 @@
     return {};
   };
   for (int i = 0; i < this->options.engines; ++i) {
-    if (auto added = add(this->engines, "i-model-" + std::to_string(i), "model", kModel); !added) {
+    const bool other = this->options.split_routes && i + 1 == this->options.engines;
+    if (auto added = add(this->engines, "i-model-" + std::to_string(i),
+                         other ? kSecondService : "model", kModel);
+        !added) {
       return added;
     }
     this->engines.back()->events_per_item = 40;
@@ -141,20 +153,24 @@
   json rollout = Route("rollout", "rollout", "model");
   rollout["ResultTargetMs"] = 7500;
   rollout["ItemTtlS"] = 120;
+  rollout["SingleVersion"] = this->options.single_version;
   routes.push_back(rollout);
+  if (this->options.split_routes) {
+    for (std::size_t i = routes.size() - 2; i < routes.size(); ++i) DivideRoute(routes[i], version);
+  }
   for (int64_t extra = 4; extra <= version; ++extra) {
     routes.push_back(Route("extra" + std::to_string(extra), "safe", "app"));
   }
   json limits = {{"MaxHeaderBytes", 16384}, {"IdleTimeoutMs", 15000}};
   if (this->options.max_body_bytes > 0) limits["MaxBodyBytes"] = this->options.max_body_bytes;
+  json services = json::array({{{"Name", "app"}, {"HealthPath", "/healthz"}}});
+  for (const char* service : {"model", kSecondService}) {
+    services.push_back({{"Name", service},
+                        {"HealthPath", "/healthz"},
+                        {"Engine", {{"Slots", 4}, {"Models", {{{"Name", kModel}}}}}}});
+  }
   const json config = {
-      {"Version", version},
-      {"Routes", routes},
-      {"Services", json::array({{{"Name", "app"}, {"HealthPath", "/healthz"}},
-                                {{"Name", "model"},
-                                 {"HealthPath", "/healthz"},
-                                 {"Engine", {{"Slots", 4}, {"Models", {{{"Name", kModel}}}}}}}})},
-      {"Limits", limits}};
+      {"Version", version}, {"Routes", routes}, {"Services", services}, {"Limits", limits}};
   this->store.Put("op", "config", config.dump());
 }
 
--- a/soak/site.h
+++ b/soak/site.h
@@ -24,6 +24,10 @@
   int apps = 2;
   int address_ttl_s = 1;     // how long callers may use the addresses that they are given
   bool link_targets = true;  // false: instances connect to the targets themselves
+  // The last engine is of a second service, and each version of the configuration divides the
+  // routes of streams and batch jobs anew between the two.
+  bool split_routes = false;
+  bool single_version = false;  // texts of batch jobs are of one weight version each
   // Largest body of a caller, as the configuration names it; 0: not named.
   int64_t max_body_bytes = 0;
   std::string more_settings;  // lines that are added to the settings of each instance
@@ -71,6 +75,7 @@
   // One link for each target, which all instances share; none without link_targets.
   std::vector<std::unique_ptr<fakes::FakeLink>>& TargetLinks() { return this->target_links; }
   fakes::PlatformStore& Store() { return this->store; }
+  const SiteOptions& Options() const { return this->options; }
   int64_t ConfigurationVersion() const { return this->configuration_version; }
 
   // How often targets ran the request `id`, in total.
