Run jobs without a model after a change of version

What callers saw: a batch job that names no model was refused with 421 for as long as it lasted once a version had been named, with all engines idle; the 202 had promised to run it.

Cause: the version of a run's events was recorded under the job's model, also if that is empty. No report corrects the version of the empty name, and the next run expected it.

Evidence: the test below; its first items run, and the engine refuses the others with 421 once it has loaded the next version.

Change: RecordVersion ignores the empty name.

--- a/anvilcroft/engine_tracker.cc
+++ b/anvilcroft/engine_tracker.cc
@@ -65,6 +65,7 @@
 
 void EngineTracker::RecordVersion(const std::string& id, const std::string& model,
                                   int64_t version) {
+  if (model.empty()) return;
   EngineState* engine = this->Find(id);
   if (engine == nullptr) return;
   engine->versions[model] = version;
--- a/anvilcroft/engine_tracker.h
+++ b/anvilcroft/engine_tracker.h
@@ -59,7 +59,8 @@
                          TimePoint now);
 
   // Records that the engine has `version` of `model`: a run produced events with it, or the engine
-  // answered an order that it has the version.
+  // answered an order that it has the version. Ignores the empty name, under which jobs without a
+  // model run: no report would ever correct its version.
   void RecordVersion(const std::string& id, const std::string& model, int64_t version);
 
   // The engine refused a run as meant for another version or another engine.
--- a/testing/platform_front_test.cc
+++ b/testing/platform_front_test.cc
@@ -86,6 +86,31 @@
   });
 }
 
+// Guards against items of a job without a model that are refused for ever, because the version of
+// their earlier runs is expected of engines that have loaded the next one.
+TEST_CASE("a batch job without a model goes on after a change of version", "[platform]") {
+  PlatformFixture fixture;
+  fakes::PlatformEngine& engine = fixture.AddEngine("i-e1");
+  engine.event_time = milliseconds(30);
+  FrontInstance& instance = fixture.AddInstance("one");
+  fixture.Run([&](Task& task) {
+    fixture.AwaitReady(task, instance);
+    json body = json::parse(PlatformFixture::Step("x", 8));
+    for (const char* field : {"Model", "Step", "MinVersion", "TargetGroups"}) body.erase(field);
+    const auto accepted =
+        fixture.Send(task, instance.FrontAddress(), "POST", "/rollout/s", "job1", body.dump());
+    REQUIRE(accepted);
+    REQUIRE(accepted->Status() == 202);
+    fixture.Await(task, "the first items are listed", [&] {
+      return !fixture.ReadResults(task, instance.FrontAddress(), "job1")["Results"].empty();
+    });
+    fixture.store.Put("op", "version/m", R"({"Model":"m","Version":2})");
+    const json page = fixture.AwaitResults(task, instance.FrontAddress(), "job1", 16);
+    for (const json& result : page["Results"]) CHECK(result["State"] == "completed");
+    CHECK(engine.version == 2);
+  });
+}
+
 TEST_CASE("a batch job is stored, run, judged, listed, read at any instance and ended",
           "[platform]") {
   PlatformFixture fixture;
