Load jobs of any size page by page

Cause: one deadline of 650 ms held for all pages of a job's items, listing and texts together, and each failure began with the first page.

Change: each call has the time limit, and items and listed results that have been read are kept over attempts, as they never change. Texts, results of several rows and bodies of items are read in the same way.

--- a/anvilcroft/batch_owner_jobs.cc
+++ b/anvilcroft/batch_owner_jobs.cc
@@ -15,6 +15,8 @@
 
 constexpr char kPart[] = "batch";
 constexpr Duration kCallTimeout = milliseconds(650);
+// For all rows of one kind of a job. What has been read of them is kept if it passes.
+constexpr Duration kLoadTimeout = seconds(3);
 constexpr Duration kFeedWait = milliseconds(600);  // short, to detect a silent connection soon
 constexpr Duration kRetryPause = milliseconds(100);
 constexpr Duration kIdlePause = milliseconds(100);  // between checks of the lease
@@ -119,6 +121,9 @@
   auto job = std::make_shared<OwnedJob>();
   job->head = head;
   const SliceScope& scope = this->context.scope;
+  // Kept over all attempts, as neither items nor listed results ever change.
+  BatchStore::ItemsRead items;
+  std::set<std::string> listed;
   while (true) {
     job->generation = this->generation;
     job->items.clear();
@@ -127,33 +132,38 @@
       this->loading_jobs.erase(head.id);
       return;
     }
-    const TimePoint deadline = SteadyNow() + kCallTimeout;
-    auto items = this->context.store.ReadItems(task, head.id, deadline);
-    auto listing = items ? this->context.store.ReadListing(task, head.id, deadline)
-                         : Result<ResultListing>(ResultListing());
-    if (items && listing) listing = this->lister.Claim(task, head.id, job->generation, *listing);
-    std::set<std::string> listed;
-    bool read_all = items && listing;
+    const auto read_items =
+        this->context.store.ReadItems(task, head.id, items, SteadyNow() + kLoadTimeout);
+    auto listing = read_items
+                       ? this->context.store.ReadListing(task, head.id, SteadyNow() + kCallTimeout)
+                       : Result<ResultListing>(tl::unexpected<Error>(read_items.error()));
+    if (listing) listing = this->lister.Claim(task, head.id, job->generation, *listing);
+    bool read_all = listing.has_value();
     while (read_all && static_cast<int64_t>(listed.size()) < listing->count) {
       const auto position = static_cast<int64_t>(listed.size());
       const auto results = this->context.store.ReadResults(
-          task, head.id, position, listing->count - position, SteadyNow() + kCallTimeout);
+          task, head.id, position, listing->count - position, SteadyNow() + kLoadTimeout);
       read_all = results && !results->empty();
       if (!read_all) break;
       for (const ItemResult& result : *results) listed.insert(result.item_id);
     }
-    const auto texts = read_all ? this->context.store.ReadTexts(task, head.id, deadline)
-                                : Result<std::map<std::string, ItemText>>();
+    const auto texts =
+        read_all ? this->context.store.ReadTexts(task, head.id, SteadyNow() + kLoadTimeout)
+                 : Result<std::map<std::string, ItemText>>();
     read_all = read_all && texts && job->generation == this->generation &&
                job->generation == scope.Generation();
     if (!read_all) {
+      LogInfo(kPart, "could not load a batch job yet; reading on",
+              {{"batch", head.id},
+               {"items", std::to_string(items.items.size())},
+               {"listed", std::to_string(listed.size())}});
       SleepUntil(task, SteadyNow() + kRetryPause);
       continue;
     }
     job->listing = *listing;
     std::set<std::string> all_groups;
     std::set<std::string> own_groups;
-    for (BatchItem& item : *items) {
+    for (BatchItem& item : items.items) {
       all_groups.insert(item.group);
       if (!scope.OwnsItem(head, item)) continue;
       own_groups.insert(item.group);
--- a/anvilcroft/batch_service.cc
+++ b/anvilcroft/batch_service.cc
@@ -104,10 +104,11 @@
   auto cached = std::find_if(this->bodies.begin(), this->bodies.end(),
                              [&job](const auto& entry) { return entry.first == job; });
   if (cached == this->bodies.end()) {
-    auto items = this->store.ReadItems(task, job, SteadyNow() + kStoreTimeout);
-    if (!items) return tl::unexpected<Error>(items.error());
+    BatchStore::ItemsRead read;
+    const auto complete = this->store.ReadItems(task, job, read, SteadyNow() + kItemsTimeout);
+    if (!complete) return tl::unexpected<Error>(complete.error());
     Bodies job_bodies;
-    for (BatchItem& entry : *items) job_bodies[entry.id] = std::move(entry.body);
+    for (BatchItem& entry : read.items) job_bodies[entry.id] = std::move(entry.body);
     this->bodies.emplace_front(job, std::move(job_bodies));
     if (this->bodies.size() > kMaxCachedJobs) this->bodies.pop_back();
     cached = this->bodies.begin();
--- a/anvilcroft/batch_service.h
+++ b/anvilcroft/batch_service.h
@@ -27,6 +27,7 @@
   static constexpr Duration kPollInterval = milliseconds(50);
   // Timeout of one read of the store.
   static constexpr Duration kStoreTimeout = milliseconds(900);
+  static constexpr Duration kItemsTimeout = seconds(3);  // for all items of the largest job
   // Jobs whose head is cached.
   static constexpr std::size_t kMaxCachedHeads = 512;
   // Jobs whose item bodies are cached, about 200 KB each.
--- a/anvilcroft/batch_store.cc
+++ b/anvilcroft/batch_store.cc
@@ -101,24 +101,25 @@
   return std::optional<BatchHead>(std::move(*head));
 }
 
-Result<std::vector<BatchItem>> BatchStore::ReadItems(Task& task, const std::string& job,
-                                                     TimePoint deadline) {
-  std::vector<BatchItem> items;
+Result<void> BatchStore::ReadItems(Task& task, const std::string& job, ItemsRead& progress,
+                                   TimePoint deadline) {
   RowRange range;
   range.table = kBatchItemTable;
   range.partition = job;
   range.max_rows = 12;  // about 700 KB of base64
-  while (true) {
-    const auto read = this->store.Read(task, range, deadline);
+  while (!progress.complete) {
+    range.from = progress.next_key;
+    const auto read = this->store.Read(task, range, CallDeadline(SteadyNow(), deadline));
     if (!read) return tl::unexpected<Error>(read.error());
     for (const StoredRow& row : read->rows) {
       auto part = DecodeItems(row.value);
       if (!part) return tl::unexpected<Error>(part.error());
-      std::move(part->begin(), part->end(), std::back_inserter(items));
+      std::move(part->begin(), part->end(), std::back_inserter(progress.items));
+      progress.next_key = row.id.key + '\x01';
     }
-    if (!read->more || read->rows.empty()) return items;
-    range.from = read->rows.back().id.key + '\x01';
+    progress.complete = !read->more || read->rows.empty();
   }
+  return {};
 }
 
 Result<std::vector<ItemResult>> BatchStore::ReadResults(Task& task, const std::string& job,
@@ -132,7 +133,7 @@
   std::vector<ItemResult> results;
   ResultDecoder decoder;
   while (true) {
-    const auto read = this->store.Read(task, range, deadline);
+    const auto read = this->store.Read(task, range, CallDeadline(SteadyNow(), deadline));
     if (!read) return tl::unexpected<Error>(read.error());
     for (const StoredRow& row : read->rows) {
       auto result = decoder.Add(row.value);
@@ -245,7 +246,7 @@
   range.table = kBatchTextTable;
   range.partition = job;
   while (true) {
-    const auto read = this->store.Read(task, range, deadline);
+    const auto read = this->store.Read(task, range, CallDeadline(SteadyNow(), deadline));
     if (!read) return tl::unexpected<Error>(read.error());
     for (const StoredRow& row : read->rows) {
       const auto text = DecodeText(row.value);
--- a/anvilcroft/batch_store.h
+++ b/anvilcroft/batch_store.h
@@ -41,9 +41,20 @@
 
   // Returns nullopt if the job does not exist.
   Result<std::optional<BatchHead>> ReadHead(Task& task, const std::string& job, TimePoint deadline);
-  Result<std::vector<BatchItem>> ReadItems(Task& task, const std::string& job, TimePoint deadline);
+  // What has been read of the items of a job, which never change.
+  struct ItemsRead {
+    std::vector<BatchItem> items;
+    std::string next_key;  // of the first row that has not been read
+    bool complete = false;
+  };
+  // Reads the items of a job from where `progress` ends. If a call fails or `deadline` passes, what
+  // has been read remains in `progress`. Each call has a time limit of its own, because the number
+  // of calls grows with the job.
+  Result<void> ReadItems(Task& task, const std::string& job, ItemsRead& progress,
+                         TimePoint deadline);
 
-  // Returns results from position `from` on, at most `max_results`.
+  // Returns results from position `from` on, at most `max_results`. The first one may take several
+  // calls, each with a time limit of its own.
   Result<std::vector<ItemResult>> ReadResults(Task& task, const std::string& job, int64_t from,
                                               int64_t max_results, TimePoint deadline);
   Result<ResultListing> ReadListing(Task& task, const std::string& job, TimePoint deadline);
@@ -66,6 +77,7 @@
   Result<void> SaveTexts(Task& task, const std::string& job,
                          const std::vector<std::pair<std::string, ItemText>>& texts,
                          TimePoint deadline);
+  // Each call has a time limit of its own.
   Result<std::map<std::string, ItemText>> ReadTexts(Task& task, const std::string& job,
                                                     TimePoint deadline);
 
--- a/testing/traffic_split_test.cc
+++ b/testing/traffic_split_test.cc
@@ -183,7 +183,7 @@
   pools.Join(split("d", "b"));
   CHECK(pools.PoolOf("a") == pools.PoolOf("c"));
   CHECK(pools.PoolOf(split("c", "d")) == pools.PoolOf("b"));
-  CHECK(pools.PoolOf(TrafficSplit()) == "");
+  CHECK(pools.PoolOf(TrafficSplit()).empty());
 }
 
 // The rollout route divided between "model" and a service "other".
