Drop forbidden texts in one function

ItemRunner::DropForbiddenText serves waiting items too, and its log line names the job beside the route.

--- a/anvilcroft/batch_owner.cc
+++ b/anvilcroft/batch_owner.cc
@@ -218,9 +218,7 @@
       const ServiceRoute* route = RouteOf(*routes, job->head, item.item);
       if (route == nullptr || TextAllowed(item, job->head, *route)) continue;
       if (item.run) item.run->Cancel();
-      if (item.phase == ItemPhase::kWaiting) {
-        this->runner.DropText(item, "its route allows one weight version only");
-      }
+      if (item.phase == ItemPhase::kWaiting) this->runner.DropForbiddenText(*job, item);
     }
   }
 }
--- a/anvilcroft/item_runner.cc
+++ b/anvilcroft/item_runner.cc
@@ -297,7 +297,7 @@
   const auto routes = this->context.routes();
   const ServiceRoute* route = routes ? RouteOf(*routes, job.head, item.item) : nullptr;
   if (route == nullptr || TextAllowed(item, job.head, *route)) return false;
-  this->DropText(item, "its route allows one weight version only");
+  this->DropText(item, "its job or route does not allow its weight versions");
   item.phase = ItemPhase::kWaiting;
   this->context.plan_inputs_changed.NotifyAll();
   return true;
--- a/anvilcroft/item_runner.h
+++ b/anvilcroft/item_runner.h
@@ -31,6 +31,10 @@
   // Drops the text of an item, which starts anew.
   void DropText(OwnedItem& item, const char* reason);
 
+  // Drops the text of an item, which is not running, if its job or route does not allow the weight
+  // versions. Returns whether it did.
+  bool DropForbiddenText(const OwnedJob& job, OwnedItem& item);
+
   // Gives up on an item and lists it as expired.
   void Expire(const std::shared_ptr<OwnedJob>& job, std::size_t index, const char* reason);
 
@@ -42,9 +46,6 @@
   int Urgency(const OwnedJob& job) const;
   // Time without an event after which a run on `engine` fails.
   Duration MaxSilence(const std::string& engine) const;
-  // Drops the complete text of an item if its route does not allow it any more. Returns whether it
-  // did.
-  bool DropForbiddenText(const OwnedJob& job, OwnedItem& item);
   // Waits for the permit to send a run of `item` to `engine`.
   Result<SendPermit> AcquirePermit(Task& task, OwnedItem& item, const TargetEntry& engine);
   void Run(Task& task, const std::shared_ptr<OwnedJob>& job, std::size_t index,
