--- a/testing/platform_late_copy_test.cc
+++ b/testing/platform_late_copy_test.cc
@@ -204,6 +204,22 @@
   });
 }
 
+// Guards against a text of version 0, which no job allows, from an answer that names no version:
+// the target refuses the request if it has not the expected one.
+TEST_CASE("an answer that names no weight version is of the expected one", "[copies]") {
+  const std::string field = GENERATE("", "X-Weight-Versions: none\r\n");
+  CopyingTarget target(
+      {Answer("200 OK", "X-Server-Stamp: s\r\nContent-Type: text/event-stream\r\n" + field,
+              "id: 1\ndata: d\n\n")},
+      false);
+  platform::EngineClient client(target.runtime);
+  testing::RunTask(target.runtime, [&](Task& task) {
+    const Run run = Generate(task, client, target.Entry(), 2);
+    CHECK(run.kind == Kind::kComplete);
+    CHECK(run.version == 2);
+  });
+}
+
 // Guards against an answer of another version that reaches a run by any way: a target refuses the
 // request if it has not the expected version.
 TEST_CASE("an answer of another weight version than expected is not used", "[copies]") {
