--- a/testing/platform_endless_answer_test.cc
+++ b/testing/platform_endless_answer_test.cc
@@ -5,7 +5,7 @@
 
 #include "anvilcroft/sse_parser.h"
 #include "anvilcroft/sse_splitter.h"
-#include "testing/endless_forms.h"
+#include "testing/platform_endless_forms.h"
 #include "testing/platform_fixture.h"
 #include "testing/raw_listener.h"
 
--- a/testing/endless_control_test.cc
+++ b/testing/platform_endless_control_test.cc
@@ -7,7 +7,7 @@
 #include "anvilcroft/target_relay.h"
 #include "platform/engine_client.h"
 #include "platform/store_client.h"
-#include "testing/endless_forms.h"
+#include "testing/platform_endless_forms.h"
 #include "testing/platform_fixture.h"
 
 namespace anvilcroft {
@@ -59,24 +59,27 @@
 
 CallOptions Within(Duration time) { return CallOptions(SteadyNow() + time, time); }
 
+// Sends a request to `peer` and checks that it fails, takes little memory and ends the answer.
+void CheckForward(Task& task, platform::EngineClient& client, EndlessPeer& peer) {
+  const PeakMemory memory;
+  platform::ForwardRequest request;
+  request.id = "r1";
+  request.method = "POST";
+  request.target = "/lookup/1";
+  CHECK_FALSE(client.Forward(task, SendPermit::Unchecked(), peer.Entry(), request, seconds(5),
+                             Within(seconds(5))));
+  CHECK(peer.requests > 0);
+  CHECK(memory.Growth() < kMaxGrowth);
+  peer.AwaitClosed(task);
+}
+
 // Guards against an instance that keeps an answer without end to a request of a caller.
 TEST_CASE("answers without end to requests take little memory", "[endless]") {
   const auto form = GENERATE_COPY(from_range(EndlessForms({"0\n"})));
   INFO(form.name);
   EndlessPeer peer(form);
   platform::EngineClient client(peer.runtime);
-  testing::RunTask(peer.runtime, [&](Task& task) {
-    const PeakMemory memory;
-    platform::ForwardRequest request;
-    request.id = "r1";
-    request.method = "POST";
-    request.target = "/lookup/1";
-    CHECK_FALSE(client.Forward(task, SendPermit::Unchecked(), peer.Entry(), request, seconds(5),
-                               Within(seconds(5))));
-    CHECK(peer.requests > 0);
-    CHECK(memory.Growth() < kMaxGrowth);
-    peer.AwaitClosed(task);
-  });
+  testing::RunTask(peer.runtime, [&](Task& task) { CheckForward(task, client, peer); });
 }
 
 // Guards against an owner that keeps an answer without end to an order, or to the question for a
@@ -129,18 +132,7 @@
   };
   paths.on_relay = [](const RelayPeer&, bool) {};
   platform::EngineClient asking(peer.runtime, {}, paths);
-  testing::RunTask(peer.runtime, [&](Task& task) {
-    const PeakMemory memory;
-    platform::ForwardRequest request;
-    request.id = "r1";
-    request.method = "POST";
-    request.target = "/lookup/1";
-    CHECK_FALSE(asking.Forward(task, SendPermit::Unchecked(), peer.Entry(), request, seconds(5),
-                               Within(seconds(5))));
-    CHECK(peer.requests > 0);
-    CHECK(memory.Growth() < kMaxGrowth);
-    peer.AwaitClosed(task);
-  });
+  testing::RunTask(peer.runtime, [&](Task& task) { CheckForward(task, asking, peer); });
 }
 
 // Guards against an instance that keeps an answer without end of the store.
--- a/testing/endless_forms.cc
+++ b/testing/platform_endless_forms.cc
@@ -1,4 +1,4 @@
-#include "testing/endless_forms.h"
+#include "testing/platform_endless_forms.h"
 
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
--- a/testing/endless_forms.h
+++ b/testing/platform_endless_forms.h
@@ -1,5 +1,5 @@
-#ifndef TESTING_ENDLESS_FORMS_H_
-#define TESTING_ENDLESS_FORMS_H_
+#ifndef TESTING_PLATFORM_ENDLESS_FORMS_H_
+#define TESTING_PLATFORM_ENDLESS_FORMS_H_
 
 // Answers without end in all forms, and the memory that a reader of one takes.
 
@@ -58,4 +58,4 @@
 
 }  // namespace anvilcroft::testing
 
-#endif  // TESTING_ENDLESS_FORMS_H_
+#endif  // TESTING_PLATFORM_ENDLESS_FORMS_H_
--- a/testing/platform_memory_budget_test.cc
+++ b/testing/platform_memory_budget_test.cc
@@ -11,7 +11,7 @@
 #include <string>
 
 #include "testing/client_crowd.h"
-#include "testing/endless_forms.h"
+#include "testing/platform_endless_forms.h"
 #include "testing/process_site.h"
 
 namespace anvilcroft {
--- a/testing/text_restart_test.cc
+++ b/testing/text_restart_test.cc
@@ -124,12 +124,19 @@
     CHECK(accepted->Status() == 202);
   }
 
-  // Waits until both engines run items of the job, which have several events by then.
-  void AwaitTexts(Task& task) {
-    this->Await(task, "both engines run items", [&] {
-      return !this->engines[0]->started.empty() && !this->engines[1]->started.empty();
+  // Runs `body` once both engines run items of the job "job1" of `groups` groups, which have
+  // several events by then.
+  void RunStep(int groups, const std::function<void(Task&, FrontInstance&)>& body) {
+    FrontInstance& instance = this->AddInstance("one");
+    this->Run([&](Task& task) {
+      this->AwaitReady(task, instance);
+      this->Submit(task, "job1", groups);
+      this->Await(task, "both engines run items", [&] {
+        return !this->engines[0]->started.empty() && !this->engines[1]->started.empty();
+      });
+      SleepUntil(task, SteadyNow() + milliseconds(400));
+      body(task, instance);
     });
-    SleepUntil(task, SteadyNow() + milliseconds(400));
   }
 
   // Waits for all results of a job of `count` items and checks that they are whole and of one
@@ -150,11 +157,7 @@
 TEST_CASE("a text of one version is started anew when its last engine is lost", "[text_restart]") {
   const bool removed = GENERATE(false, true);  // whether its entry is removed
   SingleVersionFixture fixture;
-  FrontInstance& instance = fixture.AddInstance("one");
-  fixture.Run([&](Task& task) {
-    fixture.AwaitReady(task, instance);
-    fixture.Submit(task, "job1");
-    fixture.AwaitTexts(task);
+  fixture.RunStep(1, [&](Task& task, FrontInstance& /*instance*/) {
     // The other engine's item ends with it; both texts need version 1.
     fixture.engines[0]->version = 2;
     fixture.store.Put("servers", "i-1", fixture.engines[0]->RegistrationEntry("model", "a"));
@@ -174,11 +177,7 @@
 TEST_CASE("a carried text of one version is started anew once all engines have the next one",
           "[text_restart]") {
   SingleVersionFixture fixture;
-  FrontInstance& instance = fixture.AddInstance("one");
-  fixture.Run([&](Task& task) {
-    fixture.AwaitReady(task, instance);
-    fixture.Submit(task, "job1");
-    fixture.AwaitTexts(task);
+  fixture.RunStep(1, [&](Task& task, FrontInstance& instance) {
     const auto ended =
         fixture.Send(task, instance.FrontAddress(), "DELETE", "/api/lots/job1", "end");
     REQUIRE(ended);
@@ -198,11 +197,7 @@
 TEST_CASE("a text of one version goes on at an engine that is back within a moment",
           "[text_restart]") {
   SingleVersionFixture fixture;
-  FrontInstance& instance = fixture.AddInstance("one");
-  fixture.Run([&](Task& task) {
-    fixture.AwaitReady(task, instance);
-    fixture.Submit(task, "job1");
-    fixture.AwaitTexts(task);
+  fixture.RunStep(1, [&](Task& task, FrontInstance& /*instance*/) {
     SleepUntil(task, SteadyNow() + milliseconds(400));
     fixture.engines[0]->version = 2;
     fixture.store.Put("servers", "i-1", fixture.engines[0]->RegistrationEntry("model", "a"));
@@ -218,11 +213,7 @@
           "[text_restart]") {
   SingleVersionFixture fixture;
   fixture.PutConfiguration(5, false);
-  FrontInstance& instance = fixture.AddInstance("one");
-  fixture.Run([&](Task& task) {
-    fixture.AwaitReady(task, instance);
-    fixture.Submit(task, "job1", 2);
-    fixture.AwaitTexts(task);
+  fixture.RunStep(2, [&](Task& task, FrontInstance& /*instance*/) {
     for (const auto& engine : fixture.engines) {
       engine->version = 2;
       fixture.store.Put("servers", engine->Id(), engine->RegistrationEntry("model", "a"));
