--- a/review/standins-3/site.h
+++ b/review/standins-3/site.hpp
@@ -1,5 +1,5 @@
-#ifndef REVIEW_STANDINS_3_SITE_H_
-#define REVIEW_STANDINS_3_SITE_H_
+#ifndef REVIEW_STANDINS_3_SITE_HPP_
+#define REVIEW_STANDINS_3_SITE_HPP_
 
 // A small site for the scripts of the third review: the platform's store behind an HTTP proxy that
 // can be slow and can lose its history, fake engines of the project, and instances of
@@ -50,7 +50,7 @@
   // `store_address` is that of the store itself. Returns the address of the proxy.
   anvilcroft::Result<std::string> Start(const std::string& store_address);
 
-  Duration answer_time{0};   // time that each answer takes
+  Duration answer_time{0};    // time that each answer takes
   bool feeds_silent = false;  // change feeds deliver nothing until this is reset
 
  private:
@@ -83,7 +83,9 @@
 
   // Starts the store, the engines and the instances; waits until all instances are ready.
   bool Start(Task& task, int instances, int model_engines);
-  // Sends SIGTERM to all instances and waits; kills those that remain.
+  // Starts the process of `instance`, which must not be running.
+  bool StartProcess(Instance& instance);
+  // Kills all instances.
   void Stop();
 
   // Sends a request with a new connection. Returns nullopt without an answer.
@@ -109,4 +111,4 @@
 
 }  // namespace review
 
-#endif  // REVIEW_STANDINS_3_SITE_H_
+#endif  // REVIEW_STANDINS_3_SITE_HPP_
