Log the beginning and the end of each load of a batch job

The log named a job only once it was loaded.

A load now logs its beginning, its end (with its duration and the lease's fencing token) and its abandonment. The end of a job during its load is logged, and the list of the open jobs names the number of loads.

--- a/anvilcroft/batch_owner_jobs.cc
+++ b/anvilcroft/batch_owner_jobs.cc
@@ -92,7 +92,10 @@
   }
   version = read->version;
   this->context.jobs_confirmed_at = requested_at;
-  LogInfo(kPart, "this instance owns the batch jobs", {{"open", std::to_string(open->size())}});
+  LogInfo(kPart, "this instance owns the batch jobs",
+          {{"open", std::to_string(open->size())},
+           {"loading", std::to_string(this->loading_jobs.size())},
+           {"fencing", std::to_string(this->context.lease.Held().fencing)}});
   return true;
 }
 
@@ -120,6 +123,9 @@
 void BatchOwner::LoadJob(Task& task, const BatchHead& head) {
   auto job = std::make_shared<OwnedJob>();
   job->head = head;
+  const TimePoint started = SteadyNow();
+  LogInfo(kPart, "loading a batch job",
+          {{"batch", head.id}, {"fencing", std::to_string(this->context.lease.Held().fencing)}});
   const SliceScope& scope = this->context.scope;
   // Kept over all attempts, as neither items nor listed results ever change.
   BatchStore::ItemsRead items;
@@ -130,6 +136,7 @@
     if (this->context.lease.Held().fencing == 0 || !scope.MayOwnItems(head) ||
         this->ended_while_loading.erase(head.id) != 0) {
       this->loading_jobs.erase(head.id);
+      LogInfo(kPart, "stopped loading a batch job", {{"batch", head.id}});
       return;
     }
     const auto read_items =
@@ -192,8 +199,10 @@
     break;
   }
   this->loading_jobs.erase(head.id);
-  if (this->ended_while_loading.erase(head.id) != 0 || this->context.jobs.count(head.id) != 0)
+  if (this->ended_while_loading.erase(head.id) != 0 || this->context.jobs.count(head.id) != 0) {
+    LogInfo(kPart, "stopped loading a batch job", {{"batch", head.id}});
     return;
+  }
   const auto routes = this->context.routes();
   const ServiceRoute* route = routes ? routes->Match(head.host, head.path) : nullptr;
   if (route != nullptr && !route->split.Active().empty()) {
@@ -223,6 +232,8 @@
   this->context.jobs[head.id] = job;
   LogInfo(kPart, "loaded a batch job",
           {{"batch", head.id},
+           {"load_ms", std::to_string(ToMillis(job->owned_since - started))},
+           {"fencing", std::to_string(this->context.lease.Held().fencing)},
            {"model", head.model},
            {"step", std::to_string(head.step)},
            {"min_version", std::to_string(head.min_version)},
@@ -234,7 +245,10 @@
 }
 
 void BatchOwner::EndJob(const std::string& id) {
-  if (this->loading_jobs.count(id) != 0) this->ended_while_loading.insert(id);
+  if (this->loading_jobs.count(id) != 0) {
+    this->ended_while_loading.insert(id);
+    LogInfo(kPart, "a batch job ended while it was being loaded", {{"batch", id}});
+  }
   const auto found = this->context.jobs.find(id);
   if (found == this->context.jobs.end()) return;
   const std::shared_ptr<OwnedJob> job = found->second;
