Keep loading and loaded batch jobs in one record

Cause: whether an owner has a job was recorded three times, in `context.jobs`, `loading_jobs` and `ended_while_loading`. An end that the feed brings updated all three. The list of open jobs after a lost history, the loss of the lease and a change of the slice plan looked at the loaded jobs alone, so a load in progress went on and added a job that had ended.

Evidence: with the log lines of one load begins before the end and completes after a list with open=0 loading=1, under one fencing token. So neither a change of the lease nor a second load with an old head explains the case.

Change: OwnedJobs is the only record of an owner's jobs. A job is in it from the beginning of its load and is removed by one function in either state. A load whose job has been removed cannot be completed, also if the job is being loaded again. Lists, ends, losses of the lease and changes of the slice plan need not know of loads.

LoadJob is split into reading the rows, adding the items and continuing the groups of earlier jobs. OwnedJob::ended, which was also set for jobs that were dropped, is now `removed`.

--- a/anvilcroft/batch_context.h
+++ b/anvilcroft/batch_context.h
@@ -15,7 +15,7 @@
 #include "anvilcroft/lease_keeper.h"
 #include "anvilcroft/live_forwarder.h"
 #include "anvilcroft/metrics.h"
-#include "anvilcroft/owned_job.h"
+#include "anvilcroft/owned_jobs.h"
 #include "anvilcroft/request_limiter.h"
 #include "anvilcroft/route_table.h"
 #include "anvilcroft/target_pool.h"
@@ -42,7 +42,7 @@
   Duration max_job_age;
 
   EngineTracker engine_tracker;
-  std::map<std::string, std::shared_ptr<OwnedJob>> jobs;
+  OwnedJobs jobs;
   // Time at which `jobs` was last confirmed to match the store.
   BootTime jobs_confirmed_at = BootTime::zero();
   Event plan_inputs_changed;  // notified when a new plan may differ from the last one
--- a/anvilcroft/batch_owner.cc
+++ b/anvilcroft/batch_owner.cc
@@ -108,7 +108,8 @@
 }
 
 void BatchOwner::SaveTexts(Task& task, int64_t min_events, TimePoint deadline) {
-  const auto jobs = this->context.jobs;  // other tasks may change the map while this one waits
+  // A copy, as other tasks may change the map while this one waits.
+  const auto jobs = this->context.jobs.Loaded();
   for (const auto& [id, job] : jobs) {
     std::vector<std::pair<std::string, ItemText>> texts;
     for (OwnedItem& item : job->items) {
@@ -117,7 +118,7 @@
       texts.emplace_back(item.item.id, item.text);
       item.saved_events = item.text.events;
     }
-    if (texts.empty() || job->ended) continue;
+    if (texts.empty() || job->removed) continue;
     const auto saved = this->context.store.SaveTexts(task, id, texts, deadline);
     if (!saved) {
       LogInfo(kPart, "could not save the texts of unfinished items for the next owner",
@@ -131,7 +132,7 @@
 
 JobTexts BatchOwner::UnfinishedTexts() const {
   JobTexts texts;
-  for (const auto& [id, job] : this->context.jobs) {
+  for (const auto& [id, job] : this->context.jobs.Loaded()) {
     std::set<std::string> unlisted;
     for (const ItemResult& result : job->unlisted_results) unlisted.insert(result.item_id);
     for (const OwnedItem& item : job->items) {
@@ -149,9 +150,9 @@
 }
 
 void BatchOwner::HandOver(Task& task, TimePoint deadline) {
-  if (this->context.jobs.empty()) return;
+  if (this->context.jobs.Loaded().empty()) return;
   this->handing_over = true;
-  for (const auto& [id, job] : this->context.jobs) {
+  for (const auto& [id, job] : this->context.jobs.Loaded()) {
     for (OwnedItem& item : job->items) {
       if (item.phase == ItemPhase::kRunning && item.run) item.run->Cancel();
     }
@@ -180,7 +181,7 @@
   this->MoveStragglers(now);
   this->PlaceWaitingItems(now);
   std::map<std::string, int> waiting;
-  for (const auto& [id, job] : this->context.jobs) {
+  for (const auto& [id, job] : this->context.jobs.Loaded()) {
     for (const OwnedItem& item : job->items) {
       if (item.phase == ItemPhase::kWaiting) ++waiting[job->head.model];
     }
@@ -192,7 +193,7 @@
   const StoreMillis store_time = this->context.metadata.StoreTime(BootNow()).earliest;
   const auto routes = this->context.routes();
   if (!routes) return;
-  for (const auto& [id, job] : this->context.jobs) {
+  for (const auto& [id, job] : this->context.jobs.Loaded()) {
     const ServiceRoute* route = routes->Match(job->head.host, job->head.path);
     if (route == nullptr) continue;
     const bool lifetime_over = route->item_lifetime > Duration::zero() &&
@@ -211,7 +212,7 @@
 void BatchOwner::DropForbiddenTexts() {
   const auto routes = this->context.routes();
   if (!routes) return;
-  for (const auto& [id, job] : this->context.jobs) {
+  for (const auto& [id, job] : this->context.jobs.Loaded()) {
     for (OwnedItem& item : job->items) {
       // A text with one version was allowed when it was loaded or generated.
       if (item.text.versions.size() < 2 || item.phase == ItemPhase::kFinished) continue;
@@ -237,7 +238,7 @@
   std::vector<PlacementRoute> placement_routes;
   std::map<const ServiceRoute*, std::size_t> route_indices;
   std::vector<ItemKey> items_by_key;
-  for (const auto& [id, job] : this->context.jobs) {
+  for (const auto& [id, job] : this->context.jobs.Loaded()) {
     const std::set<std::string> dispensable = DispensableGroups(GroupsOf(*job), job->target_groups);
     for (std::size_t i = 0; i < job->items.size(); ++i) {
       OwnedItem& item = job->items[i];
@@ -320,7 +321,7 @@
 std::map<std::string, int> BatchOwner::RunningByService(const RouteTable& routes,
                                                         const ServiceRoute& route) const {
   std::map<std::string, int> running;
-  for (const auto& [id, job] : this->context.jobs) {
+  for (const auto& [id, job] : this->context.jobs.Loaded()) {
     for (const OwnedItem& item : job->items) {
       if (item.phase != ItemPhase::kRunning || RouteOf(routes, job->head, item.item) != &route)
         continue;
@@ -346,7 +347,7 @@
   std::vector<OpenStep> steps;
   std::vector<std::string> trainers;
   std::vector<std::string> jobs;
-  for (const auto& [id, job] : this->context.jobs) {
+  for (const auto& [id, job] : this->context.jobs.Loaded()) {
     const ServiceRoute* route = routes->Match(job->head.host, job->head.path);
     if (route == nullptr || route->result_target <= Duration::zero()) continue;
     const auto& shares = route->split.Active();
@@ -389,7 +390,7 @@
 
 std::vector<PlacementEngine> BatchOwner::DescribeEngines(TimePoint now) {
   std::map<std::string, int> long_items;  // by engine
-  for (const auto& [id, job] : this->context.jobs) {
+  for (const auto& [id, job] : this->context.jobs.Loaded()) {
     for (const OwnedItem& item : job->items) {
       if (item.phase != ItemPhase::kRunning) continue;
       const bool is_long = OrderingEventsLeft(*job, item) >= kLongItemEvents ||
@@ -431,7 +432,7 @@
   std::vector<RunningItem> running;
   std::vector<OwnedItem*> items_by_key;
   const auto routes = this->context.routes();
-  for (const auto& [id, job] : this->context.jobs) {
+  for (const auto& [id, job] : this->context.jobs.Loaded()) {
     for (OwnedItem& item : job->items) {
       if (item.phase != ItemPhase::kRunning || !item.run || item.run->Cancelled()) continue;
       if (item.awaiting_permit) continue;
--- a/anvilcroft/batch_owner.h
+++ b/anvilcroft/batch_owner.h
@@ -41,6 +41,13 @@
   void HandOver(Task& task, TimePoint deadline);
 
  private:
+  // What a load reads of a job. Items and listed results never change, so they are kept if a later
+  // call fails.
+  struct JobRows {
+    BatchStore::ItemsRead items;
+    std::set<std::string> listed;  // ids of the items with a listed result
+    std::map<std::string, ItemText> texts;
+  };
   using ItemKey = std::pair<std::shared_ptr<OwnedJob>, std::size_t>;  // a job and an item's index
 
   // Applies changes of the jobs in the metadata store while the lease is held.
@@ -49,8 +56,16 @@
   // WatchJobs reads further changes. Returns whether the store answered.
   bool LoadOpenJobs(Task& task, int64_t& version);
   void ApplyHead(const BatchHead& head);
-  // Reads the items, the listing and the saved texts of a job and starts to run it.
-  void LoadJob(Task& task, const BatchHead& head);
+  // Reads the rows of a job and starts to run it, unless it is removed meanwhile.
+  void LoadJob(Task& task, const std::shared_ptr<OwnedJob>& job);
+  // Reads on where the last call failed. Returns whether `rows` is complete and `job` still belongs
+  // to this owner under the present slice plan.
+  bool ReadRows(Task& task, OwnedJob& job, JobRows& rows);
+  // Adds the items of the owner's slice with the texts to continue.
+  void AddItems(OwnedJob& job, JobRows rows, TimePoint now);
+  // Continues the texts of groups that an earlier job left incomplete. Returns the number of
+  // groups.
+  std::size_t ContinueCarriedGroups(OwnedJob& job);
   void EndJob(const std::string& id);
   // Drops all jobs after a change of the slice plan and saves their texts for the new owners.
   void ChangeSlice(Task& task);
@@ -98,9 +113,7 @@
   TimePoint handed_texts_at;
   bool following = false;  // `context.jobs` is complete and follows the changes in the store
   bool handing_over = false;
-  int64_t generation = 0;                     // of the slice plan by which the jobs were loaded
-  std::set<std::string> loading_jobs;         // jobs whose items are being read
-  std::set<std::string> ended_while_loading;  // jobs that ended while their items were being read
+  int64_t generation = 0;  // of the slice plan by which the jobs were loaded
 };
 
 }  // namespace anvilcroft
--- a/anvilcroft/batch_owner_jobs.cc
+++ b/anvilcroft/batch_owner_jobs.cc
@@ -21,6 +21,18 @@
 constexpr Duration kRetryPause = milliseconds(100);
 constexpr Duration kIdlePause = milliseconds(100);  // between checks of the lease
 
+// The mean over the services that run the job's items.
+double TokensPerEvent(const RouteTable& routes, const BatchHead& head) {
+  const ServiceRoute* route = routes.Match(head.host, head.path);
+  if (route == nullptr || route->split.Active().empty()) {
+    return TargetService::kDefaultTokensPerEvent;
+  }
+  return route->split.Mean([&](const std::string& name) {
+    const TargetService* service = routes.FindService(name);
+    return service != nullptr ? service->tokens_per_event : TargetService::kDefaultTokensPerEvent;
+  });
+}
+
 }  // namespace
 
 void BatchOwner::WatchJobs(Task& task) {
@@ -80,11 +92,9 @@
   const auto open = this->context.store.ListOpenJobs(task, SteadyNow() + kCallTimeout);
   if (!open) return false;
   const std::set<std::string> listed(open->begin(), open->end());
-  std::vector<std::string> closed;
-  for (const auto& [id, job] : this->context.jobs) {
-    if (listed.count(id) == 0) closed.push_back(id);
+  for (const std::string& id : this->context.jobs.Ids()) {
+    if (listed.count(id) == 0) this->EndJob(id);
   }
-  for (const std::string& id : closed) this->EndJob(id);
   for (const std::string& id : *open) {
     const auto head = this->context.store.ReadHead(task, id, SteadyNow() + kCallTimeout);
     if (!head) return false;
@@ -94,7 +104,7 @@
   this->context.jobs_confirmed_at = requested_at;
   LogInfo(kPart, "this instance owns the batch jobs",
           {{"open", std::to_string(open->size())},
-           {"loading", std::to_string(this->loading_jobs.size())},
+           {"loading", std::to_string(this->context.jobs.LoadingCount())},
            {"fencing", std::to_string(this->context.lease.Held().fencing)}});
   return true;
 }
@@ -116,102 +126,109 @@
     return;
   }
   if (!this->context.scope.MayOwnItems(head)) return;
-  if (this->context.jobs.count(head.id) != 0 || !this->loading_jobs.insert(head.id).second) return;
-  this->context.runtime.Spawn([this, head](Task& task) { this->LoadJob(task, head); });
+  if (const auto job = this->context.jobs.BeginLoad(head)) {
+    this->context.runtime.Spawn([this, job](Task& task) { this->LoadJob(task, job); });
+  }
 }
 
-void BatchOwner::LoadJob(Task& task, const BatchHead& head) {
-  auto job = std::make_shared<OwnedJob>();
-  job->head = head;
+void BatchOwner::LoadJob(Task& task, const std::shared_ptr<OwnedJob>& job) {
+  const BatchHead& head = job->head;
   const TimePoint started = SteadyNow();
   LogInfo(kPart, "loading a batch job",
           {{"batch", head.id}, {"fencing", std::to_string(this->context.lease.Held().fencing)}});
-  const SliceScope& scope = this->context.scope;
-  // Kept over all attempts, as neither items nor listed results ever change.
-  BatchStore::ItemsRead items;
-  std::set<std::string> listed;
-  while (true) {
-    job->generation = this->generation;
-    job->items.clear();
-    if (this->context.lease.Held().fencing == 0 || !scope.MayOwnItems(head) ||
-        this->ended_while_loading.erase(head.id) != 0) {
-      this->loading_jobs.erase(head.id);
-      LogInfo(kPart, "stopped loading a batch job", {{"batch", head.id}});
-      return;
-    }
-    const auto read_items =
-        this->context.store.ReadItems(task, head.id, items, SteadyNow() + kLoadTimeout);
-    auto listing = read_items
-                       ? this->context.store.ReadListing(task, head.id, SteadyNow() + kCallTimeout)
-                       : Result<ResultListing>(tl::unexpected<Error>(read_items.error()));
-    if (listing) listing = this->lister.Claim(task, head.id, job->generation, *listing);
-    bool read_all = listing.has_value();
-    while (read_all && static_cast<int64_t>(listed.size()) < listing->count) {
-      const auto position = static_cast<int64_t>(listed.size());
-      const auto results = this->context.store.ReadResults(
-          task, head.id, position, listing->count - position, SteadyNow() + kLoadTimeout);
-      read_all = results && !results->empty();
-      if (!read_all) break;
-      for (const ItemResult& result : *results) listed.insert(result.item_id);
-    }
-    const auto texts =
-        read_all ? this->context.store.ReadTexts(task, head.id, SteadyNow() + kLoadTimeout)
-                 : Result<std::map<std::string, ItemText>>();
-    read_all = read_all && texts && job->generation == this->generation &&
-               job->generation == scope.Generation();
-    if (!read_all) {
-      LogInfo(kPart, "could not load a batch job yet; reading on",
-              {{"batch", head.id},
-               {"items", std::to_string(items.items.size())},
-               {"listed", std::to_string(listed.size())}});
-      SleepUntil(task, SteadyNow() + kRetryPause);
-      continue;
-    }
-    job->listing = *listing;
-    std::set<std::string> all_groups;
-    std::set<std::string> own_groups;
-    for (BatchItem& item : items.items) {
-      all_groups.insert(item.group);
-      if (!scope.OwnsItem(head, item)) continue;
-      own_groups.insert(item.group);
-      OwnedItem owned;
-      owned.item = std::move(item);
-      if (listed.count(owned.item.id) != 0) owned.phase = ItemPhase::kFinished;
-      const auto text = texts->find(owned.item.id);
-      if (text != texts->end()) {
-        owned.text = text->second;
-        owned.saved_events = owned.text.events;
-      }
-      const auto handed = this->handed_texts.find({head.id, owned.item.id});
-      if (handed != this->handed_texts.end() && handed->second.events > owned.text.events &&
-          SteadyNow() - this->handed_texts_at < kHandedTextLifetime) {
-        owned.text = handed->second;
-      }
-      job->items.push_back(std::move(owned));
-    }
-    // The groups that the trainer can do without are shared among the slices.
-    job->target_groups = head.target_groups;
-    if (head.target_groups > 0 && own_groups.size() < all_groups.size()) {
-      const auto all = static_cast<int64_t>(all_groups.size());
-      const auto own = static_cast<int64_t>(own_groups.size());
-      job->target_groups = own - std::max<int64_t>(0, all - head.target_groups) * own / all;
-    }
-    break;
+  JobRows rows;
+  while (!job->removed && !this->ReadRows(task, *job, rows)) {
+    LogInfo(kPart, "could not load a batch job yet; reading on",
+            {{"batch", head.id},
+             {"items", std::to_string(rows.items.items.size())},
+             {"listed", std::to_string(rows.listed.size())}});
+    SleepUntil(task, SteadyNow() + kRetryPause);
   }
-  this->loading_jobs.erase(head.id);
-  if (this->ended_while_loading.erase(head.id) != 0 || this->context.jobs.count(head.id) != 0) {
+  if (!this->context.jobs.CompleteLoad(job)) {
     LogInfo(kPart, "stopped loading a batch job", {{"batch", head.id}});
     return;
   }
+  // No call to the store from here on: the items are complete before another task sees the job.
+  this->AddItems(*job, std::move(rows), SteadyNow());
+  if (const auto routes = this->context.routes()) {
+    job->tokens_per_event = TokensPerEvent(*routes, head);
+  }
+  const std::size_t carried_groups = this->ContinueCarriedGroups(*job);
+  job->owned_since = SteadyNow();
+  LogInfo(kPart, "loaded a batch job",
+          {{"batch", head.id},
+           {"load_ms", std::to_string(ToMillis(job->owned_since - started))},
+           {"fencing", std::to_string(this->context.lease.Held().fencing)},
+           {"model", head.model},
+           {"step", std::to_string(head.step)},
+           {"min_version", std::to_string(head.min_version)},
+           {"items", std::to_string(job->items.size())},
+           {"listed", std::to_string(job->listing.count)},
+           {"carried_groups", std::to_string(carried_groups)}});
+  this->lister.Start(job);
+  this->context.plan_inputs_changed.NotifyAll();
+}
+
+bool BatchOwner::ReadRows(Task& task, OwnedJob& job, JobRows& rows) {
+  BatchStore& store = this->context.store;
+  const std::string& id = job.head.id;
+  job.generation = this->generation;
+  if (!store.ReadItems(task, id, rows.items, SteadyNow() + kLoadTimeout)) return false;
+  auto listing = store.ReadListing(task, id, SteadyNow() + kCallTimeout);
+  if (!listing || job.removed) return false;
+  listing = this->lister.Claim(task, id, job.generation, *listing);
+  if (!listing) return false;
+  while (static_cast<int64_t>(rows.listed.size()) < listing->count) {
+    const auto position = static_cast<int64_t>(rows.listed.size());
+    const auto results = store.ReadResults(task, id, position, listing->count - position,
+                                           SteadyNow() + kLoadTimeout);
+    if (!results || results->empty()) return false;
+    for (const ItemResult& result : *results) rows.listed.insert(result.item_id);
+  }
+  auto texts = store.ReadTexts(task, id, SteadyNow() + kLoadTimeout);
+  if (!texts || job.generation != this->context.scope.Generation()) return false;
+  rows.texts = std::move(*texts);
+  job.listing = std::move(*listing);
+  return true;
+}
+
+void BatchOwner::AddItems(OwnedJob& job, JobRows rows, TimePoint now) {
+  const BatchHead& head = job.head;
+  std::set<std::string> all_groups;
+  std::set<std::string> own_groups;
+  for (BatchItem& item : rows.items.items) {
+    all_groups.insert(item.group);
+    if (!this->context.scope.OwnsItem(head, item)) continue;
+    own_groups.insert(item.group);
+    OwnedItem owned;
+    owned.item = std::move(item);
+    if (rows.listed.count(owned.item.id) != 0) owned.phase = ItemPhase::kFinished;
+    const auto text = rows.texts.find(owned.item.id);
+    if (text != rows.texts.end()) {
+      owned.text = std::move(text->second);
+      owned.saved_events = owned.text.events;
+    }
+    const auto handed = this->handed_texts.find({head.id, owned.item.id});
+    if (handed != this->handed_texts.end() && handed->second.events > owned.text.events &&
+        now - this->handed_texts_at < kHandedTextLifetime) {
+      owned.text = handed->second;
+    }
+    job.items.push_back(std::move(owned));
+  }
+  // The groups that the trainer can do without are shared among the slices.
+  job.target_groups = head.target_groups;
+  if (head.target_groups > 0 && own_groups.size() < all_groups.size()) {
+    const auto all = static_cast<int64_t>(all_groups.size());
+    const auto own = static_cast<int64_t>(own_groups.size());
+    job.target_groups = own - std::max<int64_t>(0, all - head.target_groups) * own / all;
+  }
+}
+
+std::size_t BatchOwner::ContinueCarriedGroups(OwnedJob& job) {
+  const BatchHead& head = job.head;
   const auto routes = this->context.routes();
   const ServiceRoute* route = routes ? routes->Match(head.host, head.path) : nullptr;
-  if (route != nullptr && !route->split.Active().empty()) {
-    job->tokens_per_event = route->split.Mean([&](const std::string& name) {
-      const TargetService* service = routes->FindService(name);
-      return service != nullptr ? service->tokens_per_event : TargetService::kDefaultTokensPerEvent;
-    });
-  }
-  for (OwnedItem& item : job->items) {
+  for (OwnedItem& item : job.items) {
     const auto carried_text = this->carried_texts.Extract(head.customer, item.item.id);
     if (!carried_text) continue;
     item.carried = true;
@@ -222,46 +239,26 @@
   }
   // All items of a carried group are required, including those that had not started.
   std::set<std::string> groups;
-  for (const OwnedItem& item : job->items) {
+  for (const OwnedItem& item : job.items) {
     if (item.carried) groups.insert(item.item.group);
   }
-  for (OwnedItem& item : job->items) {
+  for (OwnedItem& item : job.items) {
     if (groups.count(item.item.group) != 0) item.carried = true;
   }
-  job->owned_since = SteadyNow();
-  this->context.jobs[head.id] = job;
-  LogInfo(kPart, "loaded a batch job",
-          {{"batch", head.id},
-           {"load_ms", std::to_string(ToMillis(job->owned_since - started))},
-           {"fencing", std::to_string(this->context.lease.Held().fencing)},
-           {"model", head.model},
-           {"step", std::to_string(head.step)},
-           {"min_version", std::to_string(head.min_version)},
-           {"items", std::to_string(job->items.size())},
-           {"listed", std::to_string(job->listing.count)},
-           {"carried_groups", std::to_string(groups.size())}});
-  this->lister.Start(job);
-  this->context.plan_inputs_changed.NotifyAll();
+  return groups.size();
 }
 
 void BatchOwner::EndJob(const std::string& id) {
-  if (this->loading_jobs.count(id) != 0) {
-    this->ended_while_loading.insert(id);
+  const bool loading = this->context.jobs.IsLoading(id);
+  const std::shared_ptr<OwnedJob> job = this->context.jobs.Remove(id);
+  if (!job) return;
+  if (loading) {
     LogInfo(kPart, "a batch job ended while it was being loaded", {{"batch", id}});
+    return;
   }
-  const auto found = this->context.jobs.find(id);
-  if (found == this->context.jobs.end()) return;
-  const std::shared_ptr<OwnedJob> job = found->second;
-  this->context.jobs.erase(found);
-  job->ended = true;
   this->carried_texts.AddIncompleteGroups(*job, SteadyNow());
-  int stopped = 0;
-  for (OwnedItem& item : job->items) {
-    if (!item.run) continue;
-    ++stopped;
-    item.run->Cancel();
-  }
-  job->unlisted_results_changed.NotifyAll();
+  const auto stopped = std::count_if(job->items.begin(), job->items.end(),
+                                     [](const OwnedItem& item) { return item.run != nullptr; });
   LogInfo(kPart, "a batch job ended",
           {{"batch", id},
            {"listed", std::to_string(job->listing.count)},
@@ -272,18 +269,10 @@
 
 void BatchOwner::DropAllJobs() {
   this->following = false;
-  if (this->context.jobs.empty()) return;
-  const auto jobs = std::move(this->context.jobs);
-  this->context.jobs.clear();
-  for (const auto& [id, job] : jobs) {
-    job->ended = true;
-    for (OwnedItem& item : job->items) {
-      if (item.run) item.run->Cancel();
-    }
-    job->unlisted_results_changed.NotifyAll();
-  }
+  const std::size_t dropped = this->context.jobs.RemoveAll();
+  if (dropped == 0) return;
   LogInfo(kPart, "this instance no longer owns the batch jobs",
-          {{"open", std::to_string(jobs.size())}});
+          {{"open", std::to_string(dropped)}});
 }
 
 }  // namespace anvilcroft
--- a/anvilcroft/front_instance.cc
+++ b/anvilcroft/front_instance.cc
@@ -161,8 +161,9 @@
     });
     this->metrics.RegisterGauge("anvilcroft_owns_batch_jobs", {},
                                 [this] { return this->OwnsBatchJobs() ? 1.0 : 0.0; });
-    this->metrics.RegisterGauge("anvilcroft_open_batch_jobs", {},
-                                [this] { return static_cast<double>(this->context.jobs.size()); });
+    this->metrics.RegisterGauge("anvilcroft_open_batch_jobs", {}, [this] {
+      return static_cast<double>(this->context.jobs.Loaded().size());
+    });
     this->directory.SetAddresses(this->front_address, this->metrics_address);
     this->lease_keeper.SetPeerQuery(
         [this](Task& task, int64_t term) { return this->lease_peers.FindLaterRecord(task, term); });
--- a/anvilcroft/item_runner.cc
+++ b/anvilcroft/item_runner.cc
@@ -35,7 +35,7 @@
 
 bool ItemRunner::MaySend(const OwnedJob& job) const {
   const BootTime now = BootNow();
-  return !job.ended && this->context.lease.Held().ValidAt(now) &&
+  return !job.removed && this->context.lease.Held().ValidAt(now) &&
          now - this->context.jobs_confirmed_at < this->context.max_job_age;
 }
 
@@ -179,7 +179,7 @@
     item.text.complete = true;
     item.text_done_at = now;
   }
-  if (job->ended) {
+  if (job->removed) {
     item.phase = ItemPhase::kWaiting;
     return;
   }
@@ -230,7 +230,7 @@
     while (true) {
       if (this->DropForbiddenText(*job, item)) return;
       if (!this->MaySend(*job)) {
-        if (job->ended || !this->context.lease.Held().ValidAt(BootNow())) {
+        if (job->removed || !this->context.lease.Held().ValidAt(BootNow())) {
           item.phase = ItemPhase::kWaiting;
           return;
         }
@@ -253,7 +253,7 @@
       const LiveOutcome outcome = this->context.live.Serve(task, request);
       item.run = nullptr;
       if (item.phase != ItemPhase::kScoring) return;  // another owner has listed a result
-      if (job->ended) {
+      if (job->removed) {
         item.phase = ItemPhase::kWaiting;
         return;
       }
--- a/anvilcroft/item_runner.h
+++ b/anvilcroft/item_runner.h
@@ -39,8 +39,8 @@
   void Expire(const std::shared_ptr<OwnedJob>& job, std::size_t index, const char* reason);
 
  private:
-  // Whether requests for the job may be sent now: it has not ended, the lease is valid and the
-  // state of the jobs is recent enough.
+  // Whether requests for the job may be sent now: it has not been removed, the lease is valid and
+  // the state of the jobs is recent enough.
   bool MaySend(const OwnedJob& job) const;
   // Priority in an engine's queue: that of the job's customer or route.
   int Urgency(const OwnedJob& job) const;
--- a/anvilcroft/owned_job.h
+++ b/anvilcroft/owned_job.h
@@ -61,7 +61,7 @@
   ResultListing listing;
   std::deque<ItemResult> unlisted_results;  // results that are not listed yet
   Event unlisted_results_changed;
-  bool ended = false;
+  bool removed = false;   // it ended, or its owner dropped all jobs; set by OwnedJobs
   TimePoint owned_since;  // when this owner loaded the job
 };
 
--- a/anvilcroft/result_lister.cc
+++ b/anvilcroft/result_lister.cc
@@ -42,7 +42,7 @@
 }
 
 void ResultLister::Run(Task& task, const std::shared_ptr<OwnedJob>& job) {
-  const auto owned = [&] { return !job->ended && this->context.lease.Held().fencing != 0; };
+  const auto owned = [&] { return !job->removed && this->context.lease.Held().fencing != 0; };
   while (owned()) {
     if (job->unlisted_results.empty()) {
       job->unlisted_results_changed.WaitUntil(task, SteadyNow() + kIdleCheck);
@@ -73,7 +73,7 @@
                                   job->unlisted_results.begin() + count);
       if (this->context.scope.Sliced()) {
         SleepUntil(task, SteadyNow() + AppendInterval(this->context.scope.Count(),
-                                                      this->context.jobs.size()));
+                                                      this->context.jobs.Loaded().size()));
       }
       continue;
     }
@@ -102,7 +102,7 @@
     return true;
   }
   listing = this->Claim(task, job.head.id, job.generation, *listing);
-  if (!listing || job.ended) return false;
+  if (!listing || job.removed) return false;
   std::set<std::string> listed;
   for (int64_t position = job.listing.count; position < listing->count;) {
     const auto results = this->context.store.ReadResults(task, job.head.id, position,
--- a/anvilcroft/scaling/engine_scaler.cc
+++ b/anvilcroft/scaling/engine_scaler.cc
@@ -165,7 +165,7 @@
 
 void EngineScaler::ObserveDemand(const RouteTable& routes, TimePoint now) {
   const StoreMillis store_now = this->context.metadata.StoreTime(BootNow()).latest;
-  for (const auto& [id, job] : this->context.jobs) {
+  for (const auto& [id, job] : this->context.jobs.Loaded()) {
     const TrafficSplit split = ServicesOf(routes, job->head);
     const milliseconds age(std::max<StoreMillis>(0, store_now - job->head.submitted_at));
     if (age > kDemandWindow) continue;
@@ -190,7 +190,7 @@
 
 double EngineScaler::OutstandingEvents(const RouteTable& routes, const std::string& service) const {
   double events = 0;
-  for (const auto& [id, job] : this->context.jobs) {
+  for (const auto& [id, job] : this->context.jobs.Loaded()) {
     const double share = ServicesOf(routes, job->head).ShareOf(service);
     for (const OwnedItem& item : job->items) {
       if (item.phase != ItemPhase::kWaiting && item.phase != ItemPhase::kRunning) continue;
--- a/anvilcroft/weight_control.cc
+++ b/anvilcroft/weight_control.cc
@@ -52,7 +52,7 @@
 
 double WeightControl::WorkOfLastStep(const std::string& model) {
   double open_work = 0;
-  for (const auto& [id, job] : this->context.jobs) {
+  for (const auto& [id, job] : this->context.jobs.Loaded()) {
     if (job->head.model != model) continue;
     double job_work = 0;
     for (const OwnedItem& item : job->items) job_work += std::max(1.0, item.item.expected_tokens);
@@ -170,7 +170,7 @@
     demand.model = model;
     demand.requested_version = version;
     demand.usable_version = version - kUsableLag;
-    for (const auto& [id, job] : this->context.jobs) {
+    for (const auto& [id, job] : this->context.jobs.Loaded()) {
       if (job->head.model == model) {
         demand.usable_version = std::max(demand.usable_version, job->head.min_version);
       }
--- a/fakes/platform_store.cc
+++ b/fakes/platform_store.cc
@@ -52,6 +52,7 @@
   listener.Routes().Add(
       "GET", "/api/rows-parts",
       [this](Task& task, const HttpRequest& request, const PathParts&, HttpReply& reply) {
+        ++this->partition_lists[request.QueryValue("Table")];
         std::set<std::string> parts;
         for (const auto& [id, row] : this->rows) {
           if (id.table == request.QueryValue("Table") &&
@@ -95,6 +96,25 @@
   this->changed.NotifyAll();
 }
 
+void PlatformStore::SetFeedsSilent(bool silent) {
+  this->feeds_silent = silent;
+  this->changed.NotifyAll();
+}
+
+void PlatformStore::HoldReads(const std::string& table, const std::string& partition) {
+  this->held_range = RowId{table, partition, ""};
+}
+
+void PlatformStore::ReleaseReads() {
+  this->held_range.reset();
+  this->changed.NotifyAll();
+}
+
+int PlatformStore::PartitionLists(const std::string& table) const {
+  const auto found = this->partition_lists.find(table);
+  return found == this->partition_lists.end() ? 0 : found->second;
+}
+
 std::string PlatformStore::Value(const RowId& id) const {
   const auto found = this->rows.find(id);
   return found == this->rows.end() ? "" : found->second.value;
@@ -187,6 +207,12 @@
                                HttpReply& reply) {
   const RowId first{request.QueryValue("Table"), request.QueryValue("part"),
                     request.QueryValue("From")};
+  const auto held = [&] {
+    return this->held_range && this->held_range->table == first.table &&
+           this->held_range->partition == first.partition;
+  };
+  if (held()) ++this->held_reads;
+  while (held()) this->changed.Wait(task);
   const std::string to = request.QueryValue("To");
   const long limit = std::strtol(request.QueryValue("Limit").c_str(), nullptr, 10);
   json answer = {{"Rows", json::array()}, {"HasMore", false}};
@@ -212,6 +238,7 @@
   const int64_t wait_ms = std::strtoll(request.QueryValue("WaitMs").c_str(), nullptr, 10);
   const TimePoint until = SteadyNow() + milliseconds(wait_ms);
   while (true) {
+    while (this->feeds_silent) this->changed.Wait(task);
     if (after < this->oldest_feed_version) {
       reply.Send(task, JsonResponse(410, "{}"));
       return;
--- a/fakes/platform_store.h
+++ b/fakes/platform_store.h
@@ -9,6 +9,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -42,6 +43,16 @@
   // Discards the history of changes. Feeds from an earlier version are answered with 410 from then
   // on.
   void DropHistory();
+  // While feeds are silent they are not answered, neither with changes nor with 410.
+  void SetFeedsSilent(bool silent);
+
+  // Holds reads of `table` within `partition` until ReleaseReads().
+  void HoldReads(const std::string& table, const std::string& partition);
+  void ReleaseReads();
+  // Number of reads that have been held so far, including those whose client has given up.
+  int HeldReads() const { return this->held_reads; }
+  // Number of calls that listed the partitions of `table`.
+  int PartitionLists(const std::string& table) const;
 
   // Returns the value of a row, or "" if it does not exist.
   std::string Value(const RowId& id) const;
@@ -93,6 +104,10 @@
   int64_t version = 0;
   int64_t oldest_feed_version = 0;  // feeds from lower versions are answered with 410
   int64_t transactions = 0;
+  bool feeds_silent = false;
+  std::optional<RowId> held_range;  // table and partition whose reads are held
+  int held_reads = 0;
+  std::map<std::string, int> partition_lists;  // by table
   Event changed;
 };
 
