Read the open jobs again if all were dropped meanwhile

What callers saw: no case; found by reading. A job that ran was never run again until the next change of the owner (LOST).

Cause: LoadOpenJobs lists the open jobs, reads their heads and declares the owner's jobs complete. If the planner drops all jobs during one of these calls, because the lease was lost or the slice plan changed, the jobs whose heads had been read are gone, and nobody reads them again.

Change: DropAllJobs counts, and LoadOpenJobs gives up if the count has changed after a call. WatchJobs then begins with the first job again.

--- a/anvilcroft/batch_owner.h
+++ b/anvilcroft/batch_owner.h
@@ -53,7 +53,8 @@
   // Applies changes of the jobs in the metadata store while the lease is held.
   void WatchJobs(Task& task);
   // Loads all open jobs and sets `version` to the version of the metadata store from which
-  // WatchJobs reads further changes. Returns whether the store answered.
+  // WatchJobs reads further changes. Returns whether `context.jobs` is complete: the store answered
+  // and the jobs were not dropped meanwhile.
   bool LoadOpenJobs(Task& task, int64_t& version);
   void ApplyHead(const BatchHead& head);
   // Reads the rows of a job and starts to run it, unless it is removed meanwhile.
@@ -112,6 +113,7 @@
   JobTexts handed_texts;
   TimePoint handed_texts_at;
   bool following = false;  // `context.jobs` is complete and follows the changes in the store
+  int64_t drops = 0;       // number of calls of DropAllJobs, to notice one during a wait
   bool handing_over = false;
   int64_t generation = 0;  // of the slice plan by which the jobs were loaded
 };
--- a/anvilcroft/batch_owner_jobs.cc
+++ b/anvilcroft/batch_owner_jobs.cc
@@ -82,6 +82,8 @@
 }
 
 bool BatchOwner::LoadOpenJobs(Task& task, int64_t& version) {
+  // Jobs that were dropped by another task during a call have to be read from the first one again.
+  const auto dropped = [this, drops = this->drops] { return this->drops != drops; };
   // The version is read before the jobs, so that the feed returns all changes made meanwhile.
   const BootTime requested_at = BootNow();
   RowRange first_row;
@@ -90,14 +92,14 @@
   const auto read = this->context.metadata.Read(task, first_row, SteadyNow() + kCallTimeout);
   if (!read) return false;
   const auto open = this->context.store.ListOpenJobs(task, SteadyNow() + kCallTimeout);
-  if (!open) return false;
+  if (!open || dropped()) return false;
   const std::set<std::string> listed(open->begin(), open->end());
   for (const std::string& id : this->context.jobs.Ids()) {
     if (listed.count(id) == 0) this->EndJob(id);
   }
   for (const std::string& id : *open) {
     const auto head = this->context.store.ReadHead(task, id, SteadyNow() + kCallTimeout);
-    if (!head) return false;
+    if (!head || dropped()) return false;
     if (*head) this->ApplyHead(**head);
   }
   version = read->version;
@@ -269,6 +271,7 @@
 
 void BatchOwner::DropAllJobs() {
   this->following = false;
+  ++this->drops;
   const std::size_t dropped = this->context.jobs.RemoveAll();
   if (dropped == 0) return;
   LogInfo(kPart, "this instance no longer owns the batch jobs",
--- a/testing/platform_job_end_test.cc
+++ b/testing/platform_job_end_test.cc
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include "anvilcroft/batch_records.h"
+#include "anvilcroft/fleet/slice_view.h"
 #include "anvilcroft/owner_lease.h"
 #include "testing/platform_fixture.h"
 
@@ -103,5 +104,31 @@
   });
 }
 
+// Guards against jobs that nobody runs: all jobs were dropped while the heads of the open jobs were
+// being read, and those whose heads had been read before were not loaded again.
+TEST_CASE("jobs that are dropped while the open jobs are read are loaded again", "[job_end]") {
+  JobEndFixture fixture;
+  fixture.engines_per_slice = 80;
+  fixture.engine.event_time = milliseconds(50);
+  FrontInstance& owner = fixture.AddInstance("one");
+  fixture.Run([&](Task& task) {
+    fixture.AwaitReady(task, owner);
+    fixture.Await(task, "the instance owns the jobs", [&] { return owner.OwnsBatchJobs(); });
+    fixture.Submit(task, owner, "job1", "x", 10);
+    fixture.Await(task, "the job runs", [&] { return !fixture.engine.started.empty(); });
+    fixture.store.HoldReads(kBatchHeadTable, "job2");
+    fixture.Submit(task, owner, "job2", "y", 2);
+    fixture.store.DropHistory();
+    fixture.Await(task, "the owner reads the open jobs again",
+                  [&] { return fixture.store.HeldReads() > 0; });
+    // A new plan of slices makes the owner drop all jobs.
+    fixture.store.Put(SliceView::Row().table, SliceView::Row().key, EncodePlan(SlicePlan()));
+    fixture.Await(task, "the jobs are dropped", [&] { return !fixture.engine.cancelled.empty(); });
+    fixture.store.ReleaseReads();
+    CHECK(fixture.AwaitResults(task, owner.FrontAddress(), "job1", 20)["Results"].size() == 20);
+    CHECK(fixture.AwaitResults(task, owner.FrontAddress(), "job2", 4)["Results"].size() == 4);
+  });
+}
+
 }  // namespace
 }  // namespace anvilcroft
