Take only a new row of the watcher for a sign of life

What callers saw: no case; found by reading. The directory names an instance that is lost for as long as the store keeps losing its history, if that instance watched the others.

Cause: after a lost history all entries are read again. ApplyRow noted the present as the last sign of the watcher for a row with the known version, so the silence after which another instance takes over began anew with each full read; a single one delays the takeover by up to 1.3 s.

Evidence: with the watcher cut off and the history dropped every 0.4 s, the other instance still names it after 30 s, 2 of 2 runs on.

Change: a row with the known version is ignored.

Measured: "a lost watcher leaves the directory while the store loses its history" failed before (2 of 2), passes after (3 of 3).

--- a/anvilcroft/front_directory.cc
+++ b/anvilcroft/front_directory.cc
@@ -188,7 +188,8 @@
 
 void FrontDirectory::ApplyRow(const StoredRow& row) {
   if (row.id.key == kWatchKey) {
-    if (row.version < this->watch_version) return;  // older than what this instance has written
+    // Older than what this instance has written, or read again with all entries: no sign of life.
+    if (row.version <= this->watch_version) return;
     this->watch_version = row.removed ? 0 : row.version;
     this->watch_changed_at = SteadyNow();
     if (row.removed) return;
