Explain the steps of a load in batch_owner.h

Comments of the functions that LoadJob was split into say what they add and claim; TakeOverCarriedGroups is named for what it does. No change of behaviour.

--- a/anvilcroft/batch_owner.h
+++ b/anvilcroft/batch_owner.h
@@ -41,8 +41,8 @@
   void HandOver(Task& task, TimePoint deadline);
 
  private:
-  // What a load reads of a job. Items and listed results never change, so they are kept if a later
-  // call fails.
+  // What a load has read of a job so far. Items and listed results never change, so they are kept
+  // when a call fails and the load is tried again.
   struct JobRows {
     BatchStore::ItemsRead items;
     std::set<std::string> listed;  // ids of the items with a listed result
@@ -57,16 +57,17 @@
   // and the jobs were not dropped meanwhile.
   bool LoadOpenJobs(Task& task, int64_t& version);
   void ApplyHead(const BatchHead& head);
-  // Reads the rows of a job and starts to run it, unless it is removed meanwhile.
+  // Reads the rows of a job that is being loaded and starts to run it, unless it is removed
+  // meanwhile.
   void LoadJob(Task& task, const std::shared_ptr<OwnedJob>& job);
-  // Reads on where the last call failed. Returns whether `rows` is complete and `job` still belongs
-  // to this owner under the present slice plan.
+  // Adds to `rows` what it lacks and claims the job's listing. Returns whether `rows` is complete
+  // and the slice plan has not changed; if not, the load is to be tried again.
   bool ReadRows(Task& task, OwnedJob& job, JobRows& rows);
-  // Adds the items of the owner's slice with the texts to continue.
+  // Adds the items of the owner's slice to `job`, with the texts that their runs continue.
   void AddItems(OwnedJob& job, JobRows rows, TimePoint now);
-  // Continues the texts of groups that an earlier job left incomplete. Returns the number of
-  // groups.
-  std::size_t ContinueCarriedGroups(OwnedJob& job);
+  // Takes over the texts of groups that an earlier job left incomplete and marks their items as
+  // required. Returns the number of these groups.
+  std::size_t TakeOverCarriedGroups(OwnedJob& job);
   void EndJob(const std::string& id);
   // Drops all jobs after a change of the slice plan and saves their texts for the new owners.
   void ChangeSlice(Task& task);
--- a/anvilcroft/batch_owner_jobs.cc
+++ b/anvilcroft/batch_owner_jobs.cc
@@ -155,7 +155,7 @@
   if (const auto routes = this->context.routes()) {
     job->tokens_per_event = TokensPerEvent(*routes, head);
   }
-  const std::size_t carried_groups = this->ContinueCarriedGroups(*job);
+  const std::size_t carried_groups = this->TakeOverCarriedGroups(*job);
   job->owned_since = SteadyNow();
   LogInfo(kPart, "loaded a batch job",
           {{"batch", head.id},
@@ -226,7 +226,7 @@
   }
 }
 
-std::size_t BatchOwner::ContinueCarriedGroups(OwnedJob& job) {
+std::size_t BatchOwner::TakeOverCarriedGroups(OwnedJob& job) {
   const BatchHead& head = job.head;
   const auto routes = this->context.routes();
   const ServiceRoute* route = routes ? routes->Match(head.host, head.path) : nullptr;
